--- a/packages/steering/include/zinnia/steering/holdings_table.hpp
+++ b/packages/steering/include/zinnia/steering/holdings_table.hpp
@@ -21,6 +21,8 @@
   /// Grows with each renewal through the store.
   std::int64_t renewal{0};
   bool leaving{false};
+  /// Its key homes may dispatch ahead of their journal during an outage of the store. Set before they do.
+  bool may_defer{false};
   /// Where callers reach it, as "ip:port".
   std::string caller_address;
   /// Where other nodes reach it, as "ip:port".
--- a/packages/steering/include/zinnia/steering/key_home.hpp
+++ b/packages/steering/include/zinnia/steering/key_home.hpp
@@ -144,7 +144,8 @@
 
   /// \name Journal
   /// \{
-  /// \brief The next batch to write, if there is something to write and none is under way.
+  /// \brief   The next batch to write, if there is something to write and none is under way.
+  /// \details Gives a batch again whose write may have taken effect, until that is known.
   [[nodiscard]] std::optional<journal_batch> next_batch();
   void batch_written();
   /// \brief The batch was certainly not written. Intents in it are refused or, if allowed, deferred.
@@ -152,10 +153,11 @@
   /// \brief The batch's number was taken by this batch.
   void batch_conflicts(const journal_batch& existing);
   /// \brief Nobody knows whether the batch under way was written.
-  void batch_unsettled() noexcept { this->journal_down = true; }
+  void batch_unsettled() noexcept;
   /// \brief Whether dispatch may go ahead of the journal during an outage.
   void set_deferral_allowed(bool allowed) noexcept { this->deferral_allowed = allowed; }
-  [[nodiscard]] bool is_journal_down() const noexcept { return this->journal_down; }
+  /// \brief The journal is down, or holds not yet all that was dispatched ahead of it.
+  [[nodiscard]] bool is_behind() const noexcept { return this->journal_down || !this->ahead.empty(); }
   [[nodiscard]] bool has_unwritten() const noexcept { return !this->dirty.empty() || this->in_flight; }
   /// \brief Numbers of batches that a snapshot has made superfluous.
   [[nodiscard]] std::vector<std::int64_t> take_superfluous();
@@ -180,11 +182,15 @@
   std::int64_t writes{0};
   std::int64_t since_snapshot{0};
   std::optional<journal_batch> in_flight;
+  /// An earlier write of the batch under way may have taken effect, so no failure can end it.
+  bool unsettled{false};
   std::map<key_name, key_record> records;
   /// Records that the journal does not hold in their present state.
   std::set<key_name> dirty;
   /// Intents that the journal holds, or that may go ahead of it.
   std::set<key_name> ready;
+  /// Dispatched before any batch with their intent was written.
+  std::set<key_name> ahead;
   std::vector<std::int64_t> plain_sequences;
   std::vector<std::int64_t> superfluous;
 };
--- a/packages/steering/include/zinnia/steering/node_machine.hpp
+++ b/packages/steering/include/zinnia/steering/node_machine.hpp
@@ -64,8 +64,8 @@
   [[nodiscard]] virtual bool is_idle(const holding_id& holding) const = 0;
   [[nodiscard]] virtual std::int64_t in_flight(const share_key& key) const = 0;
   [[nodiscard]] virtual std::vector<service_load> loads(time_point now) const = 0;
-  /// \brief Whether a key home of this node finds its journal unavailable.
-  [[nodiscard]] virtual bool is_journal_down() const = 0;
+  /// \brief Whether a key home of this node dispatches, or is about to, ahead of its journal.
+  [[nodiscard]] virtual bool is_journal_behind() const = 0;
   /// \brief Requests in flight by any path.
   [[nodiscard]] virtual std::int64_t total_in_flight() const = 0;
 };
@@ -73,9 +73,10 @@
 /// \brief   Membership, leases, holdings, shares and settings of one node.
 ///
 /// \details Not thread safe. The caller performs `take_actions()` after each input and hands back what came
-///          of them. Invariants: the settings version and each table's version never fall;
-///          `view().valid_until` is past only while a heir's promise or a renewal covers it; the table
-///          written differs from the one read only by edits that this node may make.
+///          of them; reads and writes of the store are performed one at a time, in the order given.
+///          Invariants: the settings version and each table's version never fall; `view().valid_until` is
+///          past only while a heir's promise or a renewal covers it; the table written differs from the one
+///          read only by edits that this node may make.
 ///
 /// \code
 /// machine.tick(clock.now(), unix_time_ms());
@@ -122,6 +123,8 @@
     std::optional<heir_watch> watch;
     /// The incarnation that the watch is for.
     incarnation_id watched;
+    /// A heartbeat came since this node became the heir, so what it says of the journal can be relied on.
+    bool heard_as_heir{false};
   };
 
   [[nodiscard]] std::string own_table_key() const;
@@ -155,7 +158,8 @@
   void join(holdings_table& table, time_point now);
   void choose_heir(holdings_table& table, time_point now) const;
   [[nodiscard]] bool is_fit_heir(const holdings_table& table, const node_id& node) const;
-  [[nodiscard]] bool was_deferring(const node_id& node, const incarnation_id& incarnation) const;
+  [[nodiscard]] bool any_service_defers() const;
+  [[nodiscard]] bool may_have_deferred(const node_id& node, const node_entry& entry) const;
   [[nodiscard]] bool wants_renewal(time_point now) const;
   void take_over(holdings_table& table, time_point now) const;
   void reassign(holdings_table& table, const node_id& from, std::int64_t blind_before) const;
@@ -163,6 +167,8 @@
   void place_holdings(holdings_table& table, time_point now);
   void release_or_keep(holdings_table& table, const holding_id& holding, const node_id& target,
                        time_point now);
+  [[nodiscard]] bool is_released(const holding_id& holding, time_point now);
+  static void give_up(holdings_table& table, const holding_id& holding);
   [[nodiscard]] bool is_quarantined(const holding_id& holding, time_point now) const;
   [[nodiscard]] duration quarantine() const;
   [[nodiscard]] std::vector<holding_id> wanted_holdings() const;
--- a/packages/steering/src/holdings_table.cpp
+++ b/packages/steering/src/holdings_table.cpp
@@ -12,10 +12,10 @@
 const std::string bucket_prefix = "keys/";
 
 [[nodiscard]] nlohmann::json to_json(const node_entry& node) {
-  return {{"domain", node.domain.str()}, {"incarnation", node.incarnation.str()},
-          {"heir", node.heir.str()},     {"renewal", node.renewal},
-          {"leaving", node.leaving},     {"caller", node.caller_address},
-          {"peer", node.peer_address}};
+  return {{"domain", node.domain.str()},   {"incarnation", node.incarnation.str()},
+          {"heir", node.heir.str()},       {"renewal", node.renewal},
+          {"leaving", node.leaving},       {"may_defer", node.may_defer},
+          {"caller", node.caller_address}, {"peer", node.peer_address}};
 }
 
 [[nodiscard]] node_entry node_from_json(const nlohmann::json& value) {
@@ -25,6 +25,7 @@
   node.heir = node_id{value.at("heir").get<std::string>()};
   node.renewal = value.at("renewal").get<std::int64_t>();
   node.leaving = value.at("leaving").get<bool>();
+  node.may_defer = value.at("may_defer").get<bool>();
   node.caller_address = value.at("caller").get<std::string>();
   node.peer_address = value.at("peer").get<std::string>();
   return node;
--- a/packages/steering/src/key_home.cpp
+++ b/packages/steering/src/key_home.cpp
@@ -84,10 +84,10 @@
 
 key_decision key_home::begin(const key_request& request) {
   if (this->fenced) {
-    return impl::refuse(reason::journal_fenced, verdict::did_not_run);
+    return impl::refuse(reason::journal_fenced, verdict::may_have_run);
   }
   if (!this->active) {
-    return impl::refuse(reason::key_recovering, verdict::did_not_run);
+    return impl::refuse(reason::key_recovering, verdict::may_have_run);
   }
   const auto found = this->records.find(request.name);
   if (found != this->records.end() && found->second.state != key_state::cleared) {
@@ -109,6 +109,7 @@
   this->touch(request.name);
   if (deferred) {
     this->ready.insert(request.name);
+    this->ahead.insert(request.name);
     return {key_step::dispatch, reason::none, verdict::did_not_run, request.request};
   }
   return {key_step::wait_for_journal, reason::none, verdict::did_not_run, request.request};
@@ -118,11 +119,13 @@
   const auto found = this->records.find(name);
   const bool gone = found == this->records.end() || found->second.state == key_state::cleared;
   if (gone || found->second.first_request != request) {
-    const auto why = this->fenced ? reason::journal_fenced : reason::journal_unavailable;
-    return impl::refuse(why, verdict::did_not_run);
+    if (!this->fenced) {
+      return impl::refuse(reason::journal_unavailable, verdict::did_not_run);
+    }
   }
+  // Another home has the key now, and the key may have run there.
   if (this->fenced) {
-    return impl::refuse(reason::journal_fenced, verdict::did_not_run);
+    return impl::refuse(reason::journal_fenced, verdict::may_have_run);
   }
   const auto step = this->ready.contains(name) ? key_step::dispatch : key_step::wait_for_journal;
   return {step, reason::none, verdict::did_not_run, request};
@@ -195,7 +198,15 @@
   });
 }
 
+void key_home::batch_unsettled() noexcept {
+  this->journal_down = true;
+  this->unsettled = true;
+}
+
 std::optional<journal_batch> key_home::next_batch() {
+  if (this->in_flight && this->unsettled) {
+    return this->in_flight;
+  }
   const bool claims = this->restored && !this->active;
   // While the journal is down an empty batch is written as a probe, or nothing would notice its return.
   const bool nothing_to_write = !claims && this->dirty.empty() && !this->journal_down;
@@ -228,6 +239,7 @@
   ++this->since_snapshot;
   this->note_batch(*this->in_flight);
   for (const auto& [name, written] : this->in_flight->records) {
+    this->ahead.erase(name);
     const auto found = this->records.find(name);
     if (found != this->records.end() && found->second.state == key_state::intent &&
         found->second.first_request == written.first_request) {
@@ -240,6 +252,7 @@
   }
   this->active = true;
   this->journal_down = false;
+  this->unsettled = false;
   this->in_flight.reset();
 }
 
@@ -261,10 +274,10 @@
 }
 
 void key_home::batch_not_written() {
-  if (!this->in_flight) {
+  this->journal_down = true;
+  if (!this->in_flight || this->unsettled) {
     return;
   }
-  this->journal_down = true;
   const auto batch = std::move(*this->in_flight);
   this->in_flight.reset();
   this->drop_intents_of(batch);
@@ -278,6 +291,7 @@
     this->batch_written();
     return;
   }
+  this->unsettled = false;
   // While claiming, a batch of an older epoch is one that the former holder still managed to write.
   if (!this->active && existing.written_under < this->held) {
     this->in_flight.reset();
--- a/packages/steering/src/node_machine.cpp
+++ b/packages/steering/src/node_machine.cpp
@@ -244,7 +244,8 @@
     // Everyone reads its own table now and then; the rest comes by watch or from peers.
     const bool knows_all = this->settings != nullptr && this->own_table() != nullptr;
     // A node that no longer leads the edits hears of changes from its relay.
-    if (this->should_watch() || !knows_all || this->must_confirm) {
+    const bool write_open = this->pending && this->pending->answered;
+    if (this->should_watch() || !knows_all || this->must_confirm || write_open) {
       for (const auto& key : {std::string{settings_key}, this->own_table_key(), std::string{vm_list_key}}) {
         if (this->being_read.insert(key).second) {
           this->actions.emplace_back(read_action{key});
@@ -274,7 +275,7 @@
   message.incarnation = this->me.incarnation;
   message.region = this->me.region;
   message.leaving = this->stopping;
-  message.deferred_journal = this->traffic.is_journal_down();
+  message.deferred_journal = this->traffic.is_journal_behind();
   message.loads = this->traffic.loads(now);
   message.known.push_back({settings_key, this->settings_version});
   for (const auto& [region, version] : this->table_versions) {
@@ -333,6 +334,7 @@
   const bool taking_over = this->pending && this->pending->takes_over.contains(from);
   if (heir_of_sender && peer.watch && !taking_over) {
     peer.watch->promise(now);
+    peer.heard_as_heir = true;
     this->actions.emplace_back(send_action{from, heir_promise{message.sequence, message.incarnation}});
   }
   this->publish(now);
@@ -383,6 +385,7 @@
     if (!peer.watch || peer.watched != node.incarnation) {
       peer.watch.emplace(this->terms, now);
       peer.watched = node.incarnation;
+      peer.heard_as_heir = false;
     }
     peer.watch->observe_renewal(now, node.renewal);
   }
--- a/packages/steering/src/publish.cpp
+++ b/packages/steering/src/publish.cpp
@@ -20,7 +20,8 @@
 void node_machine::publish_upstreams(time_point now) {
   this->current.upstreams.clear();
   const auto* const table = this->own_table();
-  if (table == nullptr || this->settings == nullptr) {
+  // What a former process of this node held is not this one's before it has joined.
+  if (!this->is_member() || this->settings == nullptr) {
     return;
   }
   for (const auto& upstream : this->settings->upstreams()) {
@@ -53,7 +54,7 @@
 void node_machine::publish_buckets() {
   this->current.buckets.clear();
   const auto* const table = this->own_table();
-  if (table == nullptr) {
+  if (!this->is_member()) {
     return;
   }
   for (const auto& [holding, held] : table->holdings) {
@@ -68,7 +69,7 @@
 void node_machine::publish_shares(time_point now) {
   this->current.shares.clear();
   const auto* const table = this->own_table();
-  if (table == nullptr || now < this->shares_from) {
+  if (!this->is_member() || now < this->shares_from) {
     return;
   }
   for (const auto& [key, owners] : table->shares) {
@@ -110,7 +111,8 @@
   this->current.settings_version = this->settings_version;
   this->current.tables = this->tables;
   this->current.leaving = this->stopping;
-  this->current.deferral_allowed = this->deferral_told || (own != nullptr && own->heir.empty());
+  const bool heir_knows = own != nullptr && (this->deferral_told || own->heir.empty());
+  this->current.deferral_allowed = heir_knows && own->may_defer;
   const bool may_dispatch = own != nullptr && !this->must_confirm && now >= this->hold_off_until;
   this->current.valid_until = may_dispatch ? this->lease.valid_until() : time_point{};
   this->publish_upstreams(now);
--- a/packages/steering/src/table_edits.cpp
+++ b/packages/steering/src/table_edits.cpp
@@ -54,6 +54,7 @@
   }
   auto& own = edited.nodes.at(this->me.id);
   own.leaving = this->stopping;
+  own.may_defer = this->any_service_defers() || this->traffic.is_journal_behind();
   this->choose_heir(edited, now);
   if (this->wants_renewal(now)) {
     ++own.renewal;
@@ -90,6 +91,7 @@
   }
   if (write.changes_heir) {
     this->lease.set_unopposed(false);
+    this->deferral_told = false;
   }
   this->actions.emplace_back(
       write_action{this->own_table_key(), write.text, this->table_versions[this->me.region]});
@@ -101,12 +103,17 @@
   if (former != table.nodes.end()) {
     // A former process of this node may still be within its term, with requests in flight.
     this->hold_off_until = now + this->terms.term + this->terms.drift;
-    this->shares_from = now + this->quarantine();
-    const bool blind = this->was_deferring(this->me.id, former->second.incarnation);
+    const bool blind = former->second.may_defer;
     const auto blind_before = blind ? this->unix_now + impl::wall_clock_allowance_ms : 0;
     table.nodes.erase(former);
     this->reassign(table, this->me.id, blind_before);
   }
+  const bool has_old_shares =
+      std::any_of(table.shares.begin(), table.shares.end(),
+                  [this](const auto& entry) { return entry.second.contains(this->me.id); });
+  if (has_old_shares) {
+    this->shares_from = now + this->quarantine();
+  }
   node_entry entry;
   entry.domain = this->me.domain;
   entry.incarnation = this->me.incarnation;
@@ -178,13 +185,8 @@
 
 // Takeover.
 
-bool node_machine::was_deferring(const node_id& node, const incarnation_id& incarnation) const {
-  const auto peer = this->peers.find(node);
-  if (peer != this->peers.end() && peer->second.last.incarnation == incarnation) {
-    return peer->second.last.deferred_journal;
-  }
-  // Never heard of: it may have served ahead of its journal if any service allows that.
-  return this->settings == nullptr ||
+bool node_machine::any_service_defers() const {
+  return this->settings != nullptr &&
          std::any_of(this->settings->services().begin(), this->settings->services().end(),
                      [&](const service_id& service) {
                        const auto values = this->settings->effective(service, this->me.region).values;
@@ -192,6 +194,15 @@
                      });
 }
 
+/// A holder defers only after its heir answered a heartbeat that said so; all others must assume the worst.
+bool node_machine::may_have_deferred(const node_id& node, const node_entry& entry) const {
+  const auto peer = this->peers.find(node);
+  const bool knows = entry.heir == this->me.id && peer != this->peers.end() && peer->second.watch &&
+                     peer->second.watched == entry.incarnation && peer->second.heard_as_heir &&
+                     peer->second.last.incarnation == entry.incarnation;
+  return entry.may_defer && (!knows || peer->second.last.deferred_journal);
+}
+
 bool node_machine::may_take_over(const holdings_table& table, const node_id& node, time_point now) const {
   const auto& entry = table.nodes.at(node);
   const auto peer = this->peers.find(node);
@@ -242,7 +253,7 @@
     }
   }
   for (const auto& id : lost) {
-    const bool blind = this->was_deferring(id, table.nodes.at(id).incarnation);
+    const bool blind = this->may_have_deferred(id, table.nodes.at(id));
     table.nodes.erase(id);
     this->reassign(table, id, blind ? this->unix_now + impl::wall_clock_allowance_ms : 0);
   }
@@ -278,14 +289,26 @@
     this->releasing.erase(holding);
     return;
   }
-  // Closed in this tick, given away in a later one: the traffic side must have seen it closed first.
-  const bool closed_before = !this->releasing.insert(holding).second;
-  const bool ready = closed_before && this->traffic.is_idle(holding) && !this->is_quarantined(holding, now);
-  if (ready) {
+  if (this->is_released(holding, now)) {
     table.assign(holding, target, false);
   }
 }
 
+/// Closes a holding in one tick and finds it free in a later one: the traffic side must see it closed first.
+bool node_machine::is_released(const holding_id& holding, time_point now) {
+  const bool closed_before = !this->releasing.insert(holding).second;
+  return closed_before && this->traffic.is_idle(holding) && !this->is_quarantined(holding, now);
+}
+
+/// A bucket stays in the table without a holder, as what is known of its blind time must not be lost.
+void node_machine::give_up(holdings_table& table, const holding_id& holding) {
+  if (bucket_of(holding) >= 0) {
+    table.assign(holding, node_id{}, false);
+  } else {
+    table.holdings.erase(holding);
+  }
+}
+
 void node_machine::place_holdings(holdings_table& table, time_point now) {
   if (this->settings == nullptr) {
     return;
@@ -304,15 +327,17 @@
       this->release_or_keep(table, holding, target, now);
     }
   }
-  std::erase_if(table.holdings, [&](const auto& entry) {
+  std::vector<holding_id> given_up;
+  for (const auto& [holding, held] : table.holdings) {
     // The last node of a region has nobody to hand over to and gives its holdings up.
-    const bool unwanted = std::find(wanted.begin(), wanted.end(), entry.first) == wanted.end();
-    if ((!unwanted && !targets.empty()) || entry.second.holder != this->me.id) {
-      return false;
+    const bool unwanted = std::find(wanted.begin(), wanted.end(), holding) == wanted.end();
+    if (held.holder == this->me.id && (unwanted || targets.empty()) && this->is_released(holding, now)) {
+      given_up.push_back(holding);
     }
-    const bool closed_before = !this->releasing.insert(entry.first).second;
-    return closed_before && this->traffic.is_idle(entry.first) && !this->is_quarantined(entry.first, now);
-  });
+  }
+  for (const auto& holding : given_up) {
+    this->give_up(table, holding);
+  }
   std::erase_if(this->releasing, [&](const holding_id& holding) {
     const auto found = table.holdings.find(holding);
     return found != table.holdings.end() && found->second.holder != this->me.id &&
@@ -354,8 +379,9 @@
   }
 }
 
-void node_machine::adjust_shares(holdings_table& table, time_point /*now*/) {
-  if (this->settings == nullptr) {
+void node_machine::adjust_shares(holdings_table& table, time_point now) {
+  // A former process's requests may still use what is granted, so it must not be given away yet.
+  if (this->settings == nullptr || now < this->shares_from) {
     return;
   }
   std::map<share_key, std::int64_t> fair;
@@ -379,7 +405,8 @@
   std::map<std::pair<share_key, node_id>, time_point> still_orphans;
   for (auto& entry : table.shares) {
     std::erase_if(entry.second, [&](const auto& owner) {
-      if (table.nodes.contains(owner.first)) {
+      // Lost only once the store says so: a takeover that this node merely intends has fenced nobody.
+      if (table.nodes.contains(owner.first) || this->own_table()->nodes.contains(owner.first)) {
         return false;
       }
       const std::pair<share_key, node_id> orphan{entry.first, owner.first};
--- a/packages/traffic/include/zinnia/traffic/key_service.hpp
+++ b/packages/traffic/include/zinnia/traffic/key_service.hpp
@@ -45,7 +45,7 @@
                                     const std::function<exchange_answer()>& dispatch);
 
   [[nodiscard]] bool is_idle(std::int64_t bucket);
-  [[nodiscard]] bool is_journal_down();
+  [[nodiscard]] bool is_behind();
   [[nodiscard]] std::int64_t in_flight();
 
  private:
@@ -59,8 +59,6 @@
     /// The journal thread is at work on it.
     int journal_uses{0};
     time_point next_try{};
-    /// A batch whose write may have taken effect; nothing else is written before that is known.
-    std::optional<journal_batch> unsettled;
   };
   enum class wait_end : unsigned char { changed, deadline, cancelled };
 
@@ -68,6 +66,7 @@
                                           const std::function<exchange_answer()>& dispatch);
   [[nodiscard]] std::optional<exchange_answer> join(const keyed_request& request, bucket_state& bucket);
   [[nodiscard]] exchange_answer replay(const keyed_request& request, const key_record& record);
+  void qualify(exchange_answer& answer, const bucket_state& bucket) const;
   [[nodiscard]] bool apply_resolution(const keyed_request& request, bucket_state& bucket);
   [[nodiscard]] wait_end wait_until(const keyed_request& request, const std::function<bool()>& changed);
 
@@ -77,7 +76,7 @@
   void serve_bucket(std::int64_t bucket);
   [[nodiscard]] bool recover(std::int64_t bucket, key_home& home);
   void write_batch(std::int64_t bucket, const journal_batch& batch);
-  void settle(std::int64_t bucket, const journal_batch& batch, const store_reply& reply);
+  void settle(std::int64_t bucket, const store_reply& reply);
   void remove_superfluous(std::int64_t bucket, const std::vector<std::int64_t>& sequences);
   [[nodiscard]] std::string journal_prefix(std::int64_t bucket) const;
   [[nodiscard]] std::string batch_key(std::int64_t bucket, std::int64_t sequence) const;
@@ -89,6 +88,7 @@
   std::string writer_id;
   absl::Mutex mutex;
   std::map<std::int64_t, bucket_state> buckets;
+  time_point valid_until{};
   bool wake{false};
   bool stopping{false};
   std::thread journal_thread;
--- a/packages/traffic/include/zinnia/traffic/traffic_node.hpp
+++ b/packages/traffic/include/zinnia/traffic/traffic_node.hpp
@@ -38,7 +38,7 @@
   [[nodiscard]] bool is_idle(const holding_id& holding) const override;
   [[nodiscard]] std::int64_t in_flight(const share_key& key) const override;
   [[nodiscard]] std::vector<service_load> loads(time_point now) const override;
-  [[nodiscard]] bool is_journal_down() const override;
+  [[nodiscard]] bool is_journal_behind() const override;
   [[nodiscard]] std::int64_t total_in_flight() const override;
   /// \}
 
--- a/packages/traffic/src/caller_interface.cpp
+++ b/packages/traffic/src/caller_interface.cpp
@@ -288,10 +288,12 @@
   record.received_unix_ms = unix_time_ms();
   record.method = http.method;
   record.path = http.path;
+  record.key = idempotency_key{impl::header_of(http, "idempotency-key")};
   if (!read) {
     this->fate_records.begin(record);
     answer.why = read.last_error().code;
     answer.body = read.last_error().message;
+    answer.outcome = record.key.empty() ? verdict::did_not_run : verdict::may_have_run;
   } else {
     auto& request = read.value();
     request.id = record.id;
@@ -345,6 +347,9 @@
   exchange_answer answer;
   answer.id = record.id;
   answer.why = why;
+  // Refused before its key's home was asked.
+  answer.outcome =
+      impl::header_of(http, "idempotency-key").empty() ? verdict::did_not_run : verdict::may_have_run;
   answer.retry_after = why == reason::workers_busy ? retry_after_busy : duration{0};
   this->fate_records.finish(record.id, answer);
   this->counts.refused(why);
@@ -374,7 +379,7 @@
   nlohmann::json body{{"verdict", verdict_word},
                       {"reason", reason_word},
                       {"request", answer.id.str()},
-                      {"retry", answer.outcome == verdict::did_not_run && answer.retry_after.ms > 0},
+                      {"retry", answer.retry_after.ms > 0},
                       {"retry_after_ms", answer.retry_after.ms}};
   if (!answer.body.empty()) {
     body["detail"] = answer.body;
--- a/packages/traffic/src/key_journal_writer.cpp
+++ b/packages/traffic/src/key_journal_writer.cpp
@@ -84,7 +84,7 @@
     if (!recovered) {
       bucket.next_try = this->clock.now() + impl::pause_after_failure;
     } else {
-      batch = bucket.unsettled ? bucket.unsettled : home->next_batch();
+      batch = home->next_batch();
       superfluous = home->take_superfluous();
     }
   }
@@ -144,14 +144,13 @@
     reply.status = reply.ok() ? store_status::conflict : store_status::unknown;
   }
   const absl::MutexLock lock{&this->mutex};
-  this->settle(number, batch, reply);
+  this->settle(number, reply);
 }
 
-void key_service::settle(std::int64_t number, const journal_batch& batch, const store_reply& reply) {
+void key_service::settle(std::int64_t number, const store_reply& reply) {
   auto& bucket = this->buckets.at(number);
   auto& home = *bucket.home;
   const bool was_fenced = home.is_fenced();
-  bucket.unsettled.reset();
   switch (reply.status) {
     case store_status::ok:
       this->counts.add(counter::journal_batches);
@@ -165,15 +164,14 @@
       }
       break;
     case store_status::unknown:
-      bucket.unsettled = batch;
+      this->counts.add(counter::store_failures);
+      bucket.next_try = this->clock.now() + impl::pause_after_failure;
       home.batch_unsettled();
-      [[fallthrough]];
+      break;
     default:
       this->counts.add(counter::store_failures);
       bucket.next_try = this->clock.now() + impl::pause_after_failure;
-      if (!bucket.unsettled) {
-        home.batch_not_written();
-      }
+      home.batch_not_written();
       break;
   }
   if (home.is_fenced() && !was_fenced) {
--- a/packages/traffic/src/key_service.cpp
+++ b/packages/traffic/src/key_service.cpp
@@ -20,7 +20,9 @@
   answer.id = id;
   answer.outcome = known;
   answer.why = why;
-  const bool worth_repeating = known == verdict::did_not_run && why != reason::key_reused;
+  const bool final =
+      why == reason::key_reused || why == reason::key_uncertain || why == reason::answer_not_kept;
+  const bool worth_repeating = known != verdict::ran && !final;
   answer.retry_after = worth_repeating ? recovery_retry_after : duration{0};
   return answer;
 }
@@ -56,6 +58,7 @@
 
 void key_service::apply(const traffic_view& view) {
   const absl::MutexLock lock{&this->mutex};
+  this->valid_until = view.valid_until;
   for (auto& [number, bucket] : this->buckets) {
     bucket.closing = true;
   }
@@ -81,7 +84,7 @@
     const bool written = bucket.home == nullptr || bucket.home->is_fenced() || !bucket.recovered ||
                          !bucket.home->has_unwritten();
     const bool unused = bucket.in_flight == 0 && bucket.journal_uses == 0;
-    return bucket.closing && unused && written && !bucket.unsettled;
+    return bucket.closing && unused && written;
   });
 }
 
@@ -140,7 +143,7 @@
   }
   const auto decision = bucket.home->look(name, id);
   if (decision.step != key_step::dispatch || !bucket.home->mark_running(name, id)) {
-    return impl::refusal(id, verdict::did_not_run, decision.why);
+    return impl::refusal(id, decision.known, decision.why);
   }
   this->mutex.Unlock();
   auto answer = dispatch();
@@ -199,19 +202,29 @@
     }
   }
   --bucket.in_flight;
+  this->qualify(answer, bucket);
   return answer;
 }
 
+/// "Did not run" holds for the key only while no other home can have taken over and run it.
+void key_service::qualify(exchange_answer& answer, const bucket_state& bucket) const {
+  if (answer.outcome != verdict::did_not_run) {
+    return;
+  }
+  const bool is_home = !bucket.home->is_fenced() && this->clock.now() < this->valid_until;
+  answer.key_known = is_home || answer.why == reason::key_reused;
+}
+
 bool key_service::is_idle(std::int64_t number) {
   const absl::MutexLock lock{&this->mutex};
   const auto found = this->buckets.find(number);
   return found == this->buckets.end();
 }
 
-bool key_service::is_journal_down() {
+bool key_service::is_behind() {
   const absl::MutexLock lock{&this->mutex};
   for (const auto& [number, bucket] : this->buckets) {
-    if (bucket.home != nullptr && bucket.home->is_journal_down()) {
+    if (bucket.home != nullptr && bucket.home->is_behind()) {
       return true;
     }
   }
--- a/packages/traffic/src/pipeline.cpp
+++ b/packages/traffic/src/pipeline.cpp
@@ -74,7 +74,13 @@
 }
 
 exchange_answer pipeline::run(traffic_request& request, pipeline_stage from) {
-  return this->run_from(request, static_cast<std::size_t>(from));
+  auto answer = this->run_from(request, static_cast<std::size_t>(from));
+  // A refusal that the key's home did not give says nothing of earlier requests with the same key.
+  const bool says_too_much = answer.outcome == verdict::did_not_run && !answer.key_known;
+  if (from == pipeline_stage::admission && !request.key.empty() && says_too_much) {
+    answer.outcome = verdict::may_have_run;
+  }
+  return answer;
 }
 
 exchange_answer pipeline::run_from(traffic_request& request, std::size_t position) {
--- a/packages/traffic/src/traffic_node.cpp
+++ b/packages/traffic/src/traffic_node.cpp
@@ -95,8 +95,8 @@
   return this->slots.loads();
 }
 
-bool traffic_node::is_journal_down() const {
-  return this->keys.is_journal_down();
+bool traffic_node::is_journal_behind() const {
+  return this->keys.is_behind();
 }
 
 std::int64_t traffic_node::total_in_flight() const {
--- a/packages/wire/include/zinnia/wire/frames.hpp
+++ b/packages/wire/include/zinnia/wire/frames.hpp
@@ -72,6 +72,8 @@
   header_list headers;
   std::string body;
   std::vector<attempt_record> attempts;
+  /// A "did not run" of a keyed request comes from the key's home, so it holds for the key as well.
+  bool key_known{false};
 };
 
 using wire_message = std::variant<hello, peer_message, exchange_request, exchange_answer>;
--- a/packages/wire/src/decode.cpp
+++ b/packages/wire/src/decode.cpp
@@ -91,6 +91,7 @@
   plain.retry_after = duration{message.retry_after_ms()};
   plain.headers = unpack_headers(message);
   plain.body = unpack_body(message);
+  plain.key_known = message.key_known();
   if (message.attempts() != nullptr) {
     for (const auto* const attempt : *message.attempts()) {
       plain.attempts.push_back({node_id{attempt->node()->str()}, upstream_id{attempt->upstream()->str()},
--- a/packages/wire/src/encode.cpp
+++ b/packages/wire/src/encode.cpp
@@ -101,11 +101,12 @@
   const auto headers = pack_headers(b, message.headers);
   const auto body = pack_body(b, message.body);
   const auto attempt_vector = b.CreateVector(attempts);
-  return {fbs::Message_Answer, fbs::CreateAnswer(b, id, static_cast<std::uint16_t>(message.status),
-                                                 static_cast<std::uint8_t>(message.outcome),
-                                                 static_cast<std::uint8_t>(message.why),
-                                                 message.retry_after.ms, headers, body, attempt_vector)
-                                   .Union()};
+  return {
+      fbs::Message_Answer,
+      fbs::CreateAnswer(b, id, static_cast<std::uint16_t>(message.status),
+                        static_cast<std::uint8_t>(message.outcome), static_cast<std::uint8_t>(message.why),
+                        message.retry_after.ms, headers, body, attempt_vector, message.key_known)
+          .Union()};
 }
 
 void put_u32(std::string& into, std::uint32_t value) {
