Judge VM loss by incarnation, and give up only what the store says is held

Change: "gone" is noted for the incarnation that the list has shown; holdings are released only if the accepted table gives them to this node; quarantines are noted for all holdings, also those no longer in the settings.

--- a/packages/steering/include/zinnia/steering/node_machine.hpp
+++ b/packages/steering/include/zinnia/steering/node_machine.hpp
@@ -167,6 +167,7 @@
   void place_holdings(holdings_table& table, time_point now);
   void release_or_keep(holdings_table& table, const holding_id& holding, const node_id& target,
                        time_point now);
+  [[nodiscard]] bool holds(const holding_id& holding, const holding_entry& entry) const;
   [[nodiscard]] bool is_released(const holding_id& holding, time_point now);
   static void give_up(holdings_table& table, const holding_id& holding);
   [[nodiscard]] bool is_quarantined(const holding_id& holding, time_point now) const;
@@ -179,7 +180,8 @@
 
   // The view.
   void publish(time_point now);
-  void publish_upstreams(time_point now);
+  void note_quarantines(time_point now);
+  void publish_upstreams();
   void publish_buckets();
   void publish_shares(time_point now);
   void publish_nodes();
@@ -219,8 +221,9 @@
   std::map<region_id, std::string> table_texts;
   std::map<std::string, object_version> seen_versions;
   std::set<std::string> being_read;
-  std::set<std::string> listed_vms;
-  std::set<std::string> gone_vms;
+  /// Incarnations that the VM list has shown since they joined, and those of them that it no longer shows.
+  std::set<incarnation_id> listed;
+  std::set<incarnation_id> gone;
 
   /// The last write of the own table, from when it is handed out until what came of it is known.
   struct pending_write {
--- a/packages/steering/src/node_machine.cpp
+++ b/packages/steering/src/node_machine.cpp
@@ -48,7 +48,9 @@
 }
 
 bool node_machine::is_gone(const node_id& node) const {
-  return this->gone_vms.contains(node.str());
+  const auto* const table = this->own_table();
+  const auto found = table->nodes.find(node);
+  return found != table->nodes.end() && this->gone.contains(found->second.incarnation);
 }
 
 // Objects.
@@ -118,20 +120,17 @@
   if (!list.is_object()) {
     return;
   }
-  std::set<std::string> listed;
-  for (const auto& [vm, state] : list.items()) {
-    listed.insert(vm);
-  }
-  // The list lags, so a VM that was never on it may merely be new.
-  for (const auto& vm : this->listed_vms) {
-    if (!listed.contains(vm)) {
-      this->gone_vms.insert(vm);
+  // The list lags, so an incarnation counts as gone only if the list has shown its VM since it joined.
+  for (const auto& [region, table] : this->tables) {
+    for (const auto& [id, node] : table->nodes) {
+      if (list.contains(id.str())) {
+        this->listed.insert(node.incarnation);
+        this->gone.erase(node.incarnation);
+      } else if (this->listed.contains(node.incarnation)) {
+        this->gone.insert(node.incarnation);
+      }
     }
   }
-  for (const auto& vm : listed) {
-    this->gone_vms.erase(vm);
-  }
-  this->listed_vms = std::move(listed);
 }
 
 void node_machine::objects_seen(const std::vector<known_object>& seen) {
--- a/packages/steering/src/publish.cpp
+++ b/packages/steering/src/publish.cpp
@@ -17,7 +17,23 @@
   return longest;
 }
 
-void node_machine::publish_upstreams(time_point now) {
+/// Notes when each holding that nobody handed over was first seen to be this node's.
+void node_machine::note_quarantines(time_point now) {
+  std::map<holding_id, std::pair<epoch, time_point>> current_ones;
+  if (this->is_member()) {
+    for (const auto& [holding, held] : this->own_table()->holdings) {
+      if (held.holder != this->me.id || !held.unplanned) {
+        continue;
+      }
+      const auto known = this->quarantines.find(holding);
+      const bool same = known != this->quarantines.end() && known->second.first == held.held_since;
+      current_ones[holding] = {held.held_since, same ? known->second.second : now};
+    }
+  }
+  this->quarantines = std::move(current_ones);
+}
+
+void node_machine::publish_upstreams() {
   this->current.upstreams.clear();
   const auto* const table = this->own_table();
   // What a former process of this node held is not this one's before it has joined.
@@ -38,14 +54,9 @@
     held.slots = values.slots_per_upstream;
     held.held_since = found->second.held_since;
     held.closed = this->releasing.contains(holding) || is_closed(*this->settings, upstream, this->unix_now);
-    if (found->second.unplanned) {
-      auto& seen = this->quarantines[holding];
-      if (seen.first != held.held_since) {
-        seen = {held.held_since, now};
-      }
-      held.quarantined_until = seen.second + this->quarantine();
-    } else {
-      this->quarantines.erase(holding);
+    const auto seen = this->quarantines.find(holding);
+    if (seen != this->quarantines.end()) {
+      held.quarantined_until = seen->second.second + this->quarantine();
     }
     this->current.upstreams.push_back(held);
   }
@@ -115,7 +126,8 @@
   this->current.deferral_allowed = heir_knows && own->may_defer;
   const bool may_dispatch = own != nullptr && !this->must_confirm && now >= this->hold_off_until;
   this->current.valid_until = may_dispatch ? this->lease.valid_until() : time_point{};
-  this->publish_upstreams(now);
+  this->note_quarantines(now);
+  this->publish_upstreams();
   this->publish_buckets();
   this->publish_shares(now);
   this->publish_nodes();
--- a/packages/steering/src/table_edits.cpp
+++ b/packages/steering/src/table_edits.cpp
@@ -294,6 +294,13 @@
   }
 }
 
+/// Whether the store, and not merely the edit under way, says that this node holds it.
+bool node_machine::holds(const holding_id& holding, const holding_entry& entry) const {
+  const auto& accepted = this->own_table()->holdings;
+  const auto found = accepted.find(holding);
+  return entry.holder == this->me.id && found != accepted.end() && found->second == entry;
+}
+
 /// Closes a holding in one tick and finds it free in a later one: the traffic side must see it closed first.
 bool node_machine::is_released(const holding_id& holding, time_point now) {
   const bool closed_before = !this->releasing.insert(holding).second;
@@ -323,7 +330,7 @@
       if (target == this->me.id) {
         table.assign(holding, target, orphaned);
       }
-    } else if (found->second.holder == this->me.id) {
+    } else if (this->holds(holding, found->second)) {
       this->release_or_keep(table, holding, target, now);
     }
   }
@@ -331,7 +338,7 @@
   for (const auto& [holding, held] : table.holdings) {
     // The last node of a region has nobody to hand over to and gives its holdings up.
     const bool unwanted = std::find(wanted.begin(), wanted.end(), holding) == wanted.end();
-    if (held.holder == this->me.id && (unwanted || targets.empty()) && this->is_released(holding, now)) {
+    if (this->holds(holding, held) && (unwanted || targets.empty()) && this->is_released(holding, now)) {
       given_up.push_back(holding);
     }
   }
