--- /dev/null
+++ b/packages/settings/tests/tree_test.cpp
@@ -0,0 +1,131 @@
+// Inheritance: service, region and failure domain override only what differs, and the origin is told.
+#include <gtest/gtest.h>
+
+#include "zinnia/settings/settings_tree.hpp"
+
+namespace zinnia {
+namespace {
+
+const char* const tree_text = R"(
+tree: test
+settings: {queue_limit: 10, reserve_percent: 5}
+places:
+  klang: {domains: {klang-a: {clients: [10.1.0.0/17]}, klang-b: {clients: [10.1.128.0/17]}}}
+  penang: {domains: {penang-a: {}}}
+services:
+  crewdesk:
+    settings: {reserve_percent: 20}
+    regions:
+      klang:
+        settings: {reserve_percent: 30, store_outage: serve}
+        domains:
+          klang-a: {settings: {queue_limit: 99}, upstreams: ["10.0.0.1:80"]}
+          klang-b: {upstreams: ["10.0.0.2:80"]}
+links:
+  - {from: klang, to: penang, delay_ms: 55, capacity: 10, caps: {crewdesk: 10}}
+)";
+
+[[nodiscard]] settings_document document_of(const std::string& text) { return {"edit", "tester", text, {}}; }
+
+TEST(tree, inherits_from_service_to_region_to_domain) {
+  const auto tree = settings_tree::parse(document_of(tree_text), "test.yaml");
+  ASSERT_TRUE(tree) << tree.last_error().describe();
+  const service_id service{"crewdesk"};
+  const auto at_domain = tree->effective(service, region_id{"klang"}, failure_domain_id{"klang-a"});
+  EXPECT_EQ(at_domain.values.queue_limit, 99);
+  EXPECT_EQ(at_domain.values.reserve_percent, 30);
+  EXPECT_EQ(at_domain.values.on_store_outage(), outage_policy::serve);
+  EXPECT_EQ(at_domain.origins.at("queue_limit"), "services.crewdesk.regions.klang.domains.klang-a");
+  EXPECT_EQ(at_domain.origins.at("reserve_percent"), "services.crewdesk.regions.klang");
+  EXPECT_FALSE(at_domain.origins.contains("latency_weight"));
+  const auto elsewhere = tree->effective(service, region_id{"penang"});
+  EXPECT_EQ(elsewhere.values.queue_limit, 10);
+  EXPECT_EQ(elsewhere.origins.at("queue_limit"), "settings");
+  EXPECT_EQ(elsewhere.values.reserve_percent, 20);
+}
+
+TEST(tree, diff_names_only_what_changed) {
+  const auto before = settings_tree::parse(document_of(tree_text), "a");
+  std::string changed = tree_text;
+  changed.replace(changed.find("queue_limit: 99"), 15, "queue_limit: 98");
+  const auto after = settings_tree::parse(document_of(changed), "b");
+  const auto changes = diff(*before, *after);
+  ASSERT_EQ(changes.size(), 1);
+  EXPECT_EQ(changes[0].path, "services.crewdesk.regions.klang.domains.klang-a.queue_limit");
+  EXPECT_EQ(changes[0].before, "99");
+  EXPECT_EQ(changes[0].after, "98");
+}
+
+TEST(tree, document_survives_the_store) {
+  settings_document document = document_of(tree_text);
+  document.shifts.push_back({"s", shift_kind::move, "klang", service_id{"crewdesk"}, region_id{"penang"}, 40, 123});
+  const auto read = decode_settings_document(encode(document));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->tree_text, document.tree_text);
+  ASSERT_EQ(read->shifts.size(), 1);
+  EXPECT_EQ(read->shifts[0].kind, shift_kind::move);
+  EXPECT_EQ(read->shifts[0].percent, 40);
+  EXPECT_FALSE(decode_settings_document("{\"edit_id\": 3}"));
+}
+
+struct bad_input {
+  const char* name;
+  const char* find;
+  const char* replacement;
+  const char* expected;
+};
+
+class bad_trees : public testing::TestWithParam<bad_input> {};
+
+TEST_P(bad_trees, are_refused_with_position_value_and_range) {
+  std::string text = tree_text;
+  const std::string find = GetParam().find;
+  ASSERT_NE(text.find(find), std::string::npos);
+  text.replace(text.find(find), find.size(), GetParam().replacement);
+  const auto tree = settings_tree::parse(document_of(text), "test.yaml");
+  ASSERT_FALSE(tree);
+  EXPECT_NE(tree.last_error().describe().find(GetParam().expected), std::string::npos)
+      << tree.last_error().describe();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, bad_trees,
+    testing::Values(
+        bad_input{"unknown setting", "queue_limit: 10", "queue_limt: 10",
+                  "test.yaml:3: unknown setting 'queue_limt'; did you mean 'queue_limit'?"},
+        bad_input{"unit in value", "queue_limit: 10", "queue_limit: 10ms", "'10ms' is not a whole number"},
+        bad_input{"out of range", "reserve_percent: 5", "reserve_percent: 95", "95 is out of range; allowed: 0 to 90"},
+        bad_input{"wrong word", "store_outage: serve", "store_outage: maybe", "'maybe' is not allowed; allowed: refuse, serve"},
+        bad_input{"caps over capacity", "capacity: 10", "capacity: 9", "their sum 10 is over the link's capacity 9"},
+        bad_input{"unknown region", "from: klang", "from: klagn", "unknown region 'klagn'; did you mean 'klang'?"},
+        bad_input{"unknown domain", "          klang-b:", "          klang-c:", "unknown failure domain of region klang 'klang-c'"},
+        bad_input{"bad block", "10.1.0.0/17", "10.1.0.0/33", "'10.1.0.0/33' is not a block"},
+        bad_input{"overlap", "10.1.128.0/17", "10.1.0.0/24", "overlap"},
+        bad_input{"twice", "10.0.0.2:80", "10.0.0.1:80", "declared twice"},
+        bad_input{"not yaml", "tree: test", "tree: [test", "test.yaml"}),
+    [](const auto& info) {
+      std::string name = info.param.name;
+      std::replace(name.begin(), name.end(), ' ', '_');
+      return name;
+    });
+
+TEST(shifts, that_leave_a_service_nowhere_to_go_are_refused) {
+  settings_document document = document_of(tree_text);
+  document.shifts.push_back({"a", shift_kind::drain_upstream, "10.0.0.1:80", {}, {}, 100, 0});
+  EXPECT_TRUE(settings_tree::parse(document, "test.yaml"));
+  document.shifts.push_back({"b", shift_kind::drain_domain, "klang-b", {}, {}, 100, 0});
+  const auto tree = settings_tree::parse(document, "test.yaml");
+  ASSERT_FALSE(tree);
+  EXPECT_NE(tree.last_error().message.find("leave service 'crewdesk' with no upstream"), std::string::npos);
+}
+
+TEST(shifts, to_a_region_without_a_cap_are_refused) {
+  settings_document document = document_of(tree_text);
+  document.shifts.push_back({"m", shift_kind::move, "penang", service_id{"crewdesk"}, region_id{"klang"}, 50, 0});
+  const auto tree = settings_tree::parse(document, "test.yaml");
+  ASSERT_FALSE(tree);
+  EXPECT_NE(tree.last_error().message.find("no link with a cap"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace zinnia
--- /dev/null
+++ b/standins/raw_server.hpp
@@ -0,0 +1,52 @@
+// A TCP server that follows a script, for faults that an HTTP library would not produce.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace zinnia::standins {
+
+/// \brief What the server does with a connection.
+struct raw_script {
+  /// Bytes to send back.
+  std::string reply;
+  /// Keep the connection and play the script again for the next request.
+  bool keep_open{false};
+  /// Wait so long before replying.
+  int delay_ms{0};
+  /// End with a reset instead of an orderly close.
+  bool reset{false};
+};
+
+/// \brief Plays `script(n)` for the n-th request, counted from 0 over all connections.
+class raw_server {
+ public:
+  explicit raw_server(std::function<raw_script(int)> script);
+  raw_server(const raw_server&) = delete;
+  raw_server& operator=(const raw_server&) = delete;
+  raw_server(raw_server&&) = delete;
+  raw_server& operator=(raw_server&&) = delete;
+  ~raw_server();
+
+  [[nodiscard]] std::uint16_t port() const noexcept { return this->bound_port; }
+  /// \brief Requests that arrived whole.
+  [[nodiscard]] int requests() const noexcept { return this->request_count.load(); }
+
+ private:
+  void run();
+  void serve(int connection);
+
+  std::function<raw_script(int)> scripts;
+  int listening{-1};
+  std::uint16_t bound_port{0};
+  std::atomic<int> request_count{0};
+  std::atomic<bool> stopping{false};
+  std::vector<std::thread> connections;
+  std::thread thread;
+};
+
+}  // namespace zinnia::standins
