--- a/packages/platform/tests/store_contract_test.cpp
+++ b/packages/platform/tests/store_contract_test.cpp
@@ -17,14 +17,18 @@
  public:
   explicit subject(bool over_http) {
     if (over_http) {
-      this->server = std::make_unique<standins::http_server>(
-          0, [this](const standins::server_request& request) { return standins::handle_store(this->fake, request); });
-      this->adapter = std::make_unique<http_object_store>("http://127.0.0.1:" + std::to_string(this->server->port()),
-                                                          duration{2000});
+      this->server =
+          std::make_unique<standins::http_server>(0, [this](const standins::server_request& request) {
+            return standins::handle_store(this->fake, request);
+          });
+      this->adapter = std::make_unique<http_object_store>(
+          "http://127.0.0.1:" + std::to_string(this->server->port()), duration{2000});
     }
   }
 
-  [[nodiscard]] object_store& store() { return this->adapter ? *this->adapter : static_cast<object_store&>(this->fake); }
+  [[nodiscard]] object_store& store() {
+    return this->adapter ? *this->adapter : static_cast<object_store&>(this->fake);
+  }
 
   standins::fake_store fake;
 
--- a/packages/settings/tests/tree_test.cpp
+++ b/packages/settings/tests/tree_test.cpp
@@ -25,7 +25,9 @@
   - {from: klang, to: penang, delay_ms: 55, capacity: 10, caps: {crewdesk: 10}}
 )";
 
-[[nodiscard]] settings_document document_of(const std::string& text) { return {"edit", "tester", text, {}}; }
+[[nodiscard]] settings_document document_of(const std::string& text) {
+  return {"edit", "tester", text, {}};
+}
 
 TEST(tree, inherits_from_service_to_region_to_domain) {
   const auto tree = settings_tree::parse(document_of(tree_text), "test.yaml");
@@ -58,7 +60,8 @@
 
 TEST(tree, document_survives_the_store) {
   settings_document document = document_of(tree_text);
-  document.shifts.push_back({"s", shift_kind::move, "klang", service_id{"crewdesk"}, region_id{"penang"}, 40, 123});
+  document.shifts.push_back(
+      {"s", shift_kind::move, "klang", service_id{"crewdesk"}, region_id{"penang"}, 40, 123});
   const auto read = decode_settings_document(encode(document));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->tree_text, document.tree_text);
@@ -90,19 +93,24 @@
 
 INSTANTIATE_TEST_SUITE_P(
     table, bad_trees,
-    testing::Values(
-        bad_input{"unknown setting", "queue_limit: 10", "queue_limt: 10",
-                  "test.yaml:3: unknown setting 'queue_limt'; did you mean 'queue_limit'?"},
-        bad_input{"unit in value", "queue_limit: 10", "queue_limit: 10ms", "'10ms' is not a whole number"},
-        bad_input{"out of range", "reserve_percent: 5", "reserve_percent: 95", "95 is out of range; allowed: 0 to 90"},
-        bad_input{"wrong word", "store_outage: serve", "store_outage: maybe", "'maybe' is not allowed; allowed: refuse, serve"},
-        bad_input{"caps over capacity", "capacity: 10", "capacity: 9", "their sum 10 is over the link's capacity 9"},
-        bad_input{"unknown region", "from: klang", "from: klagn", "unknown region 'klagn'; did you mean 'klang'?"},
-        bad_input{"unknown domain", "          klang-b:", "          klang-c:", "unknown failure domain of region klang 'klang-c'"},
-        bad_input{"bad block", "10.1.0.0/17", "10.1.0.0/33", "'10.1.0.0/33' is not a block"},
-        bad_input{"overlap", "10.1.128.0/17", "10.1.0.0/24", "overlap"},
-        bad_input{"twice", "10.0.0.2:80", "10.0.0.1:80", "declared twice"},
-        bad_input{"not yaml", "tree: test", "tree: [test", "test.yaml"}),
+    testing::Values(bad_input{"unknown setting", "queue_limit: 10", "queue_limt: 10",
+                              "test.yaml:3: unknown setting 'queue_limt'; did you mean 'queue_limit'?"},
+                    bad_input{"unit in value", "queue_limit: 10", "queue_limit: 10ms",
+                              "'10ms' is not a whole number"},
+                    bad_input{"out of range", "reserve_percent: 5", "reserve_percent: 95",
+                              "95 is out of range; allowed: 0 to 90"},
+                    bad_input{"wrong word", "store_outage: serve", "store_outage: maybe",
+                              "'maybe' is not allowed; allowed: refuse, serve"},
+                    bad_input{"caps over capacity", "capacity: 10", "capacity: 9",
+                              "their sum 10 is over the link's capacity 9"},
+                    bad_input{"unknown region", "from: klang", "from: klagn",
+                              "unknown region 'klagn'; did you mean 'klang'?"},
+                    bad_input{"unknown domain", "          klang-b:", "          klang-c:",
+                              "unknown failure domain of region klang 'klang-c'"},
+                    bad_input{"bad block", "10.1.0.0/17", "10.1.0.0/33", "'10.1.0.0/33' is not a block"},
+                    bad_input{"overlap", "10.1.128.0/17", "10.1.0.0/24", "overlap"},
+                    bad_input{"twice", "10.0.0.2:80", "10.0.0.1:80", "declared twice"},
+                    bad_input{"not yaml", "tree: test", "tree: [test", "test.yaml"}),
     [](const auto& info) {
       std::string name = info.param.name;
       std::replace(name.begin(), name.end(), ' ', '_');
@@ -121,7 +129,8 @@
 
 TEST(shifts, to_a_region_without_a_cap_are_refused) {
   settings_document document = document_of(tree_text);
-  document.shifts.push_back({"m", shift_kind::move, "penang", service_id{"crewdesk"}, region_id{"klang"}, 50, 0});
+  document.shifts.push_back(
+      {"m", shift_kind::move, "penang", service_id{"crewdesk"}, region_id{"klang"}, 50, 0});
   const auto tree = settings_tree::parse(document, "test.yaml");
   ASSERT_FALSE(tree);
   EXPECT_NE(tree.last_error().message.find("no link with a cap"), std::string::npos);
--- a/packages/traffic/tests/backend_contract_test.cpp
+++ b/packages/traffic/tests/backend_contract_test.cpp
@@ -24,7 +24,9 @@
   return request;
 }
 
-[[nodiscard]] bool never() { return false; }
+[[nodiscard]] bool never() {
+  return false;
+}
 
 struct ending {
   const char* name;
@@ -52,17 +54,38 @@
     testing::Values(
         ending{"whole_answer", {whole_answer}, 2000, verdict::ran, reason::none},
         ending{"late_answer", {whole_answer, false, 100}, 2000, verdict::ran, reason::none},
-        ending{"too_late_answer", {whole_answer, false, 400}, 100, verdict::may_have_run, reason::backend_timeout},
-        ending{"closed_before_first_byte", {""}, 2000, verdict::may_have_run, reason::reset_before_first_byte},
-        ending{"reset_before_first_byte", {"", false, 0, true}, 2000, verdict::may_have_run, reason::reset_before_first_byte},
-        ending{"closed_mid_answer", {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}, 2000, verdict::may_have_run,
+        ending{"too_late_answer",
+               {whole_answer, false, 400},
+               100,
+               verdict::may_have_run,
+               reason::backend_timeout},
+        ending{
+            "closed_before_first_byte", {""}, 2000, verdict::may_have_run, reason::reset_before_first_byte},
+        ending{"reset_before_first_byte",
+               {"", false, 0, true},
+               2000,
+               verdict::may_have_run,
+               reason::reset_before_first_byte},
+        ending{"closed_mid_answer",
+               {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"},
+               2000,
+               verdict::may_have_run,
                reason::reset_mid_answer},
         ending{"garbage", {"garbage\r\n\r\n"}, 2000, verdict::may_have_run, reason::reset_before_first_byte},
-        ending{"shed", {"HTTP/1.1 503 No\r\nX-Verdict: did-not-run\r\nX-Reason: shed\r\nContent-Length: 0\r\n\r\n"}, 2000,
-               verdict::did_not_run, reason::backend_shed},
-        ending{"refused", {"HTTP/1.1 503 No\r\nX-Verdict: did-not-run\r\nContent-Length: 0\r\n\r\n"}, 2000,
-               verdict::did_not_run, reason::backend_refused},
-        ending{"failure_without_a_word", {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"}, 2000, verdict::may_have_run,
+        ending{"shed",
+               {"HTTP/1.1 503 No\r\nX-Verdict: did-not-run\r\nX-Reason: shed\r\nContent-Length: 0\r\n\r\n"},
+               2000,
+               verdict::did_not_run,
+               reason::backend_shed},
+        ending{"refused",
+               {"HTTP/1.1 503 No\r\nX-Verdict: did-not-run\r\nContent-Length: 0\r\n\r\n"},
+               2000,
+               verdict::did_not_run,
+               reason::backend_refused},
+        ending{"failure_without_a_word",
+               {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"},
+               2000,
+               verdict::may_have_run,
                reason::backend_error}),
     [](const auto& info) { return std::string{info.param.name}; });
 
@@ -104,7 +127,9 @@
 }
 
 TEST(backend, answer_over_the_limit_is_refused_and_counts_as_possible_run) {
-  raw_server server{[](int) { return raw_script{"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x')}; }};
+  raw_server server{[](int) {
+    return raw_script{"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x')};
+  }};
   backend_client client;
   auto request = request_to(server.port(), "GET");
   request.answer_limit_bytes = 1000;
@@ -116,7 +141,8 @@
 TEST(backend, probe_reads_state_and_never_trusts_nonsense) {
   const std::string body = R"({"state":"leaving","slots":3,"in_use":2})";
   raw_server good{[&body](int) {
-    return raw_script{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    return raw_script{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                      body};
   }};
   raw_server bad{[](int) { return raw_script{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n???"}; }};
   backend_client client;
@@ -124,7 +150,8 @@
   EXPECT_TRUE(report.reachable);
   EXPECT_TRUE(report.leaving);
   EXPECT_EQ(report.in_use, 2);
-  EXPECT_FALSE(client.probe(upstream_id{"127.0.0.1:" + std::to_string(bad.port())}, duration{1000}).reachable);
+  EXPECT_FALSE(
+      client.probe(upstream_id{"127.0.0.1:" + std::to_string(bad.port())}, duration{1000}).reachable);
 }
 
 }  // namespace
--- a/packages/wire/tests/frames_test.cpp
+++ b/packages/wire/tests/frames_test.cpp
@@ -73,7 +73,8 @@
   beat.deferred_journal = true;
   beat.loads.push_back({service_id{"s"}, 12, 3, 1, 20});
   beat.known.push_back({"control/settings", object_version{4}});
-  const auto got = std::get<heartbeat>(std::get<peer_message>(*decode_frame_body(body_of(peer_message{beat}))));
+  const auto got =
+      std::get<heartbeat>(std::get<peer_message>(*decode_frame_body(body_of(peer_message{beat}))));
   EXPECT_EQ(got.sequence, 9U);
   EXPECT_TRUE(got.deferred_journal);
   ASSERT_EQ(got.loads.size(), 1);
--- a/packages/wire/tests/peer_link_contract_test.cpp
+++ b/packages/wire/tests/peer_link_contract_test.cpp
@@ -60,7 +60,8 @@
   peer_listener listener;
 };
 
-[[nodiscard]] exchange_answer echo(const exchange_request& request, const std::function<bool()>& /*cancelled*/) {
+[[nodiscard]] exchange_answer echo(const exchange_request& request,
+                                   const std::function<bool()>& /*cancelled*/) {
   exchange_answer answer;
   answer.id = request.id;
   answer.status = 200;
@@ -80,7 +81,9 @@
   return request;
 }
 
-[[nodiscard]] bool never() { return false; }
+[[nodiscard]] bool never() {
+  return false;
+}
 
 TEST(peer_link, large_bodies_of_many_callers_never_mix) {
   constexpr int callers = 8;
@@ -172,7 +175,8 @@
   auto raw = frame_socket::connect(other.address(), "", duration{1000});
   ASSERT_TRUE(raw);
   const auto& bytes = GetParam().bytes;
-  ASSERT_EQ(::send(raw->descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+  ASSERT_EQ(::send(raw->descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(bytes.size()));
   EXPECT_EQ(other.wait_for_refusal(), GetParam().expected);
   exchange_pool pool{node_id{"me"}, ""};
   EXPECT_EQ(pool.exchange(other.address(), request_of("1"), never).outcome, verdict::ran);
