Give each node two heirs, so that one loss during a store outage stops nobody else

Cause: a new table of named faults showed that a node's death while the store is down also stopped every node it was heir of; with three nodes in a region that can be the whole region. Ruled out: letting a holder choose another heir without the store (the silent heir may be cut off and take over). Change: two heirs, in other failure domains first. One answering heir is enough to go on; a takeover needs the release of both, or that the VM list has dropped the silent one. Cost: a holder that dies together with an heir is taken over only once the VM list shows one of them gone.

--- a/apps/zinniactl/commands.cpp
+++ b/apps/zinniactl/commands.cpp
@@ -372,7 +372,10 @@
       if (answer.status != impl::http_ok || value.is_discarded()) {
         value = {{"node", id.str()}, {"unreachable", true}};
       }
-      value["heir"] = node.heir.str();
+      value["heirs"] = nlohmann::json::array();
+      for (const auto& heir : node.heirs) {
+        value["heirs"].push_back(heir.str());
+      }
       all.push_back(value);
     }
   }
@@ -390,8 +393,8 @@
               << "  settings " << node["settings_version"] << "  upstreams " << node["upstreams"].size()
               << "  buckets " << node["buckets"].size() << "  in flight " << node["in_flight"]
               << (node["leaving"].get<bool>() ? "  leaving" : "")
-              << (node["may_dispatch"].get<bool>() ? "" : "  may not dispatch") << "  heir "
-              << node["heir"].get<std::string>() << '\n';
+              << (node["may_dispatch"].get<bool>() ? "" : "  may not dispatch") << "  heirs "
+              << node["heirs"].dump() << '\n';
   }
   if (!all.empty() && all[0].contains("shifts")) {
     for (const auto& shift : all[0]["shifts"]) {
--- a/packages/steering/include/zinnia/steering/holdings_table.hpp
+++ b/packages/steering/include/zinnia/steering/holdings_table.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,8 +17,11 @@
 struct node_entry {
   failure_domain_id domain;
   incarnation_id incarnation;
-  /// The only node that may take over while this one may be alive; empty if there is no other node.
-  node_id heir;
+  /// A takeover needs all of them; empty if there is no other node.
+  std::set<node_id> heirs;
+  /// Heirs that will promise nothing more until the next renewal, and whether they know, or cannot rule out,
+  /// that this node dispatched ahead of its journal.
+  std::map<node_id, bool> released;
   /// Grows with each renewal through the store.
   std::int64_t renewal{0};
   bool leaving{false};
--- a/packages/steering/include/zinnia/steering/lease.hpp
+++ b/packages/steering/include/zinnia/steering/lease.hpp
@@ -40,8 +40,8 @@
 };
 
 /// \brief   The heir's side for one holder.
-/// \details The heir may take over only when its own promise has lapsed and no renewal through the store
-///          was seen for a term.
+/// \details The heir may release the holder only when its own promise has lapsed and no renewal through the
+///          store was seen for a term. A takeover needs the release of every heir.
 class heir_watch {
  public:
   /// \param since When this node learned that it is the heir: a former heir's promise may still hold.
@@ -52,7 +52,7 @@
   void promise(time_point now) noexcept;
   /// \brief Records the holder's renewal counter as read from the table.
   void observe_renewal(time_point now, std::int64_t renewal) noexcept;
-  [[nodiscard]] bool may_take_over(time_point now) const noexcept;
+  [[nodiscard]] bool may_release(time_point now) const noexcept;
 
  private:
   lease_terms terms;
--- a/packages/steering/include/zinnia/steering/node_machine.hpp
+++ b/packages/steering/include/zinnia/steering/node_machine.hpp
@@ -156,14 +156,18 @@
   void write_table(const holdings_table& base, holdings_table edited);
   void settle_write();
   void join(holdings_table& table, time_point now);
-  void choose_heir(holdings_table& table, time_point now) const;
+  void choose_heirs(holdings_table& table, time_point now) const;
+  [[nodiscard]] bool answers(const node_id& node, time_point now) const;
   [[nodiscard]] bool is_fit_heir(const holdings_table& table, const node_id& node) const;
   [[nodiscard]] bool any_service_defers() const;
   [[nodiscard]] bool may_have_deferred(const node_id& node, const node_entry& entry) const;
   [[nodiscard]] bool wants_renewal(time_point now) const;
-  void take_over(holdings_table& table, time_point now) const;
+  void take_over(holdings_table& table) const;
+  [[nodiscard]] bool is_blind(const holdings_table& table, const node_id& node) const;
   void reassign(holdings_table& table, const node_id& from, std::int64_t blind_before) const;
-  [[nodiscard]] bool may_take_over(const holdings_table& table, const node_id& node, time_point now) const;
+  void release_holders(holdings_table& table, time_point now) const;
+  [[nodiscard]] bool may_take_over(const holdings_table& table, const node_id& node) const;
+  [[nodiscard]] bool is_lost(const holdings_table& table, const node_id& node) const;
   void place_holdings(holdings_table& table, time_point now);
   void release_or_keep(holdings_table& table, const holding_id& holding, const node_id& target,
                        time_point now);
@@ -209,8 +213,9 @@
   time_point leaving_since{};
   /// After a pause the own table must be confirmed before the lease counts again.
   bool must_confirm{true};
-  bool deferral_told{false};
-  time_point last_promise{};
+  /// Heirs that answered a heartbeat which told of a deferred journal.
+  std::set<node_id> deferral_known_by;
+  std::map<node_id, time_point> promised_at;
 
   std::shared_ptr<const settings_tree> settings;
   object_version settings_version;
@@ -230,9 +235,10 @@
     std::string text;
     bool answered{false};
     bool renews{false};
-    bool changes_heir{false};
-    /// Nodes whose holdings it takes over; they get no promise while this is open.
-    std::set<node_id> takes_over;
+    bool changes_heirs{false};
+    std::set<node_id> heirs;
+    /// Nodes that it releases or takes over; they get no promise while this is open.
+    std::set<node_id> withholds;
   };
   std::optional<pending_write> pending;
   std::int64_t write_counter{0};
--- a/packages/steering/src/holdings_table.cpp
+++ b/packages/steering/src/holdings_table.cpp
@@ -12,17 +12,30 @@
 const std::string bucket_prefix = "keys/";
 
 [[nodiscard]] nlohmann::json to_json(const node_entry& node) {
-  return {{"domain", node.domain.str()},   {"incarnation", node.incarnation.str()},
-          {"heir", node.heir.str()},       {"renewal", node.renewal},
-          {"leaving", node.leaving},       {"may_defer", node.may_defer},
-          {"caller", node.caller_address}, {"peer", node.peer_address}};
+  nlohmann::json value{{"domain", node.domain.str()},      {"incarnation", node.incarnation.str()},
+                       {"heirs", nlohmann::json::array()}, {"released", nlohmann::json::object()},
+                       {"renewal", node.renewal},          {"leaving", node.leaving},
+                       {"may_defer", node.may_defer},      {"caller", node.caller_address},
+                       {"peer", node.peer_address}};
+  for (const auto& heir : node.heirs) {
+    value["heirs"].push_back(heir.str());
+  }
+  for (const auto& [heir, deferring] : node.released) {
+    value["released"][heir.str()] = deferring;
+  }
+  return value;
 }
 
 [[nodiscard]] node_entry node_from_json(const nlohmann::json& value) {
   node_entry node;
   node.domain = failure_domain_id{value.at("domain").get<std::string>()};
   node.incarnation = incarnation_id{value.at("incarnation").get<std::string>()};
-  node.heir = node_id{value.at("heir").get<std::string>()};
+  for (const auto& heir : value.at("heirs")) {
+    node.heirs.insert(node_id{heir.get<std::string>()});
+  }
+  for (const auto& [heir, deferring] : value.at("released").items()) {
+    node.released.emplace(node_id{heir}, deferring.get<bool>());
+  }
   node.renewal = value.at("renewal").get<std::int64_t>();
   node.leaving = value.at("leaving").get<bool>();
   node.may_defer = value.at("may_defer").get<bool>();
--- a/packages/steering/src/lease.cpp
+++ b/packages/steering/src/lease.cpp
@@ -24,7 +24,7 @@
   }
 }
 
-bool heir_watch::may_take_over(time_point now) const noexcept {
+bool heir_watch::may_release(time_point now) const noexcept {
   const auto renewal_lapses = this->renewal_seen_at + this->terms.term + this->terms.drift;
   return now >= this->promised_until && now >= renewal_lapses;
 }
--- a/packages/steering/src/node_machine.cpp
+++ b/packages/steering/src/node_machine.cpp
@@ -12,6 +12,11 @@
 namespace impl {
 namespace {
 
+/// An heir that has released its holder promises nothing before the holder's next renewal.
+[[nodiscard]] bool is_promising_heir(const node_entry& holder, const node_id& heir) {
+  return holder.heirs.contains(heir) && !holder.released.contains(heir);
+}
+
 constexpr duration poll_period{2000};
 constexpr std::size_t most_remembered_heartbeats = 64;
 constexpr std::uint64_t write_jitter_ms = 100;
@@ -281,7 +286,7 @@
     message.known.push_back({holdings_key(region), version});
   }
   if (!message.deferred_journal) {
-    this->deferral_told = false;
+    this->deferral_known_by.clear();
   }
   this->sent_heartbeats[message.sequence] = {now, message.deferred_journal};
   if (this->sent_heartbeats.size() > impl::most_remembered_heartbeats) {
@@ -329,9 +334,10 @@
   if (table == nullptr || !table->is_member(from, message.incarnation)) {
     return;
   }
-  const bool heir_of_sender = table->nodes.at(from).heir == this->me.id && this->is_member();
-  const bool taking_over = this->pending && this->pending->takes_over.contains(from);
-  if (heir_of_sender && peer.watch && !taking_over) {
+  const bool heir_of_sender =
+      this->is_member() && impl::is_promising_heir(table->nodes.at(from), this->me.id);
+  const bool withheld = this->pending && this->pending->withholds.contains(from);
+  if (heir_of_sender && peer.watch && !withheld) {
     peer.watch->promise(now);
     peer.heard_as_heir = true;
     this->actions.emplace_back(send_action{from, heir_promise{message.sequence, message.incarnation}});
@@ -349,20 +355,23 @@
 
 void node_machine::on_promise(time_point now, const node_id& from, const heir_promise& message) {
   const auto* const entry = this->own_entry();
-  // Once a change of heir is under way only the store tells whose promise counts.
-  const bool changing_heir = this->pending && this->pending->changes_heir;
-  const bool valid = entry != nullptr && entry->heir == from && message.incarnation == this->me.incarnation;
-  if (!valid || changing_heir) {
+  const bool valid =
+      entry != nullptr && entry->heirs.contains(from) && message.incarnation == this->me.incarnation;
+  // While a change of heirs is under way only those count that are heirs before and after it.
+  const bool dropped = this->pending && this->pending->changes_heirs && !this->pending->heirs.contains(from);
+  if (!valid || dropped) {
     return;
   }
   const auto sent = this->sent_heartbeats.find(message.sequence);
   if (sent == this->sent_heartbeats.end()) {
     return;
   }
-  this->last_promise = now;
+  this->promised_at[from] = now;
   this->lease.renewed(sent->second.first);
   this->must_confirm = false;
-  this->deferral_told = this->deferral_told || sent->second.second;
+  if (sent->second.second) {
+    this->deferral_known_by.insert(from);
+  }
   this->sent_heartbeats.erase(this->sent_heartbeats.begin(), std::next(sent));
   this->publish(now);
 }
@@ -371,13 +380,13 @@
   const auto& table = *this->own_table();
   for (auto& [id, peer] : this->peers) {
     const auto found = table.nodes.find(id);
-    const bool ours = found != table.nodes.end() && found->second.heir == this->me.id;
+    const bool ours = found != table.nodes.end() && found->second.heirs.contains(this->me.id);
     if (!ours) {
       peer.watch.reset();
     }
   }
   for (const auto& [id, node] : table.nodes) {
-    if (node.heir != this->me.id) {
+    if (!node.heirs.contains(this->me.id)) {
       continue;
     }
     auto& peer = this->peers[id];
--- a/packages/steering/src/overlay.cpp
+++ b/packages/steering/src/overlay.cpp
@@ -69,8 +69,8 @@
   }
   const auto& table = *own->second;
   for (const auto& [id, node] : table.nodes) {
-    if (id == self && !node.heir.empty()) {
-      found.insert(node.heir);
+    if (id == self) {
+      found.insert(node.heirs.begin(), node.heirs.end());
     }
     if (table.nodes.size() <= small_region) {
       found.insert(id);
--- a/packages/steering/src/publish.cpp
+++ b/packages/steering/src/publish.cpp
@@ -114,7 +114,7 @@
 
 void node_machine::publish(time_point now) {
   const auto* const own = this->own_entry();
-  this->lease.set_unopposed(own != nullptr && own->heir.empty() && !this->pending);
+  this->lease.set_unopposed(own != nullptr && own->heirs.empty() && !this->pending);
   if (own != nullptr && own->leaving && this->leaving_since.ms == 0) {
     this->leaving_since = now;
   }
@@ -122,7 +122,11 @@
   this->current.settings_version = this->settings_version;
   this->current.tables = this->tables;
   this->current.leaving = this->stopping;
-  const bool heir_knows = own != nullptr && (this->deferral_told || own->heir.empty());
+  const bool heir_knows =
+      own != nullptr &&
+      (own->heirs.empty() || std::any_of(own->heirs.begin(), own->heirs.end(), [this](const node_id& heir) {
+         return this->deferral_known_by.contains(heir);
+       }));
   this->current.deferral_allowed = heir_knows && own->may_defer;
   const bool may_dispatch = own != nullptr && !this->must_confirm && now >= this->hold_off_until;
   this->current.valid_until = may_dispatch ? this->lease.valid_until() : time_point{};
--- a/packages/steering/src/table_edits.cpp
+++ b/packages/steering/src/table_edits.cpp
@@ -1,7 +1,8 @@
 // The edits that a node may make to its region's holdings table.
 //
-// A node only ever adds itself, renews or re-heirs itself, takes over what it is heir of, gives away what it
-// holds, and changes its own shares. Each edit is one conditional write, so two nodes' edits never mix.
+// A node only ever adds itself, renews itself or changes its heirs, releases and takes over holders that it
+// is heir of, gives away what it holds, and changes its own shares. Each edit is one conditional write, so
+// two nodes' edits never mix.
 #include <algorithm>
 
 #include "zinnia/core/rendezvous.hpp"
@@ -14,6 +15,7 @@
 
 /// Clocks of callers and nodes may differ by so much in the times that minted keys carry.
 constexpr std::int64_t wall_clock_allowance_ms = 5'000;
+constexpr std::size_t heirs_per_node = 2;
 
 [[nodiscard]] std::int64_t fair_share(const holdings_table& table, const node_id& self, std::int64_t cap) {
   std::int64_t members = 0;
@@ -55,12 +57,14 @@
   auto& own = edited.nodes.at(this->me.id);
   own.leaving = this->stopping;
   own.may_defer = this->any_service_defers() || this->traffic.is_journal_behind();
-  this->choose_heir(edited, now);
+  this->choose_heirs(edited, now);
   if (this->wants_renewal(now)) {
     ++own.renewal;
+    own.released.clear();
   }
   if (!this->must_confirm) {
-    this->take_over(edited, now);
+    this->release_holders(edited, now);
+    this->take_over(edited);
     this->place_holdings(edited, now);
     this->adjust_shares(edited, now);
     this->drop_orphan_shares(edited, now);
@@ -82,16 +86,19 @@
   const bool known_before = before != base.nodes.end();
   if (after != edited.nodes.end()) {
     write.renews = !known_before || after->second.renewal != before->second.renewal;
-    write.changes_heir = !known_before || after->second.heir != before->second.heir;
+    write.changes_heirs = !known_before || after->second.heirs != before->second.heirs;
+    write.heirs = after->second.heirs;
   }
   for (const auto& [id, node] : base.nodes) {
-    if (id != this->me.id && !edited.nodes.contains(id)) {
-      write.takes_over.insert(id);
+    const auto kept = edited.nodes.find(id);
+    if (id != this->me.id && (kept == edited.nodes.end() || kept->second.released != node.released)) {
+      write.withholds.insert(id);
     }
   }
-  if (write.changes_heir) {
+  if (write.changes_heirs) {
     this->lease.set_unopposed(false);
-    this->deferral_told = false;
+    std::erase_if(this->deferral_known_by,
+                  [&write](const node_id& heir) { return !write.heirs.contains(heir); });
   }
   this->actions.emplace_back(
       write_action{this->own_table_key(), write.text, this->table_versions[this->me.region]});
@@ -133,54 +140,56 @@
   return found != table.nodes.end() && node != this->me.id && !found->second.leaving && !this->is_gone(node);
 }
 
-void node_machine::choose_heir(holdings_table& table, time_point now) const {
+bool node_machine::answers(const node_id& node, time_point now) const {
+  const auto promised = this->promised_at.find(node);
+  const auto peer = this->peers.find(node);
+  const bool promised_lately =
+      promised != this->promised_at.end() && now - promised->second <= this->terms.term;
+  const bool heard_lately = peer != this->peers.end() && now - peer->second.last_heard <= this->terms.term;
+  return promised_lately || heard_lately;
+}
+
+/// Two heirs, so that the loss of one during an outage of the store stops nobody; those in other failure
+/// domains first, and one that answers before one that does not.
+void node_machine::choose_heirs(holdings_table& table, time_point now) const {
   auto& own = table.nodes.at(this->me.id);
-  const auto silent_for = [&](const node_id& node) {
-    const auto peer = this->peers.find(node);
-    return peer == this->peers.end() ? duration{now.ms} : now - peer->second.last_heard;
-  };
-  const auto in_reach = [&](const node_id& node) {
-    return this->is_fit_heir(table, node) && silent_for(node) <= this->terms.term;
-  };
-  const auto elsewhere = [&](const node_id& node) { return table.nodes.at(node).domain != this->me.domain; };
-  // An heir in this node's own failure domain is kept only while no other domain has one to offer.
-  const bool better_exists = std::any_of(table.nodes.begin(), table.nodes.end(), [&](const auto& entry) {
-    return in_reach(entry.first) && elsewhere(entry.first);
-  });
-  const bool answers = now - this->last_promise <= this->terms.term * 2;
-  const bool fit = this->is_fit_heir(table, own.heir) && (answers || in_reach(own.heir));
-  if (fit && (elsewhere(own.heir) || !better_exists)) {
-    return;
-  }
-  node_id best;
-  std::tuple<bool, bool, std::uint64_t> best_rank{};
+  using heir_rank = std::tuple<bool, bool, bool, std::uint64_t, node_id>;
+  std::vector<heir_rank> ranked;
   for (const auto& [id, node] : table.nodes) {
-    if (!this->is_fit_heir(table, id)) {
-      continue;
+    if (this->is_fit_heir(table, id)) {
+      ranked.emplace_back(this->answers(id, now), node.domain != this->me.domain, own.heirs.contains(id),
+                          rendezvous_weight(id.str(), this->me.id.str()), id);
     }
-    const std::tuple<bool, bool, std::uint64_t> rank{in_reach(id), elsewhere(id),
-                                                     rendezvous_weight(id.str(), this->me.id.str())};
-    if (best.empty() || rank > best_rank) {
-      best = id;
-      best_rank = rank;
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::set<node_id> chosen;
+  bool all_answer = true;
+  for (const auto& rank : ranked) {
+    if (chosen.size() < impl::heirs_per_node) {
+      chosen.insert(std::get<4>(rank));
+      all_answer = all_answer && std::get<0>(rank);
     }
   }
-  const bool current_is_no_worse = this->is_fit_heir(table, own.heir) && !std::get<0>(best_rank);
-  if (current_is_no_worse || best == own.heir) {
+  // Swapping one silent heir for another gains nothing.
+  const bool keeps_count = chosen.size() == own.heirs.size();
+  const bool still_fit = std::all_of(own.heirs.begin(), own.heirs.end(),
+                                     [&](const node_id& heir) { return this->is_fit_heir(table, heir); });
+  if (chosen == own.heirs || (keeps_count && still_fit && !all_answer)) {
     return;
   }
-  own.heir = best;
-  // The new heir's first promise takes a while; the write itself renews for one term.
+  own.heirs = std::move(chosen);
+  own.released.clear();
+  // A new heir's first promise takes a while; the write itself renews for one term.
   ++own.renewal;
 }
 
 bool node_machine::wants_renewal(time_point now) const {
   const auto* const own = this->own_entry();
-  if (own == nullptr || own->heir.empty()) {
+  if (own == nullptr || own->heirs.empty()) {
     return this->must_confirm;
   }
   const duration half_term{this->terms.term.ms / 2};
-  return this->must_confirm || this->lease.valid_until() - now < half_term;
+  return this->must_confirm || !own->released.empty() || this->lease.valid_until() - now < half_term;
 }
 
 // Takeover.
@@ -194,28 +203,49 @@
                      });
 }
 
-/// A holder defers only after its heir answered a heartbeat that said so; all others must assume the worst.
+/// A holder defers only after an heir answered a heartbeat that said so, and that heir's word is asked for
+/// here.
 bool node_machine::may_have_deferred(const node_id& node, const node_entry& entry) const {
   const auto peer = this->peers.find(node);
-  const bool knows = entry.heir == this->me.id && peer != this->peers.end() && peer->second.watch &&
+  const bool knows = peer != this->peers.end() && peer->second.watch &&
                      peer->second.watched == entry.incarnation && peer->second.heard_as_heir &&
                      peer->second.last.incarnation == entry.incarnation;
   return entry.may_defer && (!knows || peer->second.last.deferred_journal);
 }
 
-bool node_machine::may_take_over(const holdings_table& table, const node_id& node, time_point now) const {
+/// Releases the holders that this node is heir of and whose terms, as far as it promised, are over.
+void node_machine::release_holders(holdings_table& table, time_point now) const {
+  for (auto& [id, entry] : table.nodes) {
+    const auto peer = this->peers.find(id);
+    const bool lapsed = entry.heirs.contains(this->me.id) && peer != this->peers.end() &&
+                        peer->second.watch && peer->second.watched == entry.incarnation &&
+                        peer->second.watch->may_release(now);
+    if (lapsed && !entry.released.contains(this->me.id)) {
+      entry.released[this->me.id] = this->may_have_deferred(id, entry);
+    }
+  }
+}
+
+bool node_machine::is_lost(const holdings_table& table, const node_id& node) const {
+  return !table.nodes.contains(node) || this->is_gone(node);
+}
+
+/// A holder may be taken over once each of its heirs has released it or is certainly gone, or once it is
+/// certainly gone itself; then by an heir, or if none is left by the node that ranks first.
+bool node_machine::may_take_over(const holdings_table& table, const node_id& node) const {
   const auto& entry = table.nodes.at(node);
-  const auto peer = this->peers.find(node);
-  if (entry.heir == this->me.id) {
-    const bool lapsed = peer != this->peers.end() && peer->second.watch &&
-                        peer->second.watched == entry.incarnation && peer->second.watch->may_take_over(now);
-    return lapsed || this->is_gone(node);
-  }
-  // Only a machine that is certainly gone may be taken over by another than its heir.
-  const bool heir_is_lost = !table.nodes.contains(entry.heir) || this->is_gone(entry.heir);
-  if (!this->is_gone(node) || !heir_is_lost) {
+  const auto lost = [&](const node_id& heir) { return this->is_lost(table, heir); };
+  const bool all_released =
+      !entry.heirs.empty() && std::all_of(entry.heirs.begin(), entry.heirs.end(), [&](const node_id& heir) {
+        return entry.released.contains(heir) || lost(heir);
+      });
+  const bool any_released = !entry.released.empty();
+  if (!this->is_gone(node) && !(all_released && any_released)) {
     return false;
   }
+  if (!std::all_of(entry.heirs.begin(), entry.heirs.end(), lost)) {
+    return entry.heirs.contains(this->me.id);
+  }
   node_id first;
   for (const auto& [id, other] : table.nodes) {
     const bool ranks_first =
@@ -227,6 +257,21 @@
   return first == this->me.id;
 }
 
+/// Whether keys may have run without a trace at a node that is taken over.
+bool node_machine::is_blind(const holdings_table& table, const node_id& node) const {
+  const auto& entry = table.nodes.at(node);
+  if (!entry.may_defer) {
+    return false;
+  }
+  // Without the word of every heir the one that was told may be missing.
+  return entry.heirs.empty() || std::any_of(entry.heirs.begin(), entry.heirs.end(), [&](const node_id& heir) {
+           const auto word = entry.released.find(heir);
+           const bool own_word = heir == this->me.id && word == entry.released.end();
+           return own_word ? this->may_have_deferred(node, entry)
+                           : word == entry.released.end() || word->second;
+         });
+}
+
 void node_machine::reassign(holdings_table& table, const node_id& from, std::int64_t blind_before) const {
   std::vector<holding_id> all;
   for (const auto& [holding, held] : table.holdings) {
@@ -245,15 +290,15 @@
   }
 }
 
-void node_machine::take_over(holdings_table& table, time_point now) const {
+void node_machine::take_over(holdings_table& table) const {
   std::vector<node_id> lost;
   for (const auto& [id, node] : table.nodes) {
-    if (id != this->me.id && this->may_take_over(table, id, now)) {
+    if (id != this->me.id && this->may_take_over(table, id)) {
       lost.push_back(id);
     }
   }
   for (const auto& id : lost) {
-    const bool blind = this->may_have_deferred(id, table.nodes.at(id));
+    const bool blind = this->is_blind(table, id);
     table.nodes.erase(id);
     this->reassign(table, id, blind ? this->unix_now + impl::wall_clock_allowance_ms : 0);
   }
--- a/packages/steering/tests/decisions_test.cpp
+++ b/packages/steering/tests/decisions_test.cpp
@@ -75,7 +75,7 @@
 }
 
 /// Whatever was promised or renewed last, the holder stops before the heir may begin.
-TEST(lease, holder_always_stops_before_its_heir_may_take_over) {
+TEST(lease, holder_always_stops_before_its_heir_may_release) {
   for (std::int64_t promised = 0; promised <= 3000; promised += 250) {
     for (std::int64_t renewed = 0; renewed <= 3000; renewed += 250) {
       holder_lease holder{terms};
@@ -84,16 +84,16 @@
       heir.promise(time_point{promised});
       holder.renewed(time_point{renewed});
       heir.observe_renewal(time_point{renewed}, renewed);
-      EXPECT_FALSE(heir.may_take_over(holder.valid_until()));
-      EXPECT_TRUE(heir.may_take_over(time_point{std::max(promised, renewed) + 4200}));
+      EXPECT_FALSE(heir.may_release(holder.valid_until()));
+      EXPECT_TRUE(heir.may_release(time_point{std::max(promised, renewed) + 4200}));
     }
   }
 }
 
 TEST(lease, new_heir_waits_for_a_former_heirs_promise) {
   const heir_watch heir{terms, time_point{1000}};
-  EXPECT_FALSE(heir.may_take_over(time_point{5199}));
-  EXPECT_TRUE(heir.may_take_over(time_point{5200}));
+  EXPECT_FALSE(heir.may_release(time_point{5199}));
+  EXPECT_TRUE(heir.may_release(time_point{5200}));
 }
 
 [[nodiscard]] holdings_table table_of(const std::vector<std::string>& nodes) {
@@ -298,7 +298,7 @@
   for (int i = 0; i < 192; ++i) {
     auto& node = large->nodes[node_id{"n" + std::to_string(i)}];
     node.domain = failure_domain_id{i % 2 == 0 ? "a" : "b"};
-    node.heir = node_id{"n" + std::to_string((i + 1) % 192)};
+    node.heirs.insert(node_id{"n" + std::to_string((i + 1) % 192)});
   }
   const region_id here{"here"};
   tables[here] = large;
--- a/packages/steering/tests/walk.cpp
+++ b/packages/steering/tests/walk.cpp
@@ -146,6 +146,10 @@
 
  private:
   void start();
+  void play_script();
+  void play(const scripted_fault& fault);
+  void cut_peers(const node_id& id, std::int64_t for_ms);
+  void look_at_the_end();
   void disturb();
   void disturb_store();
   void disturb_nodes();
@@ -192,6 +196,9 @@
     this->machine.reset();
   }
 
+  [[nodiscard]] bool store_in_reach() const {
+    return !this->w.store.down && this->w.now_ms >= this->store_cut_until_ms;
+  }
   [[nodiscard]] bool runs() const { return this->alive && this->w.now_ms >= this->paused_until_ms; }
   [[nodiscard]] time_point now() const {
     return {this->w.now_ms + this->offset + this->w.now_ms * this->rate_per_thousand / 1000};
@@ -261,6 +268,8 @@
   bool stopping{false};
   int generation{0};
   std::int64_t paused_until_ms{0};
+  std::int64_t store_cut_until_ms{0};
+  bool vm_lost{false};
   std::unique_ptr<node_machine> machine;
   object_version settings_seen;
 
@@ -314,7 +323,7 @@
       auto outcome = store_outcome::not_found;
       store_state::object object;
       const auto found = this->w.store.objects.find(key);
-      if (this->w.store.down) {
+      if (!this->store_in_reach()) {
         outcome = store_outcome::unavailable;
       } else if (found != this->w.store.objects.end()) {
         outcome = store_outcome::ok;
@@ -337,7 +346,7 @@
     this->w.later(times.taken_ms, [this, action, same, sent, lost, times] {
       object_version version;
       auto outcome = store_outcome::unavailable;
-      if (!this->w.store.down) {
+      if (this->store_in_reach()) {
         outcome = this->w.store.put(action.key, action.value, action.expected, version);
         this->w.check_holders();
       }
@@ -356,7 +365,7 @@
   }
 
   void see_objects() {
-    if (this->w.store.down || !this->machine->should_watch()) {
+    if (!this->store_in_reach() || !this->machine->should_watch()) {
       return;
     }
     std::vector<known_object> seen;
@@ -432,7 +441,7 @@
   }
 
   void recover(std::int64_t bucket, home_state& home) {
-    if (this->w.store.down) {
+    if (!this->store_in_reach()) {
       return;
     }
     home.recovering = true;
@@ -468,7 +477,7 @@
       auto outcome = store_outcome::unavailable;
       const auto key = this->journal_key(bucket, batch.sequence);
       std::string existing;
-      if (!this->w.store.down) {
+      if (this->store_in_reach()) {
         outcome = this->w.store.put(key, encode(batch), object_version{}, version);
         existing = this->w.store.objects.at(key).value;
       }
@@ -606,6 +615,7 @@
       return;
     }
     ++this->w.found.dispatches;
+    this->w.found.outage_dispatches += this->w.store.down && this->home_region == near_region ? 1 : 0;
     this->w.trace(this->id.str() + " dispatches " + (keyed ? keyed->name.key.str() : "") + " to " +
                   grant.upstream.str() + " epoch " + std::to_string(grant.held_since.count()));
     if (keyed) {
@@ -713,7 +723,7 @@
 void world::write_vm_list() {
   std::string list = "{";
   for (const auto& entry : this->nodes) {
-    if (entry->alive || this->chance(300)) {
+    if (!entry->vm_lost && (entry->alive || this->chance(300))) {
       list += (list.size() > 1 ? ",\"" : "\"") + entry->id.str() + "\":\"live\"";
     }
   }
@@ -802,6 +812,83 @@
   }
 }
 
+void world::cut_peers(const node_id& id, std::int64_t for_ms) {
+  for (const auto& other : this->nodes) {
+    this->cuts.insert({id, other->id});
+    this->cuts.insert({other->id, id});
+  }
+  this->later(for_ms, [this, id] {
+    std::erase_if(this->cuts, [&id](const auto& cut) { return cut.first == id || cut.second == id; });
+  });
+}
+
+void world::play(const scripted_fault& fault) {
+  auto& target = *this->nodes[fault.node];
+  switch (fault.kind) {
+    case scripted_fault::kind_type::store_down:
+      this->store.down = true;
+      this->later(fault.for_ms, [this] { this->store.down = false; });
+      break;
+    case scripted_fault::kind_type::store_cut:
+      target.store_cut_until_ms = this->now_ms + fault.for_ms;
+      break;
+    case scripted_fault::kind_type::peers_cut:
+      this->cut_peers(target.id, fault.for_ms);
+      break;
+    case scripted_fault::kind_type::pause:
+      target.paused_until_ms = this->now_ms + fault.for_ms;
+      break;
+    case scripted_fault::kind_type::lose_vm:
+      target.vm_lost = true;
+      [[fallthrough]];
+    case scripted_fault::kind_type::crash:
+      if (target.alive) {
+        target.crash();
+      }
+      if (fault.for_ms > 0) {
+        this->later(fault.for_ms, [&target] { target.start(); });
+      }
+      break;
+    case scripted_fault::kind_type::stop:
+      target.machine->begin_leaving();
+      break;
+    case scripted_fault::kind_type::edit:
+      this->edit_settings();
+      break;
+  }
+}
+
+void world::play_script() {
+  for (const auto& fault : this->options.script) {
+    this->later(fault.at_ms, [this, fault] { this->play(fault); });
+  }
+}
+
+void world::look_at_the_end() {
+  const auto newest = this->store.objects.at(settings_key).version;
+  std::set<node_id> dispatching;
+  for (const auto& entry : this->nodes) {
+    if (!entry->alive) {
+      continue;
+    }
+    ++this->found.live_nodes;
+    this->found.current_nodes += entry->settings_seen == newest ? 1 : 0;
+    if (entry->now() < entry->machine->view().valid_until) {
+      dispatching.insert(entry->id);
+    }
+  }
+  const auto table = this->store.objects.find(holdings_key(near_region));
+  if (table == this->store.objects.end()) {
+    return;
+  }
+  const auto last = decode_holdings_table(table->second.value);
+  for (const auto& [holding, held] : last->holdings) {
+    ++this->found.holdings;
+    this->found.live_holdings += dispatching.contains(held.holder) ? 1 : 0;
+    this->found.takeovers += held.unplanned ? 1 : 0;
+  }
+}
+
 void world::start() {
   const settings_document document{"first", "walk", tree_text(this->cap, this->outage), {}};
   object_version version;
@@ -822,6 +909,7 @@
 
 walk_result world::run() {
   this->start();
+  this->play_script();
   for (std::int64_t step = 0; step < this->options.steps && this->found.violation.empty(); ++step) {
     this->now_ms += step_ms;
     while (!this->events.empty() && this->events.begin()->at_ms <= this->now_ms) {
@@ -834,13 +922,7 @@
       entry->step();
     }
   }
-  const auto table = this->store.objects.find(holdings_key(near_region));
-  if (table != this->store.objects.end()) {
-    const auto last = decode_holdings_table(table->second.value);
-    for (const auto& [holding, held] : last->holdings) {
-      this->found.takeovers += held.unplanned ? 1 : 0;
-    }
-  }
+  this->look_at_the_end();
   return this->found;
 }
 
