--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -17,6 +17,7 @@
   // Admission.
   deadline_passed,
   queue_full,
+  slots_busy,
   wait_exceeds_deadline,
   reserve_kept,
   workers_busy,
--- a/packages/core/src/words.cpp
+++ b/packages/core/src/words.cpp
@@ -18,6 +18,7 @@
     "unknown-service",
     "deadline-passed",
     "queue-full",
+    "slots-busy",
     "wait-exceeds-deadline",
     "reserve-kept",
     "workers-busy",
--- a/packages/settings/include/zinnia/settings/service_settings.hpp
+++ b/packages/settings/include/zinnia/settings/service_settings.hpp
@@ -20,6 +20,7 @@
   std::int64_t default_deadline_ms{10'000};
   std::int64_t longest_deadline_ms{30'000};
   std::int64_t queue_limit{64};
+  std::int64_t typical_service_ms{20};
   std::int64_t reserve_percent{10};
   std::int64_t latency_weight{10};
   std::int64_t headroom_weight{10};
--- a/packages/settings/src/service_settings.cpp
+++ b/packages/settings/src/service_settings.cpp
@@ -14,11 +14,12 @@
 
 using s = service_settings;
 
-constexpr std::array<setting_descriptor, 15> settings{{
+constexpr std::array<setting_descriptor, 16> settings{{
     {"slots_per_upstream", &s::slots_per_upstream, 1, 10'000},
     {"default_deadline_ms", &s::default_deadline_ms, 10, ten_minutes_ms},
     {"longest_deadline_ms", &s::longest_deadline_ms, 100, ten_minutes_ms},
     {"queue_limit", &s::queue_limit, 0, 100'000},
+    {"typical_service_ms", &s::typical_service_ms, 1, ten_minutes_ms},
     {"reserve_percent", &s::reserve_percent, 0, 90},
     {"latency_weight", &s::latency_weight, 0, 100},
     {"headroom_weight", &s::headroom_weight, 0, 100},
--- a/packages/steering/include/zinnia/steering/node_machine.hpp
+++ b/packages/steering/include/zinnia/steering/node_machine.hpp
@@ -145,6 +145,7 @@
   // Membership and leases.
   void observe_gap(time_point now);
   void send_heartbeats(time_point now);
+  [[nodiscard]] std::vector<known_object> known_to_tell();
   void on_heartbeat(time_point now, const node_id& from, const heartbeat& message);
   void on_promise(time_point now, const node_id& from, const heir_promise& message);
   void compare_versions(const node_id& from, const heartbeat& message);
@@ -224,6 +225,8 @@
   std::map<region_id, std::shared_ptr<const holdings_table>> tables;
   std::map<region_id, object_version> table_versions;
   std::map<region_id, std::string> table_texts;
+  /// The heartbeat before which each table last changed.
+  std::map<region_id, std::uint64_t> changed_at;
   std::map<std::string, object_version> seen_versions;
   std::set<std::string> being_read;
   /// Incarnations that the VM list has shown since they joined, and those of them that it no longer shows.
--- a/packages/steering/include/zinnia/steering/placement.hpp
+++ b/packages/steering/include/zinnia/steering/placement.hpp
@@ -36,8 +36,9 @@
 
 /// \brief   Expected cost of a candidate; lower is better.
 /// \details Latency is the way there and back and the expected wait, in ms; headroom counts the square of
-///          the utilisation, so that the last free slots are the dearest.
-[[nodiscard]] double placement_cost(const placement_candidate& candidate, const placement_policy& policy);
+///          the region's utilisation, so that its last free slots are the dearest.
+[[nodiscard]] double placement_cost(const placement_candidate& candidate, double region_used_percent,
+                                    const placement_policy& policy);
 
 /// \brief Candidates in the order in which to try them; those without room for more are left out.
 [[nodiscard]] std::vector<placement_candidate> rank(std::vector<placement_candidate> candidates,
--- a/packages/steering/include/zinnia/steering/slot_ledger.hpp
+++ b/packages/steering/include/zinnia/steering/slot_ledger.hpp
@@ -57,6 +57,8 @@
   /// Came in by another region, so the reserve is not for it.
   bool from_elsewhere{false};
   time_point deadline{};
+  /// False when another holder may have a free slot, so that waiting here would be too early.
+  bool may_queue{true};
   /// An upstream that a former attempt of the same request should avoid.
   upstream_id avoid;
 };
--- a/packages/steering/src/node_machine.cpp
+++ b/packages/steering/src/node_machine.cpp
@@ -18,6 +18,8 @@
 }
 
 constexpr duration poll_period{2000};
+constexpr std::uint64_t beats_between_figures = 4;
+constexpr std::uint64_t beats_to_tell_of_a_change = 8;
 constexpr std::size_t most_remembered_heartbeats = 64;
 constexpr std::uint64_t write_jitter_ms = 100;
 constexpr duration shortest_write_pause{30};
@@ -113,6 +115,7 @@
   }
   this->tables[region] = std::make_shared<const holdings_table>(std::move(table).value());
   this->table_versions[region] = version;
+  this->changed_at[region] = this->heartbeat_sequence;
   this->table_texts[region] = value;
   if (region == this->me.region) {
     this->settle_write();
@@ -281,10 +284,7 @@
   message.leaving = this->stopping;
   message.deferred_journal = this->traffic.is_journal_behind();
   message.loads = this->traffic.loads(now);
-  message.known.push_back({settings_key, this->settings_version});
-  for (const auto& [region, version] : this->table_versions) {
-    message.known.push_back({holdings_key(region), version});
-  }
+  message.known = this->known_to_tell();
   if (!message.deferred_journal) {
     this->deferral_known_by.clear();
   }
@@ -292,9 +292,34 @@
   if (this->sent_heartbeats.size() > impl::most_remembered_heartbeats) {
     this->sent_heartbeats.erase(this->sent_heartbeats.begin());
   }
-  for (const auto& node : this->neighbours()) {
-    this->actions.emplace_back(send_action{node, message});
+  const auto* const own = this->own_entry();
+  const auto near = this->neighbours();
+  // Heirs are asked each time; in a large overlay the others are told less often, as figures may be late.
+  const bool small = this->own_table() == nullptr || this->own_table()->nodes.size() <= small_region;
+  const bool tells_all = small || message.sequence % impl::beats_between_figures == 0;
+  for (const auto& node : near) {
+    if (tells_all || (own != nullptr && own->heirs.contains(node))) {
+      this->actions.emplace_back(send_action{node, message});
+    }
+  }
+}
+
+/// What changed lately, what matters most, and one of the rest in turn: a lost message or a neighbour that
+/// was away is caught up with within one round, and a heartbeat does not grow with the number of regions.
+std::vector<known_object> node_machine::known_to_tell() {
+  std::vector<known_object> known{{settings_key, this->settings_version}};
+  std::size_t position = 0;
+  const auto turn = this->table_versions.empty() ? 0 : this->heartbeat_sequence % this->table_versions.size();
+  for (const auto& [region, version] : this->table_versions) {
+    const auto changed = this->changed_at.find(region);
+    const bool is_new = changed != this->changed_at.end() &&
+                        this->heartbeat_sequence - changed->second <= impl::beats_to_tell_of_a_change;
+    if (position == turn || region == this->me.region || is_new) {
+      known.push_back({holdings_key(region), version});
+    }
+    ++position;
   }
+  return known;
 }
 
 void node_machine::receive(time_point now, const node_id& from, const peer_message& message) {
--- a/packages/steering/src/shift_plan.cpp
+++ b/packages/steering/src/shift_plan.cpp
@@ -124,14 +124,16 @@
   if (slots == 0) {
     return impl::all_percent;
   }
-  std::int64_t caps = 0;
+  const auto service_ms = tree.effective(service, from).values.typical_service_ms;
+  std::int64_t replaced = 0;
   for (const auto& link : tree.links()) {
     const auto found = link.caps.find(service);
     if (link.from == from && found != link.caps.end()) {
-      caps += found->second;
+      // A request is in flight on the link for the way there and back as well.
+      replaced += found->second * service_ms / (service_ms + 2 * link.delay_ms);
     }
   }
-  return std::min(impl::all_percent, caps * impl::all_percent / slots);
+  return std::min(impl::all_percent, replaced * impl::all_percent / slots);
 }
 
 std::vector<shift_progress> progress_of(const settings_tree& tree, std::int64_t now_unix_ms) {
--- a/packages/steering/src/slot_ledger.cpp
+++ b/packages/steering/src/slot_ledger.cpp
@@ -115,6 +115,9 @@
   if (request.from_elsewhere) {
     return slot_refusal{reason::reserve_kept, retry_after};
   }
+  if (!request.may_queue) {
+    return slot_refusal{reason::slots_busy, retry_after};
+  }
   if (queued >= service.values.queue_limit) {
     return slot_refusal{reason::queue_full, retry_after};
   }
--- a/packages/traffic/include/zinnia/traffic/traffic_request.hpp
+++ b/packages/traffic/include/zinnia/traffic/traffic_request.hpp
@@ -25,6 +25,8 @@
   region_id origin_region;
   /// Its caller belongs to another region, so reserves here are not for it.
   bool from_elsewhere{false};
+  /// Whether it may wait for a slot at the next holder, rather than be told that all are busy.
+  bool may_queue{true};
   /// Asked often; true once nobody waits for the answer any more.
   std::function<bool()> cancelled;
 
--- a/packages/traffic/src/dispatch_filter.cpp
+++ b/packages/traffic/src/dispatch_filter.cpp
@@ -47,7 +47,7 @@
     const auto asked = this->context.clock.now();
     const bool elsewhere = request.from_elsewhere || request.origin_region != this->context.region;
     const auto decision = this->context.slots.acquire(
-        {0, request.service, elsewhere, request.deadline, avoid}, request.cancelled);
+        {0, request.service, elsewhere, request.deadline, request.may_queue, avoid}, request.cancelled);
     this->context.counts.record(timing::queue_wait, this->context.clock.now() - asked);
     if (const auto* const refusal = std::get_if<slot_refusal>(&decision)) {
       return refuse(request, refusal->why, refusal->retry_after);
--- a/packages/traffic/src/forward.cpp
+++ b/packages/traffic/src/forward.cpp
@@ -37,6 +37,7 @@
   exchange.deadline_left = request.deadline - context.clock.now();
   exchange.origin_region = request.origin_region;
   exchange.from_elsewhere = request.from_elsewhere || to.region != context.region;
+  exchange.may_queue = request.may_queue;
   exchange.headers = request.headers;
   exchange.body = request.body;
   context.counts.add(counter::forwards);
--- a/packages/traffic/src/placement_filter.cpp
+++ b/packages/traffic/src/placement_filter.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t most_tries = 4;
+/// Holders asked for a slot that is free right now before the request waits anywhere.
+constexpr std::size_t most_glances = 3;
 constexpr std::uint64_t all_percent = 100;
 /// Assumed one-way delay between regions without a declared link.
 constexpr duration undeclared_distance{100};
@@ -25,36 +27,53 @@
   [[nodiscard]] exchange_answer handle(traffic_request& request, const next_filter& next) override {
     const auto values = settings_for(*this->context.view(), request.service, this->context.region);
     this->budgets.on_first_attempt(request.service, values.retry_budget_percent);
+    attempt_state state{refuse(request, reason::no_holder, no_candidate_retry_after)};
+    // First whoever near has a free slot now, then the best place to wait.
+    bool goes_on = this->try_candidates(request, values, next, state, false);
+    if (goes_on) {
+      goes_on = this->try_candidates(request, values, next, state, true);
+    }
+    state.last.attempts = state.attempts;
+    // An idempotent request may have run in an earlier try even if the last one certainly did not.
+    state.last.outcome = state.last.outcome == verdict::ran ? verdict::ran : state.overall;
+    return state.last;
+  }
+
+ private:
+  struct attempt_state {
+    exchange_answer last;
+    std::vector<attempt_record> attempts{};
+    verdict overall{verdict::did_not_run};
+  };
+
+  /// \return Whether the request is still to be placed.
+  [[nodiscard]] bool try_candidates(traffic_request& request, const service_settings& values,
+                                    const next_filter& next, attempt_state& state, bool may_queue) {
     std::set<node_id> tried;
-    std::vector<attempt_record> attempts;
-    auto last = refuse(request, reason::no_holder, no_candidate_retry_after);
-    verdict overall = verdict::did_not_run;
-    while (tried.size() < most_tries) {
+    request.may_queue = may_queue;
+    while (tried.size() < (may_queue ? most_tries : most_glances)) {
       const auto view = this->context.view();
       const auto order = this->candidates(*view, request, values);
-      const auto target = std::find_if(order.begin(), order.end(), [&tried](const auto& candidate) {
-        return !tried.contains(candidate.node);
+      const auto target = std::find_if(order.begin(), order.end(), [&](const auto& candidate) {
+        return !tried.contains(candidate.node) && (may_queue || !candidate.is_remote);
       });
-      if (target == order.end()) {
-        break;
+      const bool elsewhere_first = !may_queue && !order.empty() && order.front().is_remote;
+      if (target == order.end() || elsewhere_first) {
+        return true;
       }
       tried.insert(target->node);
-      last = target->is_self
-                 ? next(request)
-                 : forward(this->context, request, view->nodes.at(target->node), exchange_stage::holder);
-      attempts.insert(attempts.end(), last.attempts.begin(), last.attempts.end());
-      overall = combine(overall, last.outcome);
-      if (!this->tries_again(request, last)) {
-        break;
+      state.last = target->is_self ? next(request)
+                                   : forward(this->context, request, view->nodes.at(target->node),
+                                             exchange_stage::holder);
+      state.attempts.insert(state.attempts.end(), state.last.attempts.begin(), state.last.attempts.end());
+      state.overall = combine(state.overall, state.last.outcome);
+      if (!this->tries_again(request, state.last)) {
+        return false;
       }
     }
-    last.attempts = attempts;
-    // An idempotent request may have run in an earlier try even if the last one certainly did not.
-    last.outcome = last.outcome == verdict::ran ? verdict::ran : overall;
-    return last;
+    return true;
   }
 
- private:
   [[nodiscard]] std::vector<placement_candidate> candidates(const traffic_view& view,
                                                             const traffic_request& request,
                                                             const service_settings& values) {
--- a/packages/traffic/src/traffic_node.cpp
+++ b/packages/traffic/src/traffic_node.cpp
@@ -116,6 +116,7 @@
   request.deadline = this->clock.now() + received.deadline_left;
   request.origin_region = std::move(received.origin_region);
   request.from_elsewhere = received.from_elsewhere;
+  request.may_queue = received.may_queue;
   request.cancelled = cancelled;
   const bool at_home = received.stage == exchange_stage::key_home;
   auto answer = this->path.run(request, at_home ? pipeline_stage::key_home : pipeline_stage::dispatch);
--- a/packages/wire/include/zinnia/wire/frames.hpp
+++ b/packages/wire/include/zinnia/wire/frames.hpp
@@ -48,6 +48,7 @@
   duration deadline_left{0};
   region_id origin_region;
   bool from_elsewhere{false};
+  bool may_queue{true};
   header_list headers;
   std::string body;
 };
--- a/packages/wire/src/decode.cpp
+++ b/packages/wire/src/decode.cpp
@@ -77,6 +77,7 @@
   plain.deadline_left = duration{message.deadline_left_ms()};
   plain.origin_region = region_id{message.origin_region()->str()};
   plain.from_elsewhere = message.from_elsewhere();
+  plain.may_queue = message.may_queue();
   plain.headers = unpack_headers(message);
   plain.body = unpack_body(message);
   return plain;
--- a/packages/wire/src/encode.cpp
+++ b/packages/wire/src/encode.cpp
@@ -83,10 +83,10 @@
   const auto origin = b.CreateString(message.origin_region.str());
   const auto headers = pack_headers(b, message.headers);
   const auto body = pack_body(b, message.body);
-  return {fbs::Message_Exchange,
-          fbs::CreateExchange(b, id, service, static_cast<std::uint8_t>(message.stage), method, path, key,
-                              message.deadline_left.ms, origin, message.from_elsewhere, headers, body)
-              .Union()};
+  return {fbs::Message_Exchange, fbs::CreateExchange(b, id, service, static_cast<std::uint8_t>(message.stage),
+                                                     method, path, key, message.deadline_left.ms, origin,
+                                                     message.from_elsewhere, headers, body, message.may_queue)
+                                     .Union()};
 }
 
 [[nodiscard]] union_offset pack(builder& b, const exchange_answer& message) {
--- a/standins/store_handler.cpp
+++ b/standins/store_handler.cpp
@@ -84,8 +84,8 @@
   }
   if (request.path == "/v1/watch") {
     return impl::to_answer(store.watch(impl::text_field(request.query, "prefix"),
-                                 object_version{impl::number_field(request.query, "after")},
-                                 duration{impl::number_field(request.query, "wait_ms")}));
+                                       object_version{impl::number_field(request.query, "after")},
+                                       duration{impl::number_field(request.query, "wait_ms")}));
   }
   if (request.path == "/faults" && request.method == "POST") {
     store.set_faults({impl::number_field(request.query, "down") != 0,
