--- a/packages/steering/include/zinnia/steering/node_machine.hpp
+++ b/packages/steering/include/zinnia/steering/node_machine.hpp
@@ -204,6 +204,8 @@
   time_point next_edit{};
   time_point next_poll{};
   std::uint64_t heartbeat_sequence{0};
+  /// A change of settings is to be told to every neighbour.
+  bool tells_all_once{false};
   /// When each heartbeat still worth an answer was sent, and whether it told of a deferred journal.
   std::map<std::uint64_t, std::pair<time_point, bool>> sent_heartbeats;
   holder_lease lease;
--- a/packages/steering/src/node_machine.cpp
+++ b/packages/steering/src/node_machine.cpp
@@ -93,6 +93,9 @@
 void node_machine::accept_settings(object_version version, const std::string& value) {
   this->settings_version = version;
   this->settings_text = value;
+  // Told at once, so that a change crosses the relay tree in round trips and not in heartbeat periods.
+  this->next_heartbeat = this->last_tick;
+  this->tells_all_once = true;
   const auto document = decode_settings_document(value);
   if (!document) {
     this->settings_error = document.last_error().describe();
@@ -296,7 +299,9 @@
   const auto near = this->neighbours();
   // Heirs are asked each time; in a large overlay the others are told less often, as figures may be late.
   const bool small = this->own_table() == nullptr || this->own_table()->nodes.size() <= small_region;
-  const bool tells_all = small || message.sequence % impl::beats_between_figures == 0;
+  const bool tells_all =
+      small || this->tells_all_once || message.sequence % impl::beats_between_figures == 0;
+  this->tells_all_once = false;
   for (const auto& node : near) {
     if (tells_all || (own != nullptr && own->heirs.contains(node))) {
       this->actions.emplace_back(send_action{node, message});
