Send bodies that cannot be repeated by one piece of code

Cause: the store's calls and the backend client each had their own upload callback and the same options against libcurl's silent repeats; a fault mended in one would have stayed in the other. Change: platform/http_upload.hpp serves both. Behaviour is the same: the backend client still allows repeats of idempotent requests without a body, the store's calls none.

--- a/packages/platform/src/http_call.cpp
+++ b/packages/platform/src/http_call.cpp
@@ -5,9 +5,10 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cstring>
 #include <memory>
 
+#include "zinnia/platform/http_upload.hpp"
+
 namespace zinnia {
 namespace impl {
 namespace {
@@ -46,34 +47,6 @@
   return size * count;
 }
 
-/// The body being sent. It cannot be rewound: libcurl repeats a request on a fresh connection when a kept one
-/// turns out dead, and a write that may have taken effect must not be repeated behind the caller's back.
-struct upload {
-  const std::string* body{nullptr};
-  std::size_t position{0};
-};
-
-std::size_t read_upload(char* target, std::size_t size, std::size_t count, void* context) {
-  auto& source = *static_cast<upload*>(context);
-  const auto step = std::min(size * count, source.body->size() - source.position);
-  std::memcpy(target, source.body->data() + source.position, step);
-  source.position += step;
-  return step;
-}
-
-void set_body(CURL* handle, const http_call& call, upload& source) {
-  if (call.method == "GET") {
-    return;
-  }
-  curl_easy_setopt(handle, CURLOPT_UPLOAD, 1L);
-  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-  curl_easy_setopt(handle, CURLOPT_READFUNCTION, read_upload);
-  curl_easy_setopt(handle, CURLOPT_READDATA, &source);
-  curl_easy_setopt(handle, CURLOPT_INFILESIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
-  // An empty body can always be "rewound", so such a write never goes out on a kept connection.
-  curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.body.empty() ? 1L : 0L);
-}
-
 }  // namespace
 }  // namespace impl
 
@@ -93,8 +66,10 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &answer.body);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, impl::read_header);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &answer.headers);
-  impl::upload source{&call.body, 0};
-  impl::set_body(handle, call, source);
+  http_upload source{&call.body, 0};
+  if (call.method != "GET") {
+    set_upload(handle, call.method, source, false);
+  }
   const CURLcode code = curl_easy_perform(handle);
   if (code != CURLE_OK) {
     answer.failure = curl_easy_strerror(code);
--- a/packages/traffic/src/backend_client.cpp
+++ b/packages/traffic/src/backend_client.cpp
@@ -5,9 +5,10 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cstring>
 #include <nlohmann/json.hpp>
 
+#include "zinnia/platform/http_upload.hpp"
+
 namespace zinnia {
 namespace impl {
 namespace {
@@ -21,27 +22,12 @@
 };
 using curl_headers = std::unique_ptr<curl_slist, header_list_deleter>;
 
-/// The body being sent. There is deliberately no way to rewind it: libcurl repeats a request on a fresh
-/// connection when a kept one turns out dead, and a body that cannot be rewound makes it fail instead.
-struct upload {
-  const std::string* body{nullptr};
-  std::size_t position{0};
-};
-
 struct download {
   backend_answer* answer{nullptr};
   std::size_t limit{0};
   bool too_large{false};
 };
 
-std::size_t read_upload(char* target, std::size_t size, std::size_t count, void* context) {
-  auto& source = *static_cast<upload*>(context);
-  const auto step = std::min(size * count, source.body->size() - source.position);
-  std::memcpy(target, source.body->data() + source.position, step);
-  source.position += step;
-  return step;
-}
-
 std::size_t write_download(char* data, std::size_t size, std::size_t count, void* context) {
   auto& target = *static_cast<download*>(context);
   if (target.answer->body.size() + size * count > target.limit) {
@@ -117,7 +103,7 @@
                 backend_answer& answer);
 
  private:
-  void prepare(const backend_request& request, impl::upload& up, impl::download& down,
+  void prepare(const backend_request& request, http_upload& up, impl::download& down,
                const impl::curl_headers& headers);
   [[nodiscard]] std::optional<CURLcode> drive(const std::function<bool()>& cancelled);
   void classify_failure(CURLcode code, const impl::download& down, backend_answer& answer);
@@ -127,7 +113,7 @@
   CURLM* multi;
 };
 
-void backend_client::connection::prepare(const backend_request& request, impl::upload& up,
+void backend_client::connection::prepare(const backend_request& request, http_upload& up,
                                          impl::download& down, const impl::curl_headers& headers) {
   curl_easy_reset(this->easy);
   const std::string url = "http://" + request.upstream.str() + request.path;
@@ -146,14 +132,7 @@
   if (request.method == "HEAD") {
     curl_easy_setopt(this->easy, CURLOPT_NOBODY, 1L);
   } else if (request.method != "GET") {
-    curl_easy_setopt(this->easy, CURLOPT_UPLOAD, 1L);
-    curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    curl_easy_setopt(this->easy, CURLOPT_READFUNCTION, impl::read_upload);
-    curl_easy_setopt(this->easy, CURLOPT_READDATA, &up);
-    curl_easy_setopt(this->easy, CURLOPT_INFILESIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
-    // An empty body can always be "rewound", so such a request never goes out on a kept connection.
-    const bool repeatable = !request.idempotent && request.body.empty();
-    curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, repeatable ? 1L : 0L);
+    set_upload(this->easy, request.method, up, request.idempotent);
   }
 }
 
@@ -200,7 +179,7 @@
 
 bool backend_client::connection::transfer(const backend_request& request,
                                           const std::function<bool()>& cancelled, backend_answer& answer) {
-  impl::upload up{&request.body, 0};
+  http_upload up{&request.body, 0};
   impl::download down{&answer, request.answer_limit_bytes, false};
   impl::curl_headers headers{curl_slist_append(nullptr, "Expect:")};
   for (const auto& [name, value] : request.headers) {
