--- a/apps/zinniactl/commands.cpp
+++ b/apps/zinniactl/commands.cpp
@@ -8,7 +8,7 @@
 #include <random>
 #include <sstream>
 
-#include "zinnia/platform/http_call.hpp"
+#include "zinnia/store/http_call.hpp"
 #include "zinnia/steering/node_machine.hpp"
 #include "zinnia/steering/shift_plan.hpp"
 
--- a/apps/zinniactl/commands.hpp
+++ b/apps/zinniactl/commands.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "zinnia/platform/http_object_store.hpp"
+#include "zinnia/store/http_object_store.hpp"
 #include "zinnia/settings/settings_tree.hpp"
 
 namespace zinnia {
--- a/apps/zinniad/daemon.cpp
+++ b/apps/zinniad/daemon.cpp
@@ -11,7 +11,7 @@
 
 #include "zinnia/control/control_loop.hpp"
 #include "zinnia/observe/log.hpp"
-#include "zinnia/platform/http_object_store.hpp"
+#include "zinnia/store/http_object_store.hpp"
 #include "zinnia/traffic/traffic_node.hpp"
 #include "zinnia/wire/peer_listener.hpp"
 
@@ -67,16 +67,6 @@
   return incarnation_id{std::to_string(unix_time_ms()) + '-' + std::to_string(source())};
 }
 
-[[nodiscard]] log_level to_level(const std::string& word) {
-  if (word == "debug") {
-    return log_level::debug;
-  }
-  if (word == "warn") {
-    return log_level::warn;
-  }
-  return word == "error" ? log_level::error : log_level::info;
-}
-
 [[nodiscard]] sigset_t stop_signals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -111,7 +101,7 @@
 int run_daemon(const daemon_options& options) {
   const auto signals = impl::stop_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  start_logging(impl::to_level(options.log_level), options.node);
+  start_logging(log_level_from_word(options.log_level), options.node);
   metrics counts;
   const boot_clock clock;
   http_object_store store{options.store_url, options.store_limit};
--- a/apps/zinniad/main.cpp
+++ b/apps/zinniad/main.cpp
@@ -2,8 +2,13 @@
 #include <iostream>
 
 #include "daemon.hpp"
+#include "zinnia/platform/platform_node.hpp"
+#include "zinnia/platform/settings_file.hpp"
 
 int main(int argc, char** argv) {
+  if (const auto settings_file = zinnia::platform::settings_path()) {
+    return zinnia::platform::run_platform_node(*settings_file);
+  }
   constexpr int exit_bad_settings = 2;
   const auto parsed = zinnia::parse_daemon_options(argc, argv);
   if (!parsed) {
--- a/packages/control/include/zinnia/control/control_loop.hpp
+++ b/packages/control/include/zinnia/control/control_loop.hpp
@@ -12,7 +12,7 @@
 #include <thread>
 
 #include "zinnia/observe/metrics.hpp"
-#include "zinnia/platform/object_store.hpp"
+#include "zinnia/store/object_store.hpp"
 #include "zinnia/steering/node_machine.hpp"
 #include "zinnia/wire/control_links.hpp"
 
--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -59,6 +59,15 @@
   store_conflict,
   store_unknown,
   invalid_setting,
+  // Direct dispatch.
+  no_route,
+  no_backend,
+  backend_replaced,
+  answer_unsound,
+  route_timeout,
+  caller_left,
+  attempts_exhausted,
+  memory_short,
   count,
 };
 
--- a/packages/core/src/words.cpp
+++ b/packages/core/src/words.cpp
@@ -55,6 +55,14 @@
     "store-conflict",
     "store-unknown",
     "invalid-setting",
+    "no-route",
+    "no-backend",
+    "backend-replaced",
+    "answer-unsound",
+    "route-timeout",
+    "caller-left",
+    "attempts-exhausted",
+    "memory-short",
 };
 static_assert(!reason_words.back().empty(), "every reason has a word");
 
--- /dev/null
+++ b/packages/gateway/src/health_check.cpp
@@ -0,0 +1,71 @@
+// Health checks by the gateway.
+#include "health_check.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+
+#include "zinnia/observe/log.hpp"
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+/// Longest wait for the answer; a check may wait for a slot like any request.
+constexpr std::chrono::milliseconds health_check_limit{1000};
+constexpr int status_ok = 200;
+
+}  // namespace
+}  // namespace impl
+
+health_check::health_check(gateway& owner_in, std::shared_ptr<backend_state> backend_in, const std::string& path)
+    : owner{owner_in}, backend{std::move(backend_in)}, timer{owner_in.context} {
+  this->backend->on_health_check_started();
+  const auto& declared = this->backend->declared();
+  this->connection = std::make_shared<backend_connection>(
+      this->owner.context, this->owner.pool_of(*this->backend).endpoint(), this->owner.clock);
+  this->timer.expires_after(impl::health_check_limit);
+  this->timer.async_wait([this](const boost::system::error_code& stopped) {
+    if (!stopped) {
+      this->finish(false);
+    }
+  });
+  backend_call call;
+  call.bytes = absl::StrCat("GET ", path, " HTTP/1.1\r\nHost: ", declared.ip, ":", declared.port,
+                            "\r\nConnection: close\r\n\r\n");
+  this->connection->start(std::move(call), *this);
+}
+
+health_check::~health_check() {
+  this->connection->cancel();
+}
+
+void health_check::on_head(const response_head& head) {
+  const auto& dialect = this->owner.options.dialect;
+  const auto instance = find_field(head.fields, dialect.backend_id);
+  this->healthy = head.status == impl::status_ok && instance == this->backend->declared().id.str();
+  if (const auto left = find_field(head.fields, dialect.cold_left_ms)) {
+    this->cold_left = duration{parse_number(*left).value_or(0)};
+  }
+}
+
+void health_check::on_end(const backend_call_end& end) {
+  this->finish(this->healthy && end.complete);
+}
+
+void health_check::finish(bool is_healthy) {
+  this->connection->cancel();
+  this->timer.cancel();
+  this->backend->on_health_check(is_healthy, this->cold_left, this->owner.clock.now());
+  log_line{log_level::info, "health_checked"}
+      .field("backend", this->backend->declared().id.str())
+      .field("healthy", is_healthy ? 1 : 0)
+      .field("cold_left_ms", this->cold_left.ms);
+  // Destroying this object has to wait until its caller has returned.
+  boost::asio::post(this->owner.context, [&checks = this->owner.checks, id = this->backend->declared().id] {
+    checks.erase(id);
+  });
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/http/src/backend_pool.cpp
@@ -0,0 +1,58 @@
+// Keeping and reusing connections.
+#include "zinnia/http/backend_pool.hpp"
+
+#include <algorithm>
+
+namespace zinnia {
+
+backend_pool::backend_pool(boost::asio::io_context& context_in, boost::asio::ip::tcp::endpoint address_in,
+                           const clock_source& clock_in)
+    : context{context_in}, address{std::move(address_in)}, clock{clock_in} {}
+
+std::shared_ptr<backend_connection> backend_pool::acquire(std::size_t most) {
+  const auto now = this->clock.now();
+  while (!this->idle.empty()) {
+    auto connection = std::move(this->idle.back());
+    this->idle.pop_back();
+    if (connection->is_reusable(now)) {
+      ++this->in_use;
+      return connection;
+    }
+    connection->cancel();
+  }
+  if (this->in_use >= most) {
+    return nullptr;
+  }
+  ++this->in_use;
+  return std::make_shared<backend_connection>(this->context, this->address, this->clock);
+}
+
+void backend_pool::release(std::shared_ptr<backend_connection> connection) {
+  --this->in_use;
+  if (connection->is_reusable(this->clock.now())) {
+    this->idle.push_back(std::move(connection));
+  } else {
+    connection->cancel();
+  }
+}
+
+void backend_pool::trim() {
+  const auto now = this->clock.now();
+  const auto is_spent = [&](const std::shared_ptr<backend_connection>& connection) {
+    if (connection->is_reusable(now)) {
+      return false;
+    }
+    connection->cancel();
+    return true;
+  };
+  this->idle.erase(std::remove_if(this->idle.begin(), this->idle.end(), is_spent), this->idle.end());
+}
+
+void backend_pool::close_idle() {
+  for (const auto& connection : this->idle) {
+    connection->cancel();
+  }
+  this->idle.clear();
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/http/src/caller_connection.cpp
@@ -0,0 +1,424 @@
+// Reading, ordering and writing on one caller's connection.
+#include "zinnia/http/caller_connection.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <array>
+#include <boost/asio/write.hpp>
+
+#include "zinnia/http/socket_options.hpp"
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+using error_code = boost::system::error_code;
+
+/// Requests of one connection that may be under way together; more stay unread.
+constexpr std::size_t pipeline_limit = 16;
+/// Unparsed input of one connection at which reading pauses.
+constexpr std::size_t input_limit = 256 << 10;
+/// Unsent output at which the source of an answer's body pauses.
+constexpr std::size_t output_limit = 128 << 10;
+/// How long to wait for the caller's close after the last answer, so that the answer is not reset away.
+constexpr duration linger_limit{1000};
+/// Longest time for which written bytes may make no progress.
+constexpr duration write_limit{10'000};
+
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_fields_too_large = 431;
+
+[[nodiscard]] bool has_no_body(const request_head& request, int status) noexcept {
+  constexpr int status_no_content = 204;
+  constexpr int status_not_modified = 304;
+  return request.method == "HEAD" || status == status_no_content || status == status_not_modified;
+}
+
+/// Input is read through one buffer, as a node reads on one thread.
+[[nodiscard]] std::array<char, 64 << 10>& read_buffer() {
+  thread_local std::array<char, 64 << 10> buffer;
+  return buffer;
+}
+
+}  // namespace
+}  // namespace impl
+
+caller_exchange::caller_exchange(std::shared_ptr<caller_connection> owner, request_head head_in,
+                                 std::string body_in, time_point received_in)
+    : connection{std::move(owner)},
+      request{std::move(head_in)},
+      request_body{std::move(body_in)},
+      received{received_in} {}
+
+void caller_exchange::respond(int status, const header_fields& fields, std::string_view text) {
+  response_head head;
+  head.status = status;
+  head.fields = fields;
+  head.length = text.size();
+  this->begin(head);
+  this->write(text);
+  this->finish();
+}
+
+void caller_exchange::begin(const response_head& head) {
+  if (!this->is_open() || this->begun) {
+    return;
+  }
+  this->begun = true;
+  this->bodiless = impl::has_no_body(this->request, head.status);
+  constexpr int version_1_1 = 11;
+  const bool may_chunk = this->request.version >= version_1_1;
+  this->chunked = !head.length && may_chunk && !this->bodiless;
+  if (!head.length && !may_chunk) {
+    this->request.keep_alive = false;
+  }
+  this->closes = this->connection->decide_close(*this);
+  const auto phrase = head.reason.empty() ? status_phrase(head.status) : std::string_view{head.reason};
+  absl::StrAppend(&this->output, "HTTP/1.1 ", head.status, " ", absl::string_view{phrase.data(), phrase.size()},
+                  "\r\n");
+  append_fields(this->output, head.fields);
+  if (head.length) {
+    absl::StrAppend(&this->output, "Content-Length: ", *head.length, "\r\n");
+  } else if (this->chunked) {
+    this->output += "Transfer-Encoding: chunked\r\n";
+  }
+  if (this->closes) {
+    this->output += "Connection: close\r\n";
+  }
+  this->output += "\r\n";
+  this->connection->flush();
+}
+
+void caller_exchange::write(std::string_view piece) {
+  if (!this->is_open() || piece.empty() || this->bodiless) {
+    return;
+  }
+  if (this->chunked) {
+    absl::StrAppendFormat(&this->output, "%x\r\n", piece.size());
+  }
+  this->output += piece;
+  if (this->chunked) {
+    this->output += "\r\n";
+  }
+  this->connection->flush();
+}
+
+void caller_exchange::finish() {
+  if (!this->is_open()) {
+    return;
+  }
+  if (this->chunked) {
+    this->output += "0\r\n\r\n";
+  }
+  this->finished = true;
+  this->on_gone = nullptr;
+  this->on_writable = nullptr;
+  // Flushing may drop the connection's reference to this exchange.
+  const auto self = this->shared_from_this();
+  this->connection->flush();
+}
+
+void caller_exchange::abort() {
+  if (this->connection != nullptr) {
+    const auto owner = this->connection;
+    this->on_gone = nullptr;
+    owner->shut_down();
+  }
+}
+
+bool caller_exchange::is_congested() const noexcept {
+  return this->connection != nullptr &&
+         this->output.size() + this->connection->writing.size() > impl::output_limit;
+}
+
+void caller_exchange::when_first(std::function<void()> callback) {
+  if (this->connection == nullptr) {
+    return;
+  }
+  if (this->connection->pending.front().get() == this) {
+    callback();
+  } else {
+    this->first_callback = std::move(callback);
+  }
+}
+
+void caller_exchange::release() {
+  this->connection = nullptr;
+  this->on_gone = nullptr;
+  this->on_writable = nullptr;
+  this->first_callback = nullptr;
+}
+
+caller_connection::caller_connection(boost::asio::ip::tcp::socket accepted, const caller_limits& limits_in,
+                                     const clock_source& clock_in, request_callback on_request_in)
+    : socket{std::move(accepted)},
+      limits{limits_in},
+      clock{clock_in},
+      on_request{std::move(on_request_in)},
+      last_activity{clock_in.now()} {}
+
+void caller_connection::start() {
+  impl::error_code ignored;
+  this->socket.non_blocking(true, ignored);
+  set_liveness_options(this->socket.native_handle());
+  this->wait_readable();
+}
+
+void caller_connection::wait_readable() {
+  if (this->read_active || this->phase == connection_phase::closed ||
+      this->input.size() >= impl::input_limit) {
+    return;
+  }
+  this->read_active = true;
+  this->socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                          [self = this->shared_from_this()](const impl::error_code& problem) {
+                            self->read_active = false;
+                            if (self->phase == connection_phase::closed) {
+                              return;
+                            }
+                            if (problem) {
+                              self->shut_down();
+                              return;
+                            }
+                            self->read_available();
+                          });
+}
+
+void caller_connection::read_available() {
+  impl::error_code problem;
+  auto& buffer = impl::read_buffer();
+  const auto bytes = this->socket.read_some(boost::asio::buffer(buffer), problem);
+  if (problem == boost::asio::error::would_block) {
+    this->wait_readable();
+    return;
+  }
+  if (problem || bytes == 0) {
+    this->shut_down();
+    return;
+  }
+  this->last_activity = this->clock.now();
+  if (!this->input_ended) {
+    if (!this->has_partial_request()) {
+      this->request_started = this->last_activity;
+    }
+    this->input.append(buffer.data(), bytes);
+    this->parse_input();
+  }
+  this->wait_readable();
+}
+
+void caller_connection::parse_input() {
+  while (this->phase == connection_phase::open && !this->input_ended && !this->input.empty() &&
+         this->pending.size() < impl::pipeline_limit) {
+    if (!this->parser) {
+      this->parser = std::make_unique<request_parser>(this->limits.header_bytes);
+      this->head_accepted = false;
+    }
+    std::size_t used = 0;
+    const auto progress = this->parser->feed(this->input, used);
+    this->input.erase(0, used);
+    if (progress == parse_progress::malformed) {
+      const bool too_large = this->parser->problem() == boost::beast::http::error::header_limit;
+      this->refuse(too_large ? impl::status_fields_too_large : impl::status_bad_request);
+      return;
+    }
+    if (this->parser->is_header_done() && !this->head_accepted && !this->accept_head()) {
+      return;
+    }
+    if (this->parser->body_size() > this->limits.body_bytes) {
+      this->refuse(impl::status_too_large);
+      return;
+    }
+    if (progress == parse_progress::needs_more) {
+      return;
+    }
+    this->deliver_request();
+  }
+}
+
+bool caller_connection::accept_head() {
+  this->head_accepted = true;
+  const auto length = this->parser->content_length();
+  if (length && *length > this->limits.body_bytes) {
+    this->refuse(impl::status_too_large);
+    return false;
+  }
+  const auto expectation = find_field(this->parser->fields(), "Expect");
+  if (expectation && equal_names(*expectation, "100-continue") && this->pending.empty() &&
+      !this->write_active) {
+    this->writing += "HTTP/1.1 100 Continue\r\n\r\n";
+    this->flush();
+  }
+  return true;
+}
+
+void caller_connection::deliver_request() {
+  auto head = this->parser->take_head();
+  auto body = this->parser->take_body_text();
+  this->parser.reset();
+  if (!head.keep_alive) {
+    this->input_ended = true;
+    this->input.clear();
+  }
+  this->request_started = this->clock.now();
+  auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head),
+                                                    std::move(body), this->request_started);
+  this->pending.push_back(exchange);
+  this->on_request(exchange);
+}
+
+void caller_connection::refuse(int status) {
+  this->input_ended = true;
+  this->input.clear();
+  this->parser.reset();
+  request_head unread;
+  unread.keep_alive = false;
+  auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(unread),
+                                                    std::string{}, this->clock.now());
+  this->pending.push_back(exchange);
+  exchange->respond(status, {}, "");
+}
+
+bool caller_connection::decide_close(const caller_exchange& exchange) {
+  const bool is_last = !this->pending.empty() && this->pending.back().get() == &exchange;
+  const bool closes = is_last && (this->draining || this->input_ended || !exchange.request.keep_alive);
+  if (closes) {
+    // What was sent behind this answer counts as unread and will be sent again.
+    this->input_ended = true;
+    this->input.clear();
+    this->parser.reset();
+  }
+  return closes;
+}
+
+void caller_connection::flush() {
+  if (this->phase != connection_phase::open || this->write_active) {
+    return;
+  }
+  while (!this->pending.empty()) {
+    const auto first = this->pending.front();
+    this->writing += first->output;
+    first->output.clear();
+    if (!first->finished) {
+      break;
+    }
+    const bool closes = first->closes;
+    first->release();
+    this->pending.pop_front();
+    if (closes) {
+      this->begin_linger();
+      break;
+    }
+    if (!this->pending.empty() && this->pending.front()->first_callback) {
+      const auto callback = std::move(this->pending.front()->first_callback);
+      this->pending.front()->first_callback = nullptr;
+      callback();
+      if (this->write_active || this->phase != connection_phase::open) {
+        return;
+      }
+    }
+  }
+  if (this->writing.empty()) {
+    return;
+  }
+  this->write_active = true;
+  boost::asio::async_write(this->socket, boost::asio::buffer(this->writing),
+                           [self = this->shared_from_this()](const impl::error_code& problem, std::size_t bytes) {
+                             self->write_active = false;
+                             if (self->phase == connection_phase::closed) {
+                               return;
+                             }
+                             if (problem) {
+                               self->shut_down();
+                               return;
+                             }
+                             self->on_written(bytes);
+                           });
+}
+
+void caller_connection::on_written(std::size_t bytes) {
+  this->writing.erase(0, bytes);
+  this->last_activity = this->clock.now();
+  if (this->phase == connection_phase::lingering) {
+    impl::error_code ignored;
+    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    return;
+  }
+  this->flush();
+  if (!this->write_active && !this->pending.empty() && this->pending.front()->on_writable) {
+    const auto callback = this->pending.front()->on_writable;
+    callback();
+  }
+  this->parse_input();
+  this->wait_readable();
+}
+
+void caller_connection::begin_linger() {
+  this->phase = connection_phase::lingering;
+  this->last_activity = this->clock.now();
+}
+
+void caller_connection::enforce_timeouts() {
+  const auto now = this->clock.now();
+  const auto quiet = now - this->last_activity;
+  if (this->phase == connection_phase::lingering) {
+    if (quiet > impl::linger_limit) {
+      this->shut_down();
+    }
+    return;
+  }
+  if (this->phase != connection_phase::open) {
+    return;
+  }
+  if (this->write_active && quiet > impl::write_limit) {
+    this->shut_down();
+    return;
+  }
+  if (!this->pending.empty()) {
+    return;
+  }
+  if (this->has_partial_request()) {
+    const bool in_body = this->parser && this->parser->is_header_done();
+    const auto since = in_body ? quiet : now - this->request_started;
+    if (since > this->limits.header_timeout) {
+      this->refuse(impl::status_timeout);
+    }
+    return;
+  }
+  if (quiet > this->limits.idle_timeout) {
+    this->close_if_idle();
+  }
+}
+
+void caller_connection::close_if_idle() {
+  if (this->phase != connection_phase::open || !this->is_idle() || this->write_active) {
+    return;
+  }
+  this->input_ended = true;
+  this->begin_linger();
+  impl::error_code ignored;
+  this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void caller_connection::shut_down() {
+  if (this->phase == connection_phase::closed) {
+    return;
+  }
+  this->phase = connection_phase::closed;
+  impl::error_code ignored;
+  this->socket.close(ignored);
+  const auto abandoned = std::move(this->pending);
+  this->pending.clear();
+  for (const auto& exchange : abandoned) {
+    const auto callback = std::move(exchange->on_gone);
+    exchange->release();
+    if (callback) {
+      callback();
+    }
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/http/src/message.cpp
@@ -0,0 +1,115 @@
+// Field look-up and filtering.
+#include "zinnia/http/message.hpp"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/status.hpp>
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+constexpr std::array<std::string_view, 9> connection_fields{
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length",
+    "TE",         "Trailer",    "Upgrade",          "Expect"};
+
+[[nodiscard]] std::string percent_decode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size() && absl::ascii_isxdigit(text[i + 1]) &&
+        absl::ascii_isxdigit(text[i + 2])) {
+      decoded += static_cast<char>(std::stoi(std::string{text.substr(i + 1, 2)}, nullptr, 16));
+      i += 2;
+    } else {
+      decoded += text[i] == '+' ? ' ' : text[i];
+    }
+  }
+  return decoded;
+}
+
+}  // namespace
+}  // namespace impl
+
+bool equal_names(std::string_view a, std::string_view b) noexcept {
+  return absl::EqualsIgnoreCase({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+std::optional<std::string_view> find_field(const header_fields& fields, std::string_view name) noexcept {
+  for (const auto& field : fields) {
+    if (equal_names(field.name, name)) {
+      return field.value;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string_view request_head::path() const noexcept {
+  return std::string_view{this->target}.substr(0, this->target.find('?'));
+}
+
+std::optional<std::string> request_head::query(std::string_view name) const {
+  const auto start = this->target.find('?');
+  if (start == std::string::npos) {
+    return std::nullopt;
+  }
+  for (const absl::string_view part : absl::StrSplit(this->target.substr(start + 1), '&')) {
+    const auto equals = part.find('=');
+    if (part.substr(0, equals) == absl::string_view{name.data(), name.size()}) {
+      const auto value = equals == absl::string_view::npos ? absl::string_view{} : part.substr(equals + 1);
+      return impl::percent_decode({value.data(), value.size()});
+    }
+  }
+  return std::nullopt;
+}
+
+header_fields end_to_end_fields(const header_fields& fields, const std::vector<std::string_view>& replaced) {
+  std::vector<std::string> named;
+  for (const auto& field : fields) {
+    if (equal_names(field.name, "Connection")) {
+      for (const absl::string_view token : absl::StrSplit(field.value, ',')) {
+        named.emplace_back(absl::StripAsciiWhitespace(token));
+      }
+    }
+  }
+  const auto is_dropped = [&](const header_field& field) {
+    const auto matches = [&](std::string_view other) { return equal_names(field.name, other); };
+    return std::any_of(impl::connection_fields.begin(), impl::connection_fields.end(), matches) ||
+           std::any_of(named.begin(), named.end(), matches) ||
+           std::any_of(replaced.begin(), replaced.end(), matches);
+  };
+  header_fields kept;
+  for (const auto& field : fields) {
+    if (!is_dropped(field)) {
+      kept.push_back(field);
+    }
+  }
+  return kept;
+}
+
+void append_fields(std::string& out, const header_fields& fields) {
+  for (const auto& field : fields) {
+    absl::StrAppend(&out, field.name, ": ", field.value, "\r\n");
+  }
+}
+
+std::optional<std::int64_t> parse_number(std::string_view text) noexcept {
+  std::int64_t number = 0;
+  if (text.empty() || !absl::ascii_isdigit(text.front()) ||
+      !absl::SimpleAtoi(absl::string_view{text.data(), text.size()}, &number)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string_view status_phrase(int status) noexcept {
+  const auto phrase = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+  return {phrase.data(), phrase.size()};
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/http/src/message_parser.cpp
@@ -0,0 +1,36 @@
+// Start lines and heads of parsed messages.
+#include "zinnia/http/message_parser.hpp"
+
+namespace zinnia {
+
+void request_parser::on_request_impl(boost::beast::http::verb /*verb*/, text_view method, text_view target,
+                                     int version, error_code& /*problem*/) {
+  this->head.method = std::string{method};
+  this->head.target = std::string{target};
+  this->head.version = version;
+}
+
+request_head request_parser::take_head() {
+  this->head.keep_alive = this->keep_alive();
+  this->head.fields = std::move(this->collected);
+  return std::move(this->head);
+}
+
+void response_parser::on_response_impl(int status, text_view reason, int /*version*/,
+                                       error_code& /*problem*/) {
+  this->received.status = status;
+  this->received.reason = std::string{reason};
+}
+
+const response_head& response_parser::head() {
+  if (!this->collected.empty()) {
+    this->received.fields = std::move(this->collected);
+    this->collected.clear();
+    if (const auto length = this->content_length()) {
+      this->received.length = *length;
+    }
+  }
+  return this->received;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/http/src/socket_options.cpp
@@ -0,0 +1,28 @@
+// Socket options by setsockopt, as Asio has no names for most of them.
+#include "zinnia/http/socket_options.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+void set_option(int descriptor, int level, int name, int value) noexcept {
+  // Best effort: a system without the option still serves, it only notices silence later.
+  static_cast<void>(setsockopt(descriptor, level, name, &value, sizeof value));
+}
+
+}  // namespace
+}  // namespace impl
+
+void set_liveness_options(int descriptor) noexcept {
+  impl::set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  impl::set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  impl::set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_seconds);
+  impl::set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_seconds);
+  impl::set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+  impl::set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledged_limit.ms));
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -0,0 +1,99 @@
+// Which nodes there are, which of them are alive, and which of them a caller is told of.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "zinnia/core/clock.hpp"
+#include "zinnia/core/ids.hpp"
+#include "zinnia/routing/backend_table.hpp"
+
+namespace zinnia {
+
+/// \brief A node as it registers itself.
+struct member {
+  node_id id;
+  place where;
+  /// Where callers connect, as "ip:port".
+  std::string caller_address;
+  /// Where heartbeats are sent, as "ip:port".
+  std::string peer_address;
+  incarnation_id incarnation;
+
+  friend bool operator==(const member& a, const member& b) noexcept {
+    return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address;
+  }
+};
+
+/// \brief What a node says of itself in a heartbeat.
+struct member_beat {
+  node_id id;
+  incarnation_id incarnation;
+  /// It takes requests.
+  bool ready{false};
+  /// It is about to stop.
+  bool leaving{false};
+  /// The configuration that it has in force.
+  config_version version;
+};
+
+/// \brief Nodes that are alive and take requests.
+using live_members = std::map<node_id, member>;
+
+/// \brief   Registered nodes and the heartbeats heard from them. Not thread safe.
+/// \details Liveness comes from heartbeats alone; the register only says whom to listen for.
+class member_table {
+ public:
+  explicit member_table(node_id self_in) : self{std::move(self_in)} {}
+
+  void add(const member& registered, time_point now);
+  void remove(const node_id& id);
+  void on_beat(const member_beat& beat, time_point now);
+  /// \brief This node's own state, which needs no heartbeat.
+  void set_self(bool ready, bool leaving) noexcept;
+
+  [[nodiscard]] live_members alive(time_point now) const;
+  /// \brief Nodes to which heartbeats go, nearest first.
+  [[nodiscard]] std::vector<member> peers() const;
+  /// \brief   Registered nodes that have been silent so long that their entry should go.
+  /// \details Only the alive node that comes first by name answers with any, so that one node does it.
+  [[nodiscard]] std::vector<node_id> to_forget(time_point now) const;
+  /// \brief The newest configuration that any node has in force.
+  [[nodiscard]] config_version newest_version() const noexcept { return this->newest; }
+  [[nodiscard]] bool contains(const node_id& id) const { return this->members.contains(id); }
+
+ private:
+  struct record {
+    member registered;
+    time_point heard_at;
+    time_point registered_at;
+    bool ready{false};
+    bool leaving{false};
+    bool heard{false};
+  };
+  [[nodiscard]] bool takes_requests(const node_id& id, const record& known, time_point now) const;
+
+  node_id self;
+  std::map<node_id, record> members;
+  config_version newest;
+  bool self_ready{false};
+  bool self_leaving{false};
+};
+
+/// \brief   Caller addresses for callers at a place.
+/// \details Those of its failure domain if there are any, else those of its region, else all.
+[[nodiscard]] std::vector<std::string> addresses_for(const live_members& alive, const place& caller);
+
+/// \brief How often heartbeats are sent; a third of the silence after which a node counts as lost.
+inline constexpr duration heartbeat_period{300};
+/// \brief Silence after which a node is no longer named to callers.
+inline constexpr duration heartbeat_silence{1000};
+/// \brief Silence after which a node's entry is removed; longer than any restart.
+inline constexpr duration forget_after{15'000};
+/// \brief Most nodes that one node sends heartbeats to.
+inline constexpr std::size_t most_heartbeat_peers = 24;
+/// \brief Most addresses that one answer to a caller names.
+inline constexpr std::size_t most_named_addresses = 64;
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/membership/src/beat_codec.cpp
@@ -0,0 +1,34 @@
+// Encoding and checked decoding of heartbeats.
+#include "zinnia/membership/beat_codec.hpp"
+
+#include "generated/beat_generated.h"
+
+namespace zinnia {
+
+std::string encode_beat(const member_beat& beat) {
+  flatbuffers::FlatBufferBuilder builder;
+  const auto node = builder.CreateString(beat.id.str());
+  const auto incarnation = builder.CreateString(beat.incarnation.str());
+  builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, beat.ready, beat.leaving,
+                                             beat.version.count()));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+result<member_beat> decode_beat(std::string_view datagram) {
+  const auto* const bytes = reinterpret_cast<const std::uint8_t*>(datagram.data());
+  flatbuffers::Verifier verifier{bytes, datagram.size()};
+  if (!membership::fbs::VerifyBeatBuffer(verifier)) {
+    return error{reason::malformed_frame,
+                 "datagram of " + std::to_string(datagram.size()) + " bytes is not a heartbeat", "peer"};
+  }
+  const auto* const table = membership::fbs::GetBeat(bytes);
+  member_beat beat;
+  beat.id = node_id{table->node()->str()};
+  beat.incarnation = incarnation_id{table->incarnation()->str()};
+  beat.ready = table->ready();
+  beat.leaving = table->leaving();
+  beat.version = config_version{table->config_version()};
+  return beat;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/membership/src/member_table.cpp
@@ -0,0 +1,105 @@
+// Registration, liveness and the answer to callers.
+#include "zinnia/membership/member_table.hpp"
+
+#include <algorithm>
+
+namespace zinnia {
+
+void member_table::add(const member& registered, time_point now) {
+  auto& known = this->members[registered.id];
+  if (known.registered.incarnation != registered.incarnation) {
+    known = record{};
+    known.registered_at = now;
+  }
+  known.registered = registered;
+}
+
+void member_table::remove(const node_id& id) {
+  this->members.erase(id);
+}
+
+void member_table::on_beat(const member_beat& beat, time_point now) {
+  const auto found = this->members.find(beat.id);
+  if (found == this->members.end() || found->second.registered.incarnation != beat.incarnation) {
+    return;
+  }
+  found->second.heard = true;
+  found->second.heard_at = now;
+  found->second.ready = beat.ready;
+  found->second.leaving = beat.leaving;
+  this->newest = std::max(this->newest, beat.version);
+}
+
+void member_table::set_self(bool ready, bool leaving) noexcept {
+  this->self_ready = ready;
+  this->self_leaving = leaving;
+}
+
+bool member_table::takes_requests(const node_id& id, const record& known, time_point now) const {
+  if (id == this->self) {
+    return this->self_ready && !this->self_leaving;
+  }
+  return known.heard && known.ready && !known.leaving && now - known.heard_at < heartbeat_silence;
+}
+
+live_members member_table::alive(time_point now) const {
+  live_members found;
+  for (const auto& [id, known] : this->members) {
+    if (this->takes_requests(id, known, now)) {
+      found.emplace(id, known.registered);
+    }
+  }
+  return found;
+}
+
+std::vector<std::string> addresses_for(const live_members& alive, const place& caller) {
+  std::vector<std::string> in_domain;
+  std::vector<std::string> in_region;
+  std::vector<std::string> anywhere;
+  for (const auto& [id, known] : alive) {
+    auto& list = known.where.domain == caller.domain   ? in_domain
+                 : known.where.region == caller.region ? in_region
+                                                       : anywhere;
+    if (list.size() < most_named_addresses) {
+      list.push_back(known.caller_address);
+    }
+  }
+  return !in_domain.empty() ? in_domain : !in_region.empty() ? in_region : anywhere;
+}
+
+std::vector<member> member_table::peers() const {
+  std::vector<member> others;
+  const auto own = this->members.find(this->self);
+  const place here = own == this->members.end() ? place{} : own->second.registered.where;
+  for (const auto& [id, known] : this->members) {
+    if (id != this->self) {
+      others.push_back(known.registered);
+    }
+  }
+  const auto distance = [&](const member& other) {
+    return other.where.domain == here.domain ? 0 : other.where.region == here.region ? 1 : 2;
+  };
+  std::stable_sort(others.begin(), others.end(),
+                   [&](const member& a, const member& b) { return distance(a) < distance(b); });
+  if (others.size() > most_heartbeat_peers) {
+    others.resize(most_heartbeat_peers);
+  }
+  return others;
+}
+
+std::vector<node_id> member_table::to_forget(time_point now) const {
+  const auto living = this->alive(now);
+  std::vector<node_id> silent;
+  if (living.empty() || living.begin()->first != this->self) {
+    return silent;
+  }
+  for (const auto& [id, known] : this->members) {
+    const auto last = known.heard ? known.heard_at : known.registered_at;
+    if (id != this->self && now - last > forget_after) {
+      silent.push_back(id);
+    }
+  }
+  return silent;
+}
+
+}  // namespace zinnia
--- a/packages/observe/include/zinnia/observe/log.hpp
+++ b/packages/observe/include/zinnia/observe/log.hpp
@@ -1,36 +1,50 @@
-// Structured log lines: a stable event name first, then fields as name=value.
+// Structured log lines: JSON objects on standard output, bounded in volume and never blocking.
 #pragma once
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace zinnia {
 
 enum class log_level : unsigned char { debug, info, warn, error };
 
-/// \brief   One log line, written when it goes out of scope.
+/// \brief   One log line, handed over when it goes out of scope.
+///
+/// \details Each line has the event's name, the node, the time in ms since the Unix epoch and the fields given.
 ///
 /// \code
 /// log_line{log_level::info, "request_finished"}.field("request", id.str()).field("status", 200);
 /// \endcode
 class log_line {
  public:
-  log_line(log_level severity, const std::string& event);
+  log_line(log_level severity, std::string_view event);
   log_line(const log_line&) = delete;
   log_line& operator=(const log_line&) = delete;
   log_line(log_line&&) = delete;
   log_line& operator=(log_line&&) = delete;
   ~log_line();
 
-  log_line& field(const char* name, const std::string& value);
-  log_line& field(const char* name, std::int64_t value);
+  log_line& field(std::string_view name, std::string_view value);
+  log_line& field(std::string_view name, std::int64_t value);
 
  private:
   log_level level;
+  // Empty when lines of this level are not wanted, or too many have been written lately.
   std::string text;
 };
 
-/// \brief Sends log lines of at least this level to standard error; to be called once, by `main`.
+/// \brief Sends log lines of at least this level to standard output; to be called once, by `main`.
 void start_logging(log_level lowest, const std::string& node);
 
+/// \brief   Writes out what has collected since the last call; to be called a few times a second.
+/// \details What the reader of standard output does not take is kept up to a limit, then dropped and counted.
+void flush_log();
+
+/// \brief Lines that were not written, as they were too many or nobody read them.
+[[nodiscard]] std::uint64_t dropped_log_lines() noexcept;
+
+/// \brief The level that a word names; `info` for any other word.
+[[nodiscard]] log_level log_level_from_word(std::string_view word) noexcept;
+
 }  // namespace zinnia
--- a/packages/observe/src/log.cpp
+++ b/packages/observe/src/log.cpp
@@ -1,60 +1,128 @@
-// log4cplus set up for one line an event on standard error.
+// log4cplus with an appender that collects lines and writes them without blocking.
 #include "zinnia/observe/log.hpp"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/helpers/pointer.h>
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/mutex.h>
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 #include <algorithm>
-#include <cctype>
-#include <memory>
+#include <array>
+#include <atomic>
+
+#include "zinnia/core/clock.hpp"
 
 namespace zinnia {
 namespace impl {
 namespace {
 
+/// Text kept for a slow reader of standard output.
+constexpr std::size_t buffer_limit = 512 << 10;
+/// Lines of level `info` and below that may be written in one second; at full load a node serves fewer requests.
+constexpr int ordinary_lines_per_second = 400;
+/// Lines of any level in one second.
+constexpr int lines_per_second = 1500;
+constexpr std::int64_t ms_per_second = 1000;
+
+constexpr std::array<std::string_view, 4> level_words{"debug", "info", "warn", "error"};
+
 [[nodiscard]] log4cplus::LogLevel to_log4cplus(log_level level) {
-  switch (level) {
-    case log_level::debug:
-      return log4cplus::DEBUG_LOG_LEVEL;
-    case log_level::info:
-      return log4cplus::INFO_LOG_LEVEL;
-    case log_level::warn:
-      return log4cplus::WARN_LOG_LEVEL;
-    case log_level::error:
-      return log4cplus::ERROR_LOG_LEVEL;
-  }
-  return log4cplus::INFO_LOG_LEVEL;
+  constexpr std::array<log4cplus::LogLevel, 4> levels{log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
+                                                      log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
+  return levels.at(static_cast<std::size_t>(level));
+}
+
+[[nodiscard]] std::string& node_name() {
+  static std::string name;
+  return name;
+}
+
+[[nodiscard]] std::atomic<std::uint64_t>& dropped() {
+  static std::atomic<std::uint64_t> lines{0};
+  return lines;
 }
 
-/// Values with spaces, quotes or control characters are quoted, so that a line stays one line.
-[[nodiscard]] std::string quote(const std::string& value) {
-  const bool plain = !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char letter) {
-    return std::isgraph(letter) != 0 && letter != '"' && letter != '=';
-  });
-  if (plain) {
-    return value;
+/// Lines waiting to be written, and the lines of the present second.
+class line_buffer {
+ public:
+  /// Whether a line may be written now; counts it.
+  [[nodiscard]] bool admit(log_level level) {
+    const absl::MutexLock lock{&this->mutex};
+    const auto second = unix_time_ms() / ms_per_second;
+    if (second != this->current_second) {
+      this->current_second = second;
+      this->lines_now = 0;
+    }
+    const int most = level <= log_level::info ? ordinary_lines_per_second : lines_per_second;
+    return this->lines_now < most && ++this->lines_now > 0;
   }
-  std::string quoted = "\"";
-  for (const char letter : value) {
-    if (std::iscntrl(static_cast<unsigned char>(letter)) != 0) {
-      quoted += ' ';
-      continue;
+
+  void append(const std::string& line) {
+    const absl::MutexLock lock{&this->mutex};
+    if (this->waiting.size() + line.size() > buffer_limit) {
+      ++dropped();
+      return;
     }
-    if (letter == '"' || letter == '\\') {
-      quoted += '\\';
+    this->waiting += line;
+    this->waiting += '\n';
+  }
+
+  void write_out() {
+    const absl::MutexLock lock{&this->mutex};
+    while (!this->waiting.empty()) {
+      const auto written = write(STDOUT_FILENO, this->waiting.data(), this->waiting.size());
+      if (written <= 0) {
+        return;
+      }
+      this->waiting.erase(0, static_cast<std::size_t>(written));
     }
-    quoted += letter;
   }
-  return quoted + '"';
+
+ private:
+  absl::Mutex mutex;
+  std::string waiting;
+  std::int64_t current_second{0};
+  int lines_now{0};
+};
+
+[[nodiscard]] line_buffer& lines() {
+  static line_buffer buffer;
+  return buffer;
 }
 
-[[nodiscard]] std::string& node_name() {
-  static std::string name;
-  return name;
+class buffering_appender final : public log4cplus::Appender {
+ public:
+  buffering_appender() = default;
+  buffering_appender(const buffering_appender&) = delete;
+  buffering_appender& operator=(const buffering_appender&) = delete;
+  buffering_appender(buffering_appender&&) = delete;
+  buffering_appender& operator=(buffering_appender&&) = delete;
+  ~buffering_appender() override { this->destructorImpl(); }
+  void close() override { this->closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    lines().append(event.getMessage());
+  }
+};
+
+void append_quoted(std::string& out, std::string_view value) {
+  out += '"';
+  for (const char letter : value) {
+    if (letter == '"' || letter == '\\') {
+      out += '\\';
+      out += letter;
+    } else if (static_cast<unsigned char>(letter) < ' ') {
+      out += ' ';
+    } else {
+      out += letter;
+    }
+  }
+  out += '"';
 }
 
 }  // namespace
@@ -63,31 +131,68 @@
 void start_logging(log_level lowest, const std::string& node) {
   static const log4cplus::Initializer initializer;
   impl::node_name() = node;
-  log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender{true, true}};
-  appender->setLayout(
-      std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n")));
+  // A reader that stalls must not stall the process.
+  fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   auto root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
-  root.addAppender(appender);
+  root.addAppender(log4cplus::SharedAppenderPtr{new impl::buffering_appender});
   root.setLogLevel(impl::to_log4cplus(lowest));
 }
 
-log_line::log_line(log_level severity, const std::string& event)
-    : level{severity}, text{"event=" + event + " node=" + impl::node_name()} {}
+void flush_log() {
+  impl::lines().write_out();
+}
+
+std::uint64_t dropped_log_lines() noexcept {
+  return impl::dropped().load();
+}
+
+log_level log_level_from_word(std::string_view word) noexcept {
+  const auto found = std::find(impl::level_words.begin(), impl::level_words.end(), word);
+  return found == impl::level_words.end() ? log_level::info
+                                          : static_cast<log_level>(found - impl::level_words.begin());
+}
+
+log_line::log_line(log_level severity, std::string_view event) : level{severity} {
+  if (!log4cplus::Logger::getRoot().isEnabledFor(impl::to_log4cplus(severity))) {
+    return;
+  }
+  if (!impl::lines().admit(severity)) {
+    ++impl::dropped();
+    return;
+  }
+  this->text = absl::StrCat("{\"time_ms\":", unix_time_ms(), ",\"level\":\"");
+  this->text += impl::level_words.at(static_cast<std::size_t>(severity));
+  this->text += "\",\"event\":";
+  impl::append_quoted(this->text, event);
+  this->text += ",\"node\":";
+  impl::append_quoted(this->text, impl::node_name());
+}
 
 log_line::~log_line() {
-  log4cplus::Logger::getRoot().log(impl::to_log4cplus(this->level), this->text);
+  if (!this->text.empty()) {
+    this->text += '}';
+    log4cplus::Logger::getRoot().log(impl::to_log4cplus(this->level), this->text);
+  }
 }
 
-log_line& log_line::field(const char* name, const std::string& value) {
-  this->text += ' ';
-  this->text += name;
-  this->text += '=' + impl::quote(value);
+log_line& log_line::field(std::string_view name, std::string_view value) {
+  if (!this->text.empty()) {
+    this->text += ",\"";
+    this->text += name;
+    this->text += "\":";
+    impl::append_quoted(this->text, value);
+  }
   return *this;
 }
 
-log_line& log_line::field(const char* name, std::int64_t value) {
-  return this->field(name, std::to_string(value));
+log_line& log_line::field(std::string_view name, std::int64_t value) {
+  if (!this->text.empty()) {
+    this->text += ",\"";
+    this->text += name;
+    absl::StrAppend(&this->text, "\":", value);
+  }
+  return *this;
 }
 
 }  // namespace zinnia
--- /dev/null
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -0,0 +1,140 @@
+// All backend servers as this node sees them, and the choice among them for one request.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "zinnia/core/clock.hpp"
+#include "zinnia/core/reason.hpp"
+#include "zinnia/routing/backend_state.hpp"
+#include "zinnia/routing/declarations.hpp"
+#include "zinnia/routing/placement_settings.hpp"
+#include "zinnia/routing/work_estimate.hpp"
+
+namespace zinnia {
+
+/// \brief Where a node or a backend server stands.
+struct place {
+  failure_domain_id domain;
+  region_id region;
+};
+
+/// \brief One request as placement sees it.
+struct placement_request {
+  const route* rule{nullptr};
+  service_id service;
+  /// Hash of the object that the request concerns; nothing if it names none.
+  std::optional<std::uint64_t> object;
+  time_point deadline;
+  /// Backend servers that have already been tried.
+  const std::vector<backend_id>* tried{nullptr};
+};
+
+enum class placement_action : unsigned char { send, wait, refuse };
+
+/// \brief What to do with a request, and what decided it.
+struct placement_decision {
+  placement_action action{placement_action::refuse};
+  /// For a refusal.
+  reason why{reason::none};
+  /// For a refusal: when there is likely to be room.
+  duration retry_after{0};
+  std::shared_ptr<backend_state> target;
+  /// Whether the target is expected to hold the object.
+  bool warm{false};
+  /// From sending to the answer, without the wait for a slot.
+  duration work{0};
+  /// From sending to the answer as expected with the present load.
+  duration expected{0};
+  /// Load of the target when it was chosen.
+  double load{0};
+  /// Backend servers that could have been chosen.
+  int candidates{0};
+};
+
+/// \brief   State of all backend servers at one node. Not thread safe.
+///
+/// \details Loads answered: objects asked for again and again go where they are remembered; when that server
+///          has no room, the request waits there, goes elsewhere or is refused, whichever ends soonest within
+///          its deadline, with distance, bytes and the slots that a miss takes counted in.
+class backend_table {
+ public:
+  using settings_source = std::function<placement_settings(const service_id&)>;
+
+  /// \param regions The region of each known failure domain.
+  backend_table(place here_in, std::map<failure_domain_id, region_id> regions_in, settings_source settings_in);
+
+  /// \brief Takes over what a snapshot declares; state of servers that stay is kept.
+  void apply(const routing_snapshot& snapshot, time_point now);
+  /// \brief Decides which cold servers this node warms, from the nodes alive (this one included).
+  void assign_warming(const std::map<node_id, place>& alive, const node_id& self);
+
+  [[nodiscard]] placement_decision choose(const placement_request& request, time_point now);
+
+  /// \name Learning
+  /// \{
+  void note_round_trip(const backend_state& backend, duration took);
+  [[nodiscard]] work_estimate& estimate(const route& rule, const service_id& service);
+  [[nodiscard]] duration round_trip(const backend_state& backend) const;
+  /// \}
+
+  [[nodiscard]] std::vector<std::shared_ptr<backend_state>> due_for_check(time_point now) const;
+  /// \brief Whether another request may be sent to the server at this moment.
+  [[nodiscard]] bool has_room(const backend_state& backend, time_point now) const;
+  [[nodiscard]] std::vector<std::shared_ptr<backend_state>> all() const;
+  [[nodiscard]] std::shared_ptr<backend_state> find(const backend_id& id) const;
+  [[nodiscard]] const service_declaration* service(const service_id& id) const;
+  /// \brief The settings in force for a service at this node.
+  [[nodiscard]] const placement_settings& settings_of(const service_id& id) const;
+  [[nodiscard]] bool may_receive(const backend_state& backend, time_point now) const;
+
+ private:
+  struct service_group {
+    service_declaration declaration;
+    placement_settings settings;
+    std::vector<std::shared_ptr<backend_state>> members;
+    // Average work of a request, in ms; turns queue lengths into waits.
+    double mean_work_ms{80};
+  };
+  struct candidate {
+    std::shared_ptr<backend_state> backend;
+    bool warm{false};
+    double round_trip_ms{0};
+    double work_ms{0};
+    double wait_ms{0};
+    double cost_ms{0};
+    [[nodiscard]] double total_ms() const noexcept { return this->round_trip_ms + this->wait_ms + this->work_ms; }
+  };
+
+  [[nodiscard]] std::vector<std::shared_ptr<backend_state>> usable(const service_group& group,
+                                                                   const placement_request& request,
+                                                                   time_point now) const;
+  [[nodiscard]] const backend_state* home_of(const service_group& group,
+                                             const std::vector<std::shared_ptr<backend_state>>& among,
+                                             std::uint64_t object, time_point now) const;
+  [[nodiscard]] double distance_weight(const service_group& group, const backend_state& backend) const;
+  [[nodiscard]] candidate weigh(const service_group& group, const placement_request& request,
+                                const std::shared_ptr<backend_state>& backend, const backend_state* home,
+                                double utilisation, time_point now);
+  [[nodiscard]] double transfer_cost(const service_group& group, const backend_state& backend, double kib) const;
+  [[nodiscard]] placement_decision refuse(reason why, duration retry_after, int candidates) const;
+  [[nodiscard]] region_id region_of(const failure_domain_id& domain) const;
+
+  place here;
+  std::map<failure_domain_id, region_id> regions;
+  settings_source settings_for;
+  std::map<service_id, service_group> services;
+  std::map<backend_id, std::shared_ptr<backend_state>> backends;
+  std::map<failure_domain_id, double> round_trips;
+  std::set<failure_domain_id> evacuated;
+  absl::flat_hash_map<std::string, work_estimate> estimates;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/routing/include/zinnia/routing/declarations.hpp
@@ -0,0 +1,106 @@
+// What a node is told: routes, services, backend servers and the places where they are.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "zinnia/core/clock.hpp"
+#include "zinnia/core/ids.hpp"
+#include "zinnia/core/units.hpp"
+
+namespace zinnia {
+
+/// \brief One run of a backend server as it was declared; outlives its address.
+using backend_id = strong_id<struct backend_tag>;
+/// \brief Version of the configuration that is in force; grows with every accepted change.
+using config_version = strong_number<struct config_version_tag, std::uint64_t>;
+
+/// \brief What may be repeated.
+enum class request_kind : unsigned char {
+  /// Idempotent.
+  safe,
+  /// Runs at most once.
+  unsafe,
+  /// Idempotent, with large answers.
+  download,
+};
+
+[[nodiscard]] constexpr bool may_repeat(request_kind kind) noexcept {
+  return kind != request_kind::unsafe;
+}
+
+/// \brief One destination of a route and its share of the requests.
+struct split_part {
+  service_id service;
+  double weight{1};
+};
+
+/// \brief Where requests of a host and path prefix go, and within which limits.
+struct route {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string prefix;
+  request_kind kind{request_kind::safe};
+  /// 0 is the most urgent.
+  int priority{0};
+  /// Requests for the same object are worth sending to the same backend server.
+  bool sticky{false};
+  duration target_latency{300};
+  /// Longest time that a caller may be kept waiting.
+  duration timeout{1000};
+  /// Most backend servers to which one request may be sent.
+  int most_attempts{2};
+  /// Invariant: at least one.
+  std::vector<split_part> parts;
+  /// Empty: anywhere.
+  std::set<region_id> allowed_regions;
+};
+
+/// \brief A service that routes may name.
+struct service_declaration {
+  service_id id;
+  std::string health_path;
+  /// Connections that a backend server accepts from all nodes together.
+  int most_connections{100};
+  /// How long a backend server stays cold after its start.
+  duration cold_start{0};
+  /// Requests a second that a cold backend server bears.
+  double cold_rate{0};
+};
+
+enum class backend_mode : unsigned char { ready, draining };
+
+/// \brief A backend server as it describes itself.
+struct backend_declaration {
+  backend_id id;
+  service_id service;
+  std::string ip;
+  std::uint16_t port{0};
+  failure_domain_id domain;
+  int slots{1};
+  backend_mode mode{backend_mode::ready};
+  /// Until when it is cold; in the past for a warm one.
+  time_point cold_until;
+  /// When it started, in ms since the Unix epoch; 0 if it does not say.
+  std::int64_t started_unix_ms{0};
+};
+
+/// \brief Everything that decides where a request goes. Immutable once published.
+struct routing_snapshot {
+  /// Grows with every published snapshot of this process.
+  std::uint64_t sequence{0};
+  /// 0 until a configuration is known.
+  config_version version;
+  std::shared_ptr<const class route_table> routes;
+  std::map<service_id, service_declaration> services;
+  std::map<backend_id, backend_declaration> backends;
+  /// Failure domains to which nothing may be sent.
+  std::set<failure_domain_id> evacuated;
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/routing/include/zinnia/routing/snapshot_builder.hpp
@@ -0,0 +1,54 @@
+// Puts together what is known of routes, backend servers and evacuations, and never goes back.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "zinnia/core/clock.hpp"
+#include "zinnia/routing/declarations.hpp"
+#include "zinnia/routing/route_table.hpp"
+
+namespace zinnia {
+
+/// \brief A configuration as it was declared.
+struct routing_declaration {
+  config_version version;
+  std::vector<route> routes;
+  std::vector<service_declaration> services;
+};
+
+/// \brief   Collects declarations and publishes snapshots. Not thread safe.
+///
+/// \details The configuration never goes back to an older version. A backend server whose entry disappears
+///          while it was ready stays for a grace time, as an entry may lapse while the store is away and come
+///          back; one that said that it was draining goes at once.
+class snapshot_builder {
+ public:
+  explicit snapshot_builder(duration removal_grace_in) : removal_grace{removal_grace_in} {}
+
+  /// \brief  Takes a configuration.
+  /// \return Whether it is newer than the one in force.
+  bool set_configuration(const routing_declaration& declaration);
+  void set_backend(const backend_declaration& declaration);
+  void remove_backend(const backend_id& id, time_point now);
+  void set_evacuated(const failure_domain_id& domain, bool is_evacuated);
+  /// \brief Carries out removals whose grace is over.
+  void settle(time_point now);
+  /// \brief When `settle` will next have something to do; `end_of_time` if nothing waits.
+  [[nodiscard]] time_point next_removal() const noexcept;
+
+  /// \brief A new snapshot if anything has changed since the last one, else null.
+  [[nodiscard]] std::shared_ptr<const routing_snapshot> publish();
+  [[nodiscard]] config_version version() const noexcept { return this->state.version; }
+
+ private:
+  duration removal_grace;
+  routing_snapshot state;
+  std::map<backend_id, time_point> removals;
+  bool changed{false};
+};
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/routing/src/backend_table.cpp
@@ -0,0 +1,326 @@
+// Placement by affinity, waiting time, distance and bytes.
+#include "zinnia/routing/backend_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "zinnia/core/rendezvous.hpp"
+#include "zinnia/routing/rendezvous_score.hpp"
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+/// Round trips assumed until a connection has been timed.
+constexpr double same_domain_round_trip_ms = 1;
+constexpr double same_region_round_trip_ms = 2;
+constexpr double other_region_round_trip_ms = 60;
+/// Weight of the newest timed connection.
+constexpr double newest_round_trip_weight = 0.3;
+/// How many times longer work takes while a server is cold, until its answers say so themselves.
+constexpr double cold_slowness = 2;
+/// What a failed attempt costs, as latency: a repeat elsewhere, or for requests that run at most once the answer.
+constexpr double repeatable_failure_ms = 400;
+constexpr double final_failure_ms = 2000;
+/// Part of the rate that a cold server bears which its warming node uses; a second node may warm it for a moment.
+constexpr double used_cold_rate = 0.8;
+/// Weight of the newest request in a service's average work.
+constexpr double newest_work_weight = 0.05;
+/// Least and most time after which a refused caller is asked to come back.
+constexpr duration least_retry_after{50};
+constexpr duration most_retry_after{1000};
+
+[[nodiscard]] duration to_duration(double ms) noexcept {
+  return {static_cast<std::int64_t>(std::llround(ms))};
+}
+
+}  // namespace
+}  // namespace impl
+
+backend_table::backend_table(place here_in, std::map<failure_domain_id, region_id> regions_in,
+                             settings_source settings_in)
+    : here{std::move(here_in)}, regions{std::move(regions_in)}, settings_for{std::move(settings_in)} {}
+
+void backend_table::apply(const routing_snapshot& snapshot, time_point now) {
+  std::map<service_id, service_group> next;
+  for (const auto& [id, declaration] : snapshot.services) {
+    auto& group = next[id];
+    group.declaration = declaration;
+    group.settings = this->settings_for(id);
+    if (const auto known = this->services.find(id); known != this->services.end()) {
+      group.mean_work_ms = known->second.mean_work_ms;
+    }
+  }
+  for (const auto& domain : this->evacuated) {
+    if (!snapshot.evacuated.contains(domain)) {
+      // Servers may have become cold meanwhile, which their health check tells.
+      for (const auto& [id, backend] : this->backends) {
+        if (backend->declared().domain == domain) {
+          backend->suspend(duration{0}, now);
+        }
+      }
+    }
+  }
+  this->evacuated = snapshot.evacuated;
+  std::map<backend_id, std::shared_ptr<backend_state>> kept;
+  for (const auto& [id, declaration] : snapshot.backends) {
+    auto& backend = kept[id];
+    if (const auto known = this->backends.find(id); known != this->backends.end()) {
+      backend = known->second;
+      backend->redeclare(declaration);
+    } else {
+      backend = std::make_shared<backend_state>(declaration);
+    }
+    if (const auto group = next.find(declaration.service); group != next.end()) {
+      group->second.members.push_back(backend);
+    }
+  }
+  this->services = std::move(next);
+  this->backends = std::move(kept);
+}
+
+void backend_table::assign_warming(const std::map<node_id, place>& alive, const node_id& self) {
+  for (const auto& [id, backend] : this->backends) {
+    const auto region = this->region_of(backend->declared().domain);
+    const auto nearness = [&](const place& other) {
+      return other.domain == backend->declared().domain ? 2 : other.region == region ? 1 : 0;
+    };
+    int nearest = -1;
+    std::uint64_t best_weight = 0;
+    const node_id* owner = nullptr;
+    for (const auto& [node, where] : alive) {
+      const int near = nearness(where);
+      const auto weight = rendezvous_weight(node.str(), id.str());
+      if (near > nearest || (near == nearest && weight > best_weight)) {
+        nearest = near;
+        best_weight = weight;
+        owner = &node;
+      }
+    }
+    backend->is_warmed_here = owner != nullptr && *owner == self;
+  }
+}
+
+region_id backend_table::region_of(const failure_domain_id& domain) const {
+  const auto found = this->regions.find(domain);
+  return found == this->regions.end() ? region_id{} : found->second;
+}
+
+duration backend_table::round_trip(const backend_state& backend) const {
+  const auto& domain = backend.declared().domain;
+  if (const auto timed = this->round_trips.find(domain); timed != this->round_trips.end()) {
+    return impl::to_duration(timed->second);
+  }
+  if (domain == this->here.domain) {
+    return impl::to_duration(impl::same_domain_round_trip_ms);
+  }
+  return impl::to_duration(this->region_of(domain) == this->here.region ? impl::same_region_round_trip_ms
+                                                                        : impl::other_region_round_trip_ms);
+}
+
+void backend_table::note_round_trip(const backend_state& backend, duration took) {
+  const auto sample = static_cast<double>(took.ms);
+  auto& known = this->round_trips.try_emplace(backend.declared().domain, sample).first->second;
+  known += (sample - known) * impl::newest_round_trip_weight;
+}
+
+work_estimate& backend_table::estimate(const route& rule, const service_id& service) {
+  return this->estimates[service.str() + rule.prefix];
+}
+
+bool backend_table::may_receive(const backend_state& backend, time_point now) const {
+  const auto& declared = backend.declared();
+  if (backend.is_suspended() || declared.mode != backend_mode::ready || this->evacuated.contains(declared.domain)) {
+    return false;
+  }
+  if (!backend.is_cold(now)) {
+    return true;
+  }
+  const auto* const service = this->service(declared.service);
+  return backend.is_warmed_here && service != nullptr &&
+         backend.has_cold_room(service->cold_rate * impl::used_cold_rate, now);
+}
+
+std::vector<std::shared_ptr<backend_state>> backend_table::usable(const service_group& group,
+                                                                  const placement_request& request,
+                                                                  time_point now) const {
+  std::vector<std::shared_ptr<backend_state>> found;
+  for (const auto& backend : group.members) {
+    const auto& declared = backend->declared();
+    const bool allowed = request.rule->allowed_regions.empty() ||
+                         request.rule->allowed_regions.contains(this->region_of(declared.domain));
+    const bool untried =
+        request.tried == nullptr ||
+        std::find(request.tried->begin(), request.tried->end(), declared.id) == request.tried->end();
+    if (allowed && untried && this->may_receive(*backend, now)) {
+      found.push_back(backend);
+    }
+  }
+  return found;
+}
+
+double backend_table::distance_weight(const service_group& group, const backend_state& backend) const {
+  const auto& domain = backend.declared().domain;
+  if (domain == this->here.domain) {
+    return group.settings.own_domain_weight;
+  }
+  return this->region_of(domain) == this->here.region ? group.settings.own_region_weight
+                                                      : group.settings.other_region_weight;
+}
+
+const backend_state* backend_table::home_of(const service_group& group,
+                                            const std::vector<std::shared_ptr<backend_state>>& among,
+                                            std::uint64_t object, time_point now) const {
+  const backend_state* home = nullptr;
+  double best = 0;
+  for (const auto& backend : among) {
+    if (backend->is_cold(now)) {
+      continue;
+    }
+    const double weight = this->distance_weight(group, *backend) * std::max(backend->declared().slots, 1);
+    const double score = rendezvous_score(backend->hash(), object, weight);
+    if (score > best) {
+      best = score;
+      home = backend.get();
+    }
+  }
+  return home;
+}
+
+double backend_table::transfer_cost(const service_group& group, const backend_state& backend, double kib) const {
+  const auto& domain = backend.declared().domain;
+  if (domain == this->here.domain) {
+    return 0;
+  }
+  const double rate = this->region_of(domain) == this->here.region ? group.settings.domain_transfer_ms_per_kib
+                                                                   : group.settings.region_transfer_ms_per_kib;
+  return rate * kib;
+}
+
+backend_table::candidate backend_table::weigh(const service_group& group, const placement_request& request,
+                                              const std::shared_ptr<backend_state>& backend,
+                                              const backend_state* home, double utilisation, time_point now) {
+  const auto& estimate = this->estimate(*request.rule, request.service);
+  const auto slots = std::max(backend->declared().slots, 1);
+  const double slowness = backend->slowness(now) * (backend->is_cold(now) ? impl::cold_slowness : 1);
+  candidate weighed;
+  weighed.backend = backend;
+  weighed.warm = !request.object || backend.get() == home || backend->objects.contains(*request.object);
+  weighed.round_trip_ms = static_cast<double>(this->round_trip(*backend).ms);
+  weighed.work_ms = (weighed.warm ? estimate.warm_ms() : estimate.cold_ms()) * slowness;
+  const double ahead =
+      backend->load(now) + backend->queue.count_ahead(request.rule->priority) + 1 - slots;
+  weighed.wait_ms = std::max(ahead, 0.0) * group.mean_work_ms * slowness / slots;
+  const double miss = weighed.warm ? 0 : (estimate.cold_ms() - estimate.warm_ms()) * slowness;
+  const double failure =
+      may_repeat(request.rule->kind) ? impl::repeatable_failure_ms : impl::final_failure_ms;
+  weighed.cost_ms = weighed.total_ms() + miss * group.settings.miss_penalty * std::min(utilisation, 1.0) +
+                    backend->failure_ratio(now) * failure +
+                    this->transfer_cost(group, *backend, estimate.answer_kib());
+  return weighed;
+}
+
+placement_decision backend_table::refuse(reason why, duration retry_after, int candidates) const {
+  placement_decision decision;
+  decision.why = why;
+  decision.retry_after = std::clamp(retry_after, impl::least_retry_after, impl::most_retry_after);
+  decision.candidates = candidates;
+  return decision;
+}
+
+placement_decision backend_table::choose(const placement_request& request, time_point now) {
+  const auto found = this->services.find(request.service);
+  if (found == this->services.end()) {
+    return this->refuse(reason::no_backend, impl::most_retry_after, 0);
+  }
+  auto& group = found->second;
+  const auto usable_now = this->usable(group, request, now);
+  if (usable_now.empty()) {
+    return this->refuse(reason::no_backend, impl::most_retry_after, 0);
+  }
+  double load = 0;
+  double slots = 0;
+  for (const auto& backend : usable_now) {
+    load += backend->load(now) + static_cast<double>(backend->queue.size());
+    slots += backend->declared().slots;
+  }
+  const auto* const home = request.object ? this->home_of(group, usable_now, *request.object, now) : nullptr;
+  const double left = static_cast<double>((request.deadline - now).ms);
+  std::optional<candidate> best;
+  double soonest = 0;
+  for (const auto& backend : usable_now) {
+    auto weighed = this->weigh(group, request, backend, home, load / std::max(slots, 1.0), now);
+    soonest = soonest == 0 ? weighed.total_ms() : std::min(soonest, weighed.total_ms());
+    const bool in_time =
+        weighed.total_ms() <= left && backend->queue.size() < group.settings.queue_limit;
+    if (in_time && (!best || weighed.cost_ms < best->cost_ms)) {
+      best = std::move(weighed);
+    }
+  }
+  const auto candidates = static_cast<int>(usable_now.size());
+  if (!best) {
+    return this->refuse(reason::wait_exceeds_deadline, impl::to_duration(soonest - left), candidates);
+  }
+  group.mean_work_ms += (best->work_ms - group.mean_work_ms) * impl::newest_work_weight;
+  placement_decision decision;
+  decision.target = best->backend;
+  decision.warm = best->warm;
+  decision.work = impl::to_duration(best->round_trip_ms + best->work_ms);
+  decision.expected = impl::to_duration(best->total_ms());
+  decision.load = best->backend->load(now);
+  decision.candidates = candidates;
+  const bool goes_now = best->backend->queue.empty() && this->has_room(*best->backend, now);
+  decision.action = goes_now ? placement_action::send : placement_action::wait;
+  return decision;
+}
+
+bool backend_table::has_room(const backend_state& backend, time_point now) const {
+  const auto found = this->services.find(backend.declared().service);
+  if (found == this->services.end()) {
+    return false;
+  }
+  const auto& group = found->second;
+  const double slots = std::max(backend.declared().slots, 1);
+  // Requests and answers under way hold no slot.
+  const double on_the_way =
+      slots * static_cast<double>(this->round_trip(backend).ms) / std::max(group.mean_work_ms, 1.0);
+  return backend.load(now) + 1 <= slots + std::min(on_the_way, slots) + group.settings.overcommit;
+}
+
+std::vector<std::shared_ptr<backend_state>> backend_table::due_for_check(time_point now) const {
+  std::vector<std::shared_ptr<backend_state>> due;
+  for (const auto& [id, backend] : this->backends) {
+    const auto& declared = backend->declared();
+    if (backend->needs_health_check(now) && declared.mode == backend_mode::ready &&
+        !this->evacuated.contains(declared.domain)) {
+      due.push_back(backend);
+    }
+  }
+  return due;
+}
+
+std::vector<std::shared_ptr<backend_state>> backend_table::all() const {
+  std::vector<std::shared_ptr<backend_state>> found;
+  for (const auto& [id, backend] : this->backends) {
+    found.push_back(backend);
+  }
+  return found;
+}
+
+std::shared_ptr<backend_state> backend_table::find(const backend_id& id) const {
+  const auto found = this->backends.find(id);
+  return found == this->backends.end() ? nullptr : found->second;
+}
+
+const service_declaration* backend_table::service(const service_id& id) const {
+  const auto found = this->services.find(id);
+  return found == this->services.end() ? nullptr : &found->second.declaration;
+}
+
+const placement_settings& backend_table::settings_of(const service_id& id) const {
+  static const placement_settings defaults;
+  const auto found = this->services.find(id);
+  return found == this->services.end() ? defaults : found->second.settings;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/routing/src/snapshot_builder.cpp
@@ -0,0 +1,83 @@
+// Changes to the state that is published.
+#include "zinnia/routing/snapshot_builder.hpp"
+
+#include <algorithm>
+
+namespace zinnia {
+
+bool snapshot_builder::set_configuration(const routing_declaration& declaration) {
+  if (declaration.version <= this->state.version) {
+    return false;
+  }
+  this->state.version = declaration.version;
+  this->state.routes = std::make_shared<const route_table>(declaration.routes);
+  this->state.services.clear();
+  for (const auto& service : declaration.services) {
+    this->state.services.emplace(service.id, service);
+  }
+  this->changed = true;
+  return true;
+}
+
+void snapshot_builder::set_backend(const backend_declaration& declaration) {
+  this->removals.erase(declaration.id);
+  this->state.backends.insert_or_assign(declaration.id, declaration);
+  this->changed = true;
+}
+
+void snapshot_builder::remove_backend(const backend_id& id, time_point now) {
+  const auto found = this->state.backends.find(id);
+  if (found == this->state.backends.end()) {
+    return;
+  }
+  if (found->second.mode == backend_mode::draining) {
+    this->state.backends.erase(found);
+    this->changed = true;
+  } else {
+    this->removals.try_emplace(id, now + this->removal_grace);
+  }
+}
+
+void snapshot_builder::set_evacuated(const failure_domain_id& domain, bool is_evacuated) {
+  const bool was_evacuated = this->state.evacuated.contains(domain);
+  if (was_evacuated == is_evacuated) {
+    return;
+  }
+  if (is_evacuated) {
+    this->state.evacuated.insert(domain);
+  } else {
+    this->state.evacuated.erase(domain);
+  }
+  this->changed = true;
+}
+
+void snapshot_builder::settle(time_point now) {
+  for (auto removal = this->removals.begin(); removal != this->removals.end();) {
+    if (now < removal->second) {
+      ++removal;
+      continue;
+    }
+    this->state.backends.erase(removal->first);
+    removal = this->removals.erase(removal);
+    this->changed = true;
+  }
+}
+
+time_point snapshot_builder::next_removal() const noexcept {
+  time_point next = end_of_time;
+  for (const auto& [id, at] : this->removals) {
+    next = std::min(next, at);
+  }
+  return next;
+}
+
+std::shared_ptr<const routing_snapshot> snapshot_builder::publish() {
+  if (!this->changed) {
+    return nullptr;
+  }
+  this->changed = false;
+  ++this->state.sequence;
+  return std::make_shared<const routing_snapshot>(this->state);
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/routing/src/wait_queue.cpp
@@ -0,0 +1,48 @@
+// Insertion and removal in order.
+#include "zinnia/routing/wait_queue.hpp"
+
+#include <algorithm>
+
+namespace zinnia {
+
+void wait_queue::push(const entry& waiting) {
+  const auto place = std::upper_bound(this->entries.begin(), this->entries.end(), waiting,
+                                      [](const entry& a, const entry& b) { return a.priority < b.priority; });
+  this->entries.insert(place, waiting);
+}
+
+void wait_queue::remove(wait_ticket ticket) {
+  const auto found = std::find_if(this->entries.begin(), this->entries.end(),
+                                  [ticket](const entry& waiting) { return waiting.ticket == ticket; });
+  if (found != this->entries.end()) {
+    this->entries.erase(found);
+  }
+}
+
+std::optional<wait_queue::entry> wait_queue::pop() {
+  if (this->entries.empty()) {
+    return std::nullopt;
+  }
+  const auto first = this->entries.front();
+  this->entries.erase(this->entries.begin());
+  return first;
+}
+
+std::optional<wait_queue::entry> wait_queue::pop_expired(time_point now) {
+  const auto found = std::find_if(this->entries.begin(), this->entries.end(),
+                                  [now](const entry& waiting) { return waiting.latest_start < now; });
+  if (found == this->entries.end()) {
+    return std::nullopt;
+  }
+  const auto expired = *found;
+  this->entries.erase(found);
+  return expired;
+}
+
+int wait_queue::count_ahead(int priority) const noexcept {
+  return static_cast<int>(std::count_if(this->entries.begin(), this->entries.end(), [priority](const entry& waiting) {
+    return waiting.priority <= priority;
+  }));
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/routing/src/weighted_split.cpp
@@ -0,0 +1,24 @@
+// Smooth weighted round robin.
+#include "zinnia/routing/weighted_split.hpp"
+
+#include <algorithm>
+
+namespace zinnia {
+
+const service_id& weighted_split::pick(const route& rule) {
+  if (rule.parts.size() == 1) {
+    return rule.parts.front().service;
+  }
+  auto& credit = this->credits[rule.host + rule.prefix];
+  credit.resize(rule.parts.size(), 0);
+  double total = 0;
+  for (std::size_t i = 0; i < rule.parts.size(); ++i) {
+    credit[i] += rule.parts[i].weight;
+    total += rule.parts[i].weight;
+  }
+  const auto chosen = std::max_element(credit.begin(), credit.end()) - credit.begin();
+  credit[static_cast<std::size_t>(chosen)] -= total;
+  return rule.parts[static_cast<std::size_t>(chosen)].service;
+}
+
+}  // namespace zinnia
--- a/packages/platform/include/zinnia/platform/fwd.hpp
+++ b/packages/store/include/zinnia/store/fwd.hpp
@@ -1,4 +1,4 @@
-// Forward declarations of the platform package.
+// Forward declarations of the store package.
 #pragma once
 
 namespace zinnia {
--- a/packages/platform/include/zinnia/platform/http_object_store.hpp
+++ b/packages/store/include/zinnia/store/http_object_store.hpp
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "zinnia/platform/object_store.hpp"
+#include "zinnia/store/object_store.hpp"
 
 namespace zinnia {
 
--- a/packages/platform/src/http_call.cpp
+++ b/packages/store/src/http_call.cpp
@@ -1,5 +1,5 @@
 // libcurl's easy interface with one handle a thread, so that connections are kept and never shared.
-#include "zinnia/platform/http_call.hpp"
+#include "zinnia/store/http_call.hpp"
 
 #include <curl/curl.h>
 
@@ -7,7 +7,7 @@
 #include <cctype>
 #include <memory>
 
-#include "zinnia/platform/http_upload.hpp"
+#include "zinnia/store/http_upload.hpp"
 
 namespace zinnia {
 namespace impl {
--- /dev/null
+++ b/packages/store/src/http_multi.cpp
@@ -0,0 +1,169 @@
+// libcurl's multi interface.
+#include "zinnia/store/http_multi.hpp"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "zinnia/store/http_upload.hpp"
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+/// Time to connect; the store answers in milliseconds, the longest link takes 110 ms there and back.
+constexpr long connect_limit_ms = 800;
+/// Idle time before and between keep-alive probes, and the time for which sent data may stay unacknowledged.
+constexpr long keep_alive_seconds = 1;
+constexpr int unacknowledged_limit_ms = 1500;
+constexpr int keep_alive_probes = 2;
+
+struct list_deleter {
+  void operator()(curl_slist* list) const noexcept { curl_slist_free_all(list); }
+};
+
+struct running_call {
+  http_multi::call_id id{0};
+  CURL* handle{nullptr};
+  http_answer answer;
+  std::string body;
+  http_upload source;
+  std::unique_ptr<curl_slist, list_deleter> headers;
+  http_multi::callback done;
+};
+
+std::size_t append_text(char* data, std::size_t size, std::size_t count, void* target) {
+  static_cast<std::string*>(target)->append(data, size * count);
+  return size * count;
+}
+
+int set_socket_options(void* /*context*/, curl_socket_t descriptor, curlsocktype /*purpose*/) {
+  // Best effort: without them a dead connection is noticed by the call's own limit.
+  static_cast<void>(setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
+                               sizeof unacknowledged_limit_ms));
+  static_cast<void>(
+      setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof keep_alive_probes));
+  return CURL_SOCKOPT_OK;
+}
+
+}  // namespace
+}  // namespace impl
+
+struct http_multi::state {
+  CURLM* multi{curl_multi_init()};
+  std::map<call_id, std::unique_ptr<impl::running_call>> calls;
+  call_id next_id{1};
+
+  state() = default;
+  state(const state&) = delete;
+  state& operator=(const state&) = delete;
+  state(state&&) = delete;
+  state& operator=(state&&) = delete;
+  ~state() {
+    for (auto& [id, call] : this->calls) {
+      curl_multi_remove_handle(this->multi, call->handle);
+      curl_easy_cleanup(call->handle);
+    }
+    curl_multi_cleanup(this->multi);
+  }
+
+  void finish(CURL* handle, CURLcode code) {
+    const auto found = std::find_if(this->calls.begin(), this->calls.end(),
+                                    [handle](const auto& entry) { return entry.second->handle == handle; });
+    if (found == this->calls.end()) {
+      return;
+    }
+    auto call = std::move(found->second);
+    this->calls.erase(found);
+    if (code == CURLE_OK) {
+      curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &call->answer.status);
+    } else {
+      call->answer.failure = curl_easy_strerror(code);
+      call->answer.never_connected = code == CURLE_COULDNT_CONNECT;
+    }
+    curl_multi_remove_handle(this->multi, handle);
+    curl_easy_cleanup(handle);
+    call->done(call->answer);
+  }
+};
+
+http_multi::http_multi() : impl_state{std::make_unique<state>()} {}
+
+http_multi::~http_multi() = default;
+
+http_multi::call_id http_multi::start(const http_call& call, callback done) {
+  auto running = std::make_unique<impl::running_call>();
+  running->id = this->impl_state->next_id++;
+  running->handle = curl_easy_init();
+  running->body = call.body;
+  running->done = std::move(done);
+  running->headers.reset(curl_slist_append(nullptr, "Expect:"));
+  for (const auto& header : call.headers) {
+    running->headers.reset(curl_slist_append(running->headers.release(), header.c_str()));
+  }
+  CURL* const handle = running->handle;
+  curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, running->headers.get());
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, impl::keep_alive_seconds);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, impl::keep_alive_seconds);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, impl::set_socket_options);
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, impl::connect_limit_ms);
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.limit.ms));
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, impl::append_text);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &running->answer.body);
+  running->source = {&running->body, 0};
+  if (call.method != "GET") {
+    set_upload(handle, call.method, running->source, false);
+  }
+  const auto id = running->id;
+  this->impl_state->calls.emplace(id, std::move(running));
+  curl_multi_add_handle(this->impl_state->multi, handle);
+  return id;
+}
+
+void http_multi::cancel(call_id id) {
+  const auto found = this->impl_state->calls.find(id);
+  if (found == this->impl_state->calls.end()) {
+    return;
+  }
+  curl_multi_remove_handle(this->impl_state->multi, found->second->handle);
+  curl_easy_cleanup(found->second->handle);
+  this->impl_state->calls.erase(found);
+}
+
+bool http_multi::wait(duration longest, int extra_descriptor) {
+  auto* const multi = this->impl_state->multi;
+  int running = 0;
+  curl_multi_perform(multi, &running);
+  curl_waitfd extra{extra_descriptor, CURL_WAIT_POLLIN, 0};
+  const unsigned extra_count = extra_descriptor >= 0 ? 1 : 0;
+  int messages_left = 0;
+  const CURLMsg* message = curl_multi_info_read(multi, &messages_left);
+  if (message == nullptr) {
+    int ready = 0;
+    curl_multi_poll(multi, &extra, extra_count, static_cast<int>(std::max<std::int64_t>(longest.ms, 0)), &ready);
+    curl_multi_perform(multi, &running);
+    message = curl_multi_info_read(multi, &messages_left);
+  }
+  while (message != nullptr) {
+    if (message->msg == CURLMSG_DONE) {
+      this->impl_state->finish(message->easy_handle, message->data.result);
+    }
+    message = curl_multi_info_read(multi, &messages_left);
+  }
+  return (extra.revents & CURL_WAIT_POLLIN) != 0;
+}
+
+void http_multi::wake() {
+  curl_multi_wakeup(this->impl_state->multi);
+}
+
+}  // namespace zinnia
--- a/packages/platform/src/http_object_store.cpp
+++ b/packages/store/src/http_object_store.cpp
@@ -1,10 +1,10 @@
 // Maps the platform's HTTP answers to store replies.
-#include "zinnia/platform/http_object_store.hpp"
+#include "zinnia/store/http_object_store.hpp"
 
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
-#include "zinnia/platform/http_call.hpp"
+#include "zinnia/store/http_call.hpp"
 
 namespace zinnia {
 namespace impl {
--- a/packages/platform/src/http_upload.cpp
+++ b/packages/store/src/http_upload.cpp
@@ -1,5 +1,5 @@
 // The read callback and the options of an upload.
-#include "zinnia/platform/http_upload.hpp"
+#include "zinnia/store/http_upload.hpp"
 
 #include <algorithm>
 #include <cstring>
--- a/packages/platform/src/put_resolved.cpp
+++ b/packages/store/src/put_resolved.cpp
@@ -1,5 +1,5 @@
 // Resolution of writes whose answer was lost.
-#include "zinnia/platform/object_store.hpp"
+#include "zinnia/store/object_store.hpp"
 
 namespace zinnia {
 
--- a/packages/platform/tests/store_contract_test.cpp
+++ b/packages/store/tests/store_contract_test.cpp
@@ -7,7 +7,7 @@
 #include "standins/fake_store.hpp"
 #include "standins/http_server.hpp"
 #include "standins/store_handler.hpp"
-#include "zinnia/platform/http_object_store.hpp"
+#include "zinnia/store/http_object_store.hpp"
 
 namespace zinnia {
 namespace {
--- a/packages/traffic/include/zinnia/traffic/key_service.hpp
+++ b/packages/traffic/include/zinnia/traffic/key_service.hpp
@@ -12,7 +12,7 @@
 #include <thread>
 
 #include "zinnia/observe/metrics.hpp"
-#include "zinnia/platform/object_store.hpp"
+#include "zinnia/store/object_store.hpp"
 #include "zinnia/steering/key_home.hpp"
 #include "zinnia/steering/traffic_view.hpp"
 #include "zinnia/wire/frames.hpp"
--- a/packages/traffic/src/backend_client.cpp
+++ b/packages/traffic/src/backend_client.cpp
@@ -7,7 +7,7 @@
 #include <cctype>
 #include <nlohmann/json.hpp>
 
-#include "zinnia/platform/http_upload.hpp"
+#include "zinnia/store/http_upload.hpp"
 
 namespace zinnia {
 namespace impl {
--- a/packages/traffic/tests/caller_contract_test.cpp
+++ b/packages/traffic/tests/caller_contract_test.cpp
@@ -9,7 +9,7 @@
 
 #include "standins/fake_store.hpp"
 #include "standins/http_server.hpp"
-#include "zinnia/platform/http_call.hpp"
+#include "zinnia/store/http_call.hpp"
 #include "zinnia/traffic/traffic_node.hpp"
 
 namespace zinnia {
--- a/standins/fake_store.hpp
+++ b/standins/fake_store.hpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <string>
 
-#include "zinnia/platform/object_store.hpp"
+#include "zinnia/store/object_store.hpp"
 
 namespace zinnia::standins {
 
--- a/standins/standin_caller.cpp
+++ b/standins/standin_caller.cpp
@@ -12,7 +12,7 @@
 #include <thread>
 #include <vector>
 
-#include "zinnia/platform/http_call.hpp"
+#include "zinnia/store/http_call.hpp"
 
 namespace {
 
