Take bodies that state a length

Cause: Beast's parser of Boost 1.74 compares a body's length with an absent limit and refuses it. Change: the parsers get the largest limit; bodies stay bounded by their readers.

--- a/packages/http/include/zinnia/http/message_parser.hpp
+++ b/packages/http/include/zinnia/http/message_parser.hpp
@@ -3,7 +3,9 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -27,7 +29,8 @@
   /// \param header_limit Most bytes that a head may have.
   explicit collecting_parser(std::uint32_t header_limit) {
     this->header_limit(header_limit);
-    this->body_limit(boost::none);
+    // Bodies are bounded by their readers; without a value this Beast refuses every body with a length.
+    this->body_limit(std::numeric_limits<std::uint64_t>::max());
     this->eager(true);
   }
 
