--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -57,6 +57,8 @@
 
   [[nodiscard]] std::size_t requests_under_way() const noexcept { return this->flows.size(); }
   [[nodiscard]] const routing_snapshot* snapshot() const noexcept { return this->current.get(); }
+  /// \brief The longest time for which any route lets a request wait; 0 while none is known.
+  [[nodiscard]] duration longest_timeout() const noexcept;
   /// \brief Figures of the moment for the metrics page.
   [[nodiscard]] std::vector<gauge> gauges() const;
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -193,6 +193,16 @@
   }
 }
 
+duration gateway::longest_timeout() const noexcept {
+  duration longest{0};
+  if (this->current != nullptr && this->current->routes != nullptr) {
+    for (const auto& rule : this->current->routes->all()) {
+      longest = std::max(longest, rule.timeout);
+    }
+  }
+  return longest;
+}
+
 std::vector<gauge> gateway::gauges() const {
   std::int64_t suspended = 0;
   std::int64_t waiting = 0;
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -100,8 +100,8 @@
   void enforce_timeouts();
   /// \brief From now on answers close the connection.
   void drain() noexcept { this->draining = true; }
-  /// \brief Closes the connection if no request is under way on it.
-  void close_if_idle();
+  /// \brief Takes no further request; closes the connection when those under way are answered.
+  void stop_reading();
   [[nodiscard]] bool is_closed() const noexcept { return this->phase == connection_phase::closed; }
   [[nodiscard]] bool is_idle() const noexcept { return this->pending.empty() && !this->has_partial_request(); }
 
@@ -128,6 +128,7 @@
   void flush();
   void on_written(std::size_t bytes);
   void begin_linger();
+  void close_if_idle();
   void shut_down();
   [[nodiscard]] bool decide_close(const caller_exchange& exchange);
 
--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -31,8 +31,8 @@
   void set_limits(const caller_limits& limits_in) noexcept { this->limits = limits_in; }
   /// \brief From now on every answer closes its connection; connections are accepted still.
   void drain();
-  /// \brief Closes connections that carry no request.
-  void close_idle();
+  /// \brief Accepts no more connections and reads no more requests; those read already are answered.
+  void stop_reading();
   [[nodiscard]] std::size_t open_connections() const noexcept { return this->connections.size(); }
   /// \brief Whether any connection has a request under way.
   [[nodiscard]] bool has_work() const;
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -308,7 +308,7 @@
     const bool closes = first->closes;
     first->release();
     this->pending.pop_front();
-    if (closes) {
+    if (closes || (this->input_ended && this->pending.empty())) {
       this->begin_linger();
       break;
     }
@@ -393,6 +393,14 @@
   }
 }
 
+void caller_connection::stop_reading() {
+  this->draining = true;
+  this->input_ended = true;
+  this->input.clear();
+  this->parser.reset();
+  this->close_if_idle();
+}
+
 void caller_connection::close_if_idle() {
   if (this->phase != connection_phase::open || !this->is_idle() || this->write_active) {
     return;
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -53,7 +53,7 @@
 void http_listener::accept_next() {
   this->acceptor.async_accept([this](const boost::system::error_code& problem,
                                      boost::asio::ip::tcp::socket accepted) {
-    if (problem == boost::asio::error::operation_aborted) {
+    if (problem == boost::asio::error::operation_aborted || !this->acceptor.is_open()) {
       return;
     }
     if (problem) {
@@ -101,10 +101,12 @@
   }
 }
 
-void http_listener::close_idle() {
+void http_listener::stop_reading() {
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
   const std::vector<std::shared_ptr<caller_connection>> all{this->connections.begin(), this->connections.end()};
   for (const auto& connection : all) {
-    connection->close_if_idle();
+    connection->stop_reading();
   }
 }
 
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -101,8 +101,9 @@
   backend_declaration declaration;
   std::uint64_t id_hash;
   int own_in_flight{0};
-  // Requests of other nodes at the time of the last report.
+  // Requests of other nodes at the time of the last report, and their running average.
   double others_reported{0};
+  double others_average{0};
   time_point reported_at;
   backend_trust trust{backend_trust::trusted};
   bool check_running{false};
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -10,8 +10,12 @@
 namespace impl {
 namespace {
 
-/// Time in which a report of other nodes' load loses two thirds of its weight; about one request's length.
-constexpr double report_fade_ms = 250;
+/// Time in which a report of other nodes' load gives way to their average; about one request's length.
+constexpr double report_fade_ms = 100;
+/// Time in which the average itself fades while no report comes.
+constexpr double average_fade_ms = 2000;
+/// Weight of the newest report in the average.
+constexpr double newest_report_weight = 0.15;
 /// Time in which judgements of health fade; a few seconds, so that a server is tried again.
 constexpr double health_fade_ms = 4000;
 /// Weight of the newest outcome in the running averages.
@@ -53,6 +57,7 @@
   if (restarted) {
     this->objects.clear();
     this->others_reported = 0;
+    this->others_average = 0;
     this->failures = 0;
     this->slow_factor = 1;
   }
@@ -72,6 +77,7 @@
 
 void backend_state::on_report(const load_report& report, time_point now) {
   this->others_reported = std::max(0, report.running + report.waiting - this->own_in_flight);
+  this->others_average += (this->others_reported - this->others_average) * impl::newest_report_weight;
   this->reported_at = now;
   if (report.slots > 0) {
     this->declaration.slots = report.slots;
@@ -80,7 +86,8 @@
 
 double backend_state::load(time_point now) const noexcept {
   const auto age = static_cast<double>((now - this->reported_at).ms);
-  return this->own_in_flight + this->others_reported * std::exp(-age / impl::report_fade_ms);
+  const double average = this->others_average * std::exp(-age / impl::average_fade_ms);
+  return this->own_in_flight + average + (this->others_reported - average) * std::exp(-age / impl::report_fade_ms);
 }
 
 double backend_state::faded(double value, double neutral, time_point since, time_point now) const noexcept {
--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -91,6 +91,8 @@
   [[nodiscard]] const std::map<std::string, stored_object>& objects() const noexcept { return this->known; }
   /// \brief Whether a complete list has been taken.
   [[nodiscard]] bool is_complete() const noexcept { return this->complete; }
+  /// \brief The store's version up to which all changes of this kind are known.
+  [[nodiscard]] object_version known_up_to() const noexcept { return this->watch_from; }
   /// \brief When the store last answered.
   [[nodiscard]] time_point last_answer() const noexcept { return this->answered_at; }
   /// \brief Whether the last call failed.
