Keep each object to two homes, weighed by distance and bytes of each place's settings

Change: the two best servers by weighted rendezvous may handle an object; weights and byte costs come from the settings tree, which now has settings for places.

--- a/apps/zinniad/main.cpp
+++ b/apps/zinniad/main.cpp
@@ -7,7 +7,7 @@
 
 int main(int argc, char** argv) {
   if (const auto settings_file = zinnia::platform::settings_path()) {
-    return zinnia::platform::run_platform_node(*settings_file);
+    return zinnia::platform::run_platform_node(*settings_file, argc, argv);
   }
   constexpr int exit_bad_settings = 2;
   const auto parsed = zinnia::parse_daemon_options(argc, argv);
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -465,6 +465,7 @@
       .field("route", this->rule.name)
       .field("service", this->service.str())
       .field("priority", this->rule.priority)
+      .field("object", this->object ? absl::StrCat(absl::Hex(*this->object, absl::kZeroPad16)) : "")
       .field("status", status)
       .field("verdict", to_word(this->known))
       .field("reason", to_word(why))
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -116,10 +116,12 @@
   [[nodiscard]] std::vector<std::shared_ptr<backend_state>> usable(const service_group& group,
                                                                    const placement_request& request,
                                                                    time_point now) const;
-  [[nodiscard]] const backend_state* home_of(const service_group& group,
-                                             const std::vector<std::shared_ptr<backend_state>>& among,
-                                             std::uint64_t object, time_point now) const;
-  [[nodiscard]] double distance_weight(const service_group& group, const backend_state& backend) const;
+  /// The servers that may handle an object, best first.
+  [[nodiscard]] std::vector<std::shared_ptr<backend_state>> homes_of(
+      const service_group& group, const std::vector<std::shared_ptr<backend_state>>& among,
+      const placement_request& request, time_point now);
+  [[nodiscard]] double home_weight(const service_group& group, const backend_state& backend,
+                                   const placement_request& request, const work_estimate& estimate) const;
   [[nodiscard]] candidate weigh(const service_group& group, const placement_request& request,
                                 const std::shared_ptr<backend_state>& backend, const backend_state* home,
                                 double utilisation, time_point now);
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -24,6 +24,12 @@
 constexpr double final_failure_ms = 2000;
 /// Part of the rate that a cold server bears which its warming node uses; a second node may warm it for a moment.
 constexpr double used_cold_rate = 0.8;
+/// Cost of moving an answer's bytes that halves a server's share of the homes.
+constexpr double transfer_halving_ms = 20;
+/// Part of a route's latency target that distance and work may take for a server to be a full home.
+constexpr double used_latency_part = 0.9;
+/// Share of the homes that a server beyond that keeps.
+constexpr double too_far_part = 0.1;
 /// Weight of the newest request in a service's average work.
 constexpr double newest_work_weight = 0.05;
 /// Least and most time after which a refused caller is asked to come back.
@@ -159,32 +165,42 @@
   return found;
 }
 
-double backend_table::distance_weight(const service_group& group, const backend_state& backend) const {
+double backend_table::home_weight(const service_group& group, const backend_state& backend,
+                                  const placement_request& request, const work_estimate& estimate) const {
   const auto& domain = backend.declared().domain;
+  const double slots = std::max(backend.declared().slots, 1);
   if (domain == this->here.domain) {
-    return group.settings.own_domain_weight;
+    return group.settings.own_domain_weight * slots;
   }
-  return this->region_of(domain) == this->here.region ? group.settings.own_region_weight
-                                                      : group.settings.other_region_weight;
+  const bool same_region = this->region_of(domain) == this->here.region;
+  const double weight = same_region ? group.settings.own_region_weight : group.settings.other_region_weight;
+  // Rounded, so that nodes whose averages differ a little still rank alike.
+  const double kib = std::exp2(std::round(std::log2(std::max(estimate.answer_kib(), 1.0))));
+  const double bytes_part = 1 / (1 + this->transfer_cost(group, backend, kib) / impl::transfer_halving_ms);
+  const auto soonest = static_cast<double>(this->round_trip(backend).ms) + estimate.warm_ms();
+  const bool in_time = soonest < impl::used_latency_part * static_cast<double>(request.rule->target_latency.ms);
+  return weight * slots * bytes_part * (in_time ? 1 : impl::too_far_part);
 }
 
-const backend_state* backend_table::home_of(const service_group& group,
-                                            const std::vector<std::shared_ptr<backend_state>>& among,
-                                            std::uint64_t object, time_point now) const {
-  const backend_state* home = nullptr;
-  double best = 0;
+std::vector<std::shared_ptr<backend_state>> backend_table::homes_of(
+    const service_group& group, const std::vector<std::shared_ptr<backend_state>>& among,
+    const placement_request& request, time_point now) {
+  const auto& estimate = this->estimate(*request.rule, request.service);
+  std::vector<std::pair<double, std::shared_ptr<backend_state>>> scored;
   for (const auto& backend : among) {
-    if (backend->is_cold(now)) {
-      continue;
-    }
-    const double weight = this->distance_weight(group, *backend) * std::max(backend->declared().slots, 1);
-    const double score = rendezvous_score(backend->hash(), object, weight);
-    if (score > best) {
-      best = score;
-      home = backend.get();
+    if (!backend->is_cold(now)) {
+      const double weight = this->home_weight(group, *backend, request, estimate);
+      scored.emplace_back(rendezvous_score(backend->hash(), *request.object, weight), backend);
     }
   }
-  return home;
+  const auto count = std::min(scored.size(), group.settings.homes_per_object);
+  std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(),
+                    [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<std::shared_ptr<backend_state>> homes;
+  for (std::size_t i = 0; i < count; ++i) {
+    homes.push_back(std::move(scored[i].second));
+  }
+  return homes;
 }
 
 double backend_table::transfer_cost(const service_group& group, const backend_state& backend, double kib) const {
@@ -244,11 +260,13 @@
     load += backend->load(now) + static_cast<double>(backend->queue.size());
     slots += backend->declared().slots;
   }
-  const auto* const home = request.object ? this->home_of(group, usable_now, *request.object, now) : nullptr;
+  const auto homes = request.object ? this->homes_of(group, usable_now, request, now)
+                                    : std::vector<std::shared_ptr<backend_state>>{};
+  const auto* const home = homes.empty() ? nullptr : homes.front().get();
   const double left = static_cast<double>((request.deadline - now).ms);
   std::optional<candidate> best;
   double soonest = 0;
-  for (const auto& backend : usable_now) {
+  for (const auto& backend : homes.empty() ? usable_now : homes) {
     auto weighed = this->weigh(group, request, backend, home, load / std::max(slots, 1.0), now);
     soonest = soonest == 0 ? weighed.total_ms() : std::min(soonest, weighed.total_ms());
     const bool in_time =
--- a/packages/settings/include/zinnia/settings/service_settings.hpp
+++ b/packages/settings/include/zinnia/settings/service_settings.hpp
@@ -31,6 +31,15 @@
   std::int64_t key_window_ms{3'600'000};
   std::int64_t store_outage{static_cast<std::int64_t>(outage_policy::refuse)};
   std::int64_t answer_limit_bytes{16 << 20};
+  std::int64_t own_domain_weight{16};
+  std::int64_t own_region_weight{4};
+  std::int64_t other_region_weight{1};
+  std::int64_t domain_transfer_us_per_kib{2'000};
+  std::int64_t region_transfer_us_per_kib{2'000};
+  std::int64_t miss_penalty_percent{100};
+  std::int64_t homes_per_object{2};
+  std::int64_t remembered_objects{40};
+  std::int64_t overcommit_requests{1};
 
   [[nodiscard]] outage_policy on_store_outage() const noexcept {
     return static_cast<outage_policy>(this->store_outage);
--- a/packages/settings/src/settings_tree.cpp
+++ b/packages/settings/src/settings_tree.cpp
@@ -74,6 +74,10 @@
                                             const failure_domain_id& domain) const {
   effective_settings found;
   impl::apply_overrides(found, this->override_values, std::string{impl::root_path});
+  // What a place says holds for all services there; what a service says at a place is more specific.
+  const auto place_path = "places." + region.str();
+  impl::apply_overrides(found, this->override_values, place_path);
+  impl::apply_overrides(found, this->override_values, place_path + ".domains." + domain.str());
   std::string path = "services." + service.str();
   impl::apply_overrides(found, this->override_values, path);
   if (region.empty()) {
--- a/packages/settings/src/tree_parser.cpp
+++ b/packages/settings/src/tree_parser.cpp
@@ -110,11 +110,14 @@
   for (const auto& place : places) {
     const region_id region{place.first.as<std::string>()};
     this->tree.region_list.push_back(region);
-    this->check_names(place.second, {"domains"}, "field of a region");
+    this->check_names(place.second, {"settings", "domains"}, "field of a region");
+    const auto path = "places." + region.str();
+    this->read_overrides(place.second["settings"], path);
     for (const auto& entry : place.second["domains"]) {
       domain_declaration domain{failure_domain_id{entry.first.as<std::string>()}, region, {}};
       if (entry.second.IsMap()) {
-        this->check_names(entry.second, {"clients"}, "field of a failure domain");
+        this->check_names(entry.second, {"settings", "clients"}, "field of a failure domain");
+        this->read_overrides(entry.second["settings"], path + ".domains." + domain.id.str());
         for (const auto& block : entry.second["clients"]) {
           const auto parsed = parse_client_block(block.as<std::string>());
           if (!parsed) {
@@ -129,7 +132,11 @@
 }
 
 void tree_parser::read_services(const YAML::Node& services) {
-  if (!services || !services.IsMap() || services.size() == 0) {
+  if (!services) {
+    // The services are declared elsewhere; the tree only says how places treat them.
+    return;
+  }
+  if (!services.IsMap() || services.size() == 0) {
     this->fail(services, "services: at least one service is required");
   }
   for (const auto& entry : services) {
