--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -30,6 +30,8 @@
 constexpr double used_latency_part = 0.9;
 /// Share of the homes that a server beyond that keeps.
 constexpr double too_far_part = 0.1;
+/// Utilisation of a service up to which objects may leave their homes; above it misses would feed on themselves.
+constexpr double spare_utilisation = 0.6;
 /// Weight of the newest request in a service's average work.
 constexpr double newest_work_weight = 0.05;
 /// Least and most time after which a refused caller is asked to come back.
@@ -264,16 +266,23 @@
                                     : std::vector<std::shared_ptr<backend_state>>{};
   const auto* const home = homes.empty() ? nullptr : homes.front().get();
   const double left = static_cast<double>((request.deadline - now).ms);
+  const double utilisation = load / std::max(slots, 1.0);
   std::optional<candidate> best;
   double soonest = 0;
-  for (const auto& backend : homes.empty() ? usable_now : homes) {
-    auto weighed = this->weigh(group, request, backend, home, load / std::max(slots, 1.0), now);
-    soonest = soonest == 0 ? weighed.total_ms() : std::min(soonest, weighed.total_ms());
-    const bool in_time =
-        weighed.total_ms() <= left && backend->queue.size() < group.settings.queue_limit;
-    if (in_time && (!best || weighed.cost_ms < best->cost_ms)) {
-      best = std::move(weighed);
+  const auto weigh_all = [&](const std::vector<std::shared_ptr<backend_state>>& among) {
+    for (const auto& backend : among) {
+      auto weighed = this->weigh(group, request, backend, home, utilisation, now);
+      soonest = soonest == 0 ? weighed.total_ms() : std::min(soonest, weighed.total_ms());
+      const bool in_time = weighed.total_ms() <= left && backend->queue.size() < group.settings.queue_limit;
+      if (in_time && (!best || weighed.cost_ms < best->cost_ms)) {
+        best = std::move(weighed);
+      }
     }
+  };
+  weigh_all(homes.empty() ? usable_now : homes);
+  if (!best && utilisation < impl::spare_utilisation) {
+    // The service has room, only these homes have not.
+    weigh_all(usable_now);
   }
   const auto candidates = static_cast<int>(usable_now.size());
   if (!best) {
