--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -69,7 +69,9 @@
   [[nodiscard]] backend_pool& pool_of(const backend_state& backend);
   [[nodiscard]] std::size_t connection_limit(const backend_state& backend) const;
   void pump(const std::shared_ptr<backend_state>& backend);
+  void review(const std::shared_ptr<backend_state>& backend);
   void place_again(const std::shared_ptr<backend_state>& backend);
+  void place_again(const std::vector<wait_ticket>& tickets);
   void tick();
   void trim_pools();
   void check_health();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -124,12 +124,6 @@
 
 void gateway::pump(const std::shared_ptr<backend_state>& backend) {
   const auto now = this->clock.now();
-  while (const auto expired = backend->queue.pop_expired(now)) {
-    if (const auto flow = this->flows.find(expired->ticket); flow != this->flows.end()) {
-      const auto held = flow->second;
-      held->expire();
-    }
-  }
   while (!backend->queue.empty() && this->table.may_receive(*backend, now) && this->table.has_room(*backend, now)) {
     const auto next = backend->queue.pop();
     if (const auto flow = this->flows.find(next->ticket); flow != this->flows.end()) {
@@ -139,11 +133,23 @@
   }
 }
 
+void gateway::review(const std::shared_ptr<backend_state>& backend) {
+  std::vector<wait_ticket> tickets;
+  while (const auto due = backend->queue.pop_for_review(this->clock.now())) {
+    tickets.push_back(due->ticket);
+  }
+  this->place_again(tickets);
+}
+
 void gateway::place_again(const std::shared_ptr<backend_state>& backend) {
   std::vector<wait_ticket> tickets;
   while (const auto next = backend->queue.pop()) {
     tickets.push_back(next->ticket);
   }
+  this->place_again(tickets);
+}
+
+void gateway::place_again(const std::vector<wait_ticket>& tickets) {
   for (const auto ticket : tickets) {
     if (const auto flow = this->flows.find(ticket); flow != this->flows.end()) {
       const auto held = flow->second;
@@ -157,6 +163,7 @@
   for (const auto& backend : this->table.all()) {
     if (!backend->queue.empty()) {
       this->pump(backend);
+      this->review(backend);
     }
   }
   this->check_health();
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t held_answer_bytes = 64 << 10;
 /// Attempts that may fail to connect, besides those that were sent.
 constexpr int most_connect_failures = 2;
+/// How much longer than expected a request waits before its place is chosen anew.
+constexpr duration review_slack{40};
 /// When a caller may come back after a server had no room; about one request's work.
 constexpr duration shed_retry_after{100};
 /// Part of the time left that a caller is asked to wait at most; callers ignore longer waits.
@@ -124,7 +126,9 @@
       return;
     case placement_action::wait:
       this->waiting = true;
-      this->decision.target->queue.push({this->ticket, this->rule.priority, this->deadline - this->decision.work});
+      this->decision.target->queue.push({this->ticket, this->rule.priority, this->arrived,
+                                         now + (this->decision.expected - this->decision.work) +
+                                             impl::review_slack});
       return;
     case placement_action::refuse:
       if (this->known == verdict::did_not_run) {
@@ -148,11 +152,6 @@
   this->place();
 }
 
-void request_flow::expire() {
-  this->waiting = false;
-  this->end_without_answer(reason::wait_exceeds_deadline);
-}
-
 backend_call request_flow::build_call() const {
   const auto& dialect = this->owner.options.dialect;
   const auto& head = this->exchange->head();
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -21,10 +21,8 @@
   void start();
   /// \brief Sends the request to the server that it waited for.
   void send_waiting();
-  /// \brief Chooses again, as the server that it waited for is no longer usable.
+  /// \brief Chooses again, as the server that it waited for is no longer usable or has kept it too long.
   void place_again();
-  /// \brief Gives up a request that has waited too long.
-  void expire();
 
   void on_head(const response_head& head) override;
   void on_body(std::string_view piece) override;
--- a/packages/routing/src/wait_queue.cpp
+++ b/packages/routing/src/wait_queue.cpp
@@ -2,12 +2,15 @@
 #include "zinnia/routing/wait_queue.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnia {
 
 void wait_queue::push(const entry& waiting) {
   const auto place = std::upper_bound(this->entries.begin(), this->entries.end(), waiting,
-                                      [](const entry& a, const entry& b) { return a.priority < b.priority; });
+                                      [](const entry& a, const entry& b) {
+                                        return std::pair{a.priority, a.arrived} < std::pair{b.priority, b.arrived};
+                                      });
   this->entries.insert(place, waiting);
 }
 
@@ -28,15 +31,15 @@
   return first;
 }
 
-std::optional<wait_queue::entry> wait_queue::pop_expired(time_point now) {
+std::optional<wait_queue::entry> wait_queue::pop_for_review(time_point now) {
   const auto found = std::find_if(this->entries.begin(), this->entries.end(),
-                                  [now](const entry& waiting) { return waiting.latest_start < now; });
+                                  [now](const entry& waiting) { return waiting.review_at < now; });
   if (found == this->entries.end()) {
     return std::nullopt;
   }
-  const auto expired = *found;
+  const auto due = *found;
   this->entries.erase(found);
-  return expired;
+  return due;
 }
 
 int wait_queue::count_ahead(int priority) const noexcept {
--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -67,6 +67,8 @@
   /// Pause after a failed call; doubles with each further one.
   duration first_pause{100};
   duration longest_pause{1600};
+  /// Pause after a watch that brought changes, so that a burst of changes takes few calls.
+  duration settle_pause{0};
 };
 
 /// \brief   Decides which call to make next and applies its answer. No I/O; not thread safe.
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -74,6 +74,7 @@
       }
     }
     this->watch_from = std::max(this->watch_from, reply.newest);
+    this->not_before = reply.changes.empty() ? time_point{} : now + this->timing.settle_pause;
     return;
   }
   if (!this->list_version) {
