--- a/apps/zinniactl/commands.cpp
+++ b/apps/zinniactl/commands.cpp
@@ -8,9 +8,9 @@
 #include <random>
 #include <sstream>
 
-#include "zinnia/store/http_call.hpp"
 #include "zinnia/steering/node_machine.hpp"
 #include "zinnia/steering/shift_plan.hpp"
+#include "zinnia/store/http_call.hpp"
 
 namespace zinnia {
 namespace impl {
--- a/apps/zinniactl/commands.hpp
+++ b/apps/zinniactl/commands.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "zinnia/store/http_object_store.hpp"
 #include "zinnia/settings/settings_tree.hpp"
+#include "zinnia/store/http_object_store.hpp"
 
 namespace zinnia {
 
--- a/apps/zinniactl/fate_commands.cpp
+++ b/apps/zinniactl/fate_commands.cpp
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include "commands.hpp"
-#include "zinnia/store/http_call.hpp"
 #include "zinnia/steering/node_machine.hpp"
+#include "zinnia/store/http_call.hpp"
 #include "zinnia/traffic/fate_log.hpp"
 #include "zinnia/traffic/key_service.hpp"
 
--- a/packages/control/include/zinnia/control/control_loop.hpp
+++ b/packages/control/include/zinnia/control/control_loop.hpp
@@ -12,8 +12,8 @@
 #include <thread>
 
 #include "zinnia/observe/metrics.hpp"
-#include "zinnia/store/object_store.hpp"
 #include "zinnia/steering/node_machine.hpp"
+#include "zinnia/store/object_store.hpp"
 #include "zinnia/wire/control_links.hpp"
 
 namespace zinnia {
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -75,7 +75,8 @@
         .field("status", status)
         .field("reason", to_word(why))
         .field("path", head.path())
-        .field("config_version", this->current ? static_cast<std::int64_t>(this->current->version.count()) : 0);
+        .field("config_version",
+               this->current ? static_cast<std::int64_t>(this->current->version.count()) : 0);
   };
   if (this->current == nullptr || this->current->routes == nullptr) {
     answer(impl::status_unavailable, reason::no_settings,
@@ -110,8 +111,8 @@
   if (pool == nullptr) {
     boost::system::error_code problem;
     const auto address = boost::asio::ip::make_address_v4(declared.ip, problem);
-    pool = std::make_unique<backend_pool>(this->context, boost::asio::ip::tcp::endpoint{address, declared.port},
-                                          this->clock);
+    pool = std::make_unique<backend_pool>(
+        this->context, boost::asio::ip::tcp::endpoint{address, declared.port}, this->clock);
   }
   return *pool;
 }
@@ -124,7 +125,8 @@
 
 void gateway::pump(const std::shared_ptr<backend_state>& backend) {
   const auto now = this->clock.now();
-  while (!backend->queue.empty() && this->table.may_receive(*backend, now) && this->table.has_room(*backend, now)) {
+  while (!backend->queue.empty() && this->table.may_receive(*backend, now) &&
+         this->table.has_room(*backend, now)) {
     const auto next = backend->queue.pop();
     if (const auto flow = this->flows.find(next->ticket); flow != this->flows.end()) {
       const auto held = flow->second;
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -19,7 +19,8 @@
 }  // namespace
 }  // namespace impl
 
-health_check::health_check(gateway& owner_in, std::shared_ptr<backend_state> backend_in, const std::string& path)
+health_check::health_check(gateway& owner_in, std::shared_ptr<backend_state> backend_in,
+                           const std::string& path)
     : owner{owner_in}, backend{std::move(backend_in)}, timer{owner_in.context} {
   this->backend->on_health_check_started();
   const auto& declared = this->backend->declared();
@@ -63,9 +64,8 @@
       .field("healthy", is_healthy ? 1 : 0)
       .field("cold_left_ms", this->cold_left.ms);
   // Destroying this object has to wait until its caller has returned.
-  boost::asio::post(this->owner.context, [&checks = this->owner.checks, id = this->backend->declared().id] {
-    checks.erase(id);
-  });
+  boost::asio::post(this->owner.context,
+                    [&checks = this->owner.checks, id = this->backend->declared().id] { checks.erase(id); });
 }
 
 }  // namespace zinnia
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -48,7 +48,8 @@
 }
 
 [[nodiscard]] std::optional<load_report> parse_load(std::string_view text) {
-  const std::vector<absl::string_view> parts = absl::StrSplit(absl::string_view{text.data(), text.size()}, ',');
+  const std::vector<absl::string_view> parts =
+      absl::StrSplit(absl::string_view{text.data(), text.size()}, ',');
   load_report report;
   constexpr std::size_t part_count = 3;
   if (parts.size() != part_count || !absl::SimpleAtoi(parts[0], &report.running) ||
@@ -61,7 +62,8 @@
 }  // namespace
 }  // namespace impl
 
-request_flow::request_flow(gateway& owner_in, wait_ticket ticket_in, std::shared_ptr<caller_exchange> exchange_in,
+request_flow::request_flow(gateway& owner_in, wait_ticket ticket_in,
+                           std::shared_ptr<caller_exchange> exchange_in,
                            std::shared_ptr<const routing_snapshot> snapshot_in, const route& rule_in)
     : owner{owner_in},
       ticket{ticket_in},
@@ -126,9 +128,9 @@
       return;
     case placement_action::wait:
       this->waiting = true;
-      this->decision.target->queue.push({this->ticket, this->rule.priority, this->arrived,
-                                         now + (this->decision.expected - this->decision.work) +
-                                             impl::review_slack});
+      this->decision.target->queue.push(
+          {this->ticket, this->rule.priority, this->arrived,
+           now + (this->decision.expected - this->decision.work) + impl::review_slack});
       return;
     case placement_action::refuse:
       if (this->known == verdict::did_not_run) {
@@ -163,7 +165,8 @@
   append_fields(call.bytes, end_to_end_fields(head.fields, {dialect.time_left_ms, dialect.expected_backend}));
   const auto left = std::max<std::int64_t>((this->deadline - this->owner.clock.now()).ms, 1);
   absl::StrAppend(&call.bytes, dialect.time_left_ms, ": ", left, "\r\n");
-  absl::StrAppend(&call.bytes, dialect.expected_backend, ": ", this->decision.target->declared().id.str(), "\r\n");
+  absl::StrAppend(&call.bytes, dialect.expected_backend, ": ", this->decision.target->declared().id.str(),
+                  "\r\n");
   const bool has_body = !this->exchange->body().empty() ||
                         (head.method != "GET" && head.method != "HEAD" && head.method != "DELETE");
   if (has_body) {
@@ -256,9 +259,8 @@
   if (says_not_run && !impl::is_success(status)) {
     return {backend_outcome::shed, verdict::did_not_run, reason::backend_shed, false, true};
   }
-  const bool unsound = impl::is_success(status) &&
-                       (!find_field(this->answer.fields, dialect.answer_stamp) ||
-                        find_field(this->answer.fields, "Content-Encoding"));
+  const bool unsound = impl::is_success(status) && (!find_field(this->answer.fields, dialect.answer_stamp) ||
+                                                    find_field(this->answer.fields, "Content-Encoding"));
   if (unsound) {
     return {backend_outcome::faulty, verdict::may_have_run, reason::answer_unsound, false, true};
   }
@@ -300,8 +302,7 @@
     estimate.note_work(this->decision.warm, static_cast<double>(std::max<std::int64_t>(work.ms, 1)));
   }
   if (this->object) {
-    this->decision.target->objects.touch(*this->object,
-                                         table.settings_of(this->service).remembered_objects);
+    this->decision.target->objects.touch(*this->object, table.settings_of(this->service).remembered_objects);
   }
 }
 
@@ -435,7 +436,8 @@
   this->connection->cancel();
   this->owner.pool_of(*target).release(std::exchange(this->connection, nullptr));
   target->on_abandoned();
-  absl::StrAppend(&this->history, this->history.empty() ? "" : " ", target->declared().id.str(), "=cancelled");
+  absl::StrAppend(&this->history, this->history.empty() ? "" : " ", target->declared().id.str(),
+                  "=cancelled");
   this->owner.pump(target);
 }
 
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -59,7 +59,7 @@
 /// \details Nothing is ever sent twice: a call that fails on a kept connection is the caller's to repeat.
 class backend_connection : public std::enable_shared_from_this<backend_connection> {
  public:
-  backend_connection(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& address_in,
+  backend_connection(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint address_in,
                      const clock_source& clock_in);
 
   /// \brief Sends a call, connecting first if need be. The connection must be idle.
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -103,7 +103,9 @@
   /// \brief Takes no further request; closes the connection when those under way are answered.
   void stop_reading();
   [[nodiscard]] bool is_closed() const noexcept { return this->phase == connection_phase::closed; }
-  [[nodiscard]] bool is_idle() const noexcept { return this->pending.empty() && !this->has_partial_request(); }
+  [[nodiscard]] bool is_idle() const noexcept {
+    return this->pending.empty() && !this->has_partial_request();
+  }
 
  private:
   friend class caller_exchange;
--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -20,8 +20,8 @@
 class http_listener {
  public:
   /// \param most_connections Connections beyond this number are closed before a byte is read.
-  http_listener(boost::asio::io_context& context_in, const clock_source& clock_in, std::size_t most_connections,
-                request_callback on_request_in);
+  http_listener(boost::asio::io_context& context_in, const clock_source& clock_in,
+                std::size_t most_connections, request_callback on_request_in);
 
   /// \brief  Binds and starts to accept.
   /// \return The port listened on (of use when 0 was given), or why it failed.
--- a/packages/http/include/zinnia/http/message_parser.hpp
+++ b/packages/http/include/zinnia/http/message_parser.hpp
@@ -71,7 +71,8 @@
     }
   }
   void on_header_impl(error_code& /*problem*/) override { this->header_seen = true; }
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& /*problem*/) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& /*problem*/) override {
+  }
   std::size_t on_body_impl(text_view piece, error_code& /*problem*/) override {
     this->take_body({piece.data(), piece.size()});
     return piece.size();
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -17,7 +17,8 @@
 
 using error_code = boost::system::error_code;
 
-/// Longest time to connect: the longest round trip (110 ms) and a slow accept, but not a lost packet's resend.
+/// Longest time to connect: the longest round trip (110 ms) and a slow accept, but not a lost packet's
+/// resend.
 constexpr std::chrono::milliseconds connect_limit{500};
 /// How long a connection is kept when the backend server states no time; below the usual 10 s.
 constexpr duration default_idle_limit{8000};
@@ -57,9 +58,9 @@
 }  // namespace impl
 
 backend_connection::backend_connection(boost::asio::io_context& context,
-                                       const boost::asio::ip::tcp::endpoint& address_in,
+                                       boost::asio::ip::tcp::endpoint address_in,
                                        const clock_source& clock_in)
-    : socket{context}, address{address_in}, clock{clock_in}, connect_timer{context} {}
+    : socket{context}, address{std::move(address_in)}, clock{clock_in}, connect_timer{context} {}
 
 void backend_connection::start(backend_call call, backend_call_events& events) {
   this->current = std::move(call);
@@ -82,16 +83,17 @@
       self->fail(verdict::did_not_run, reason::connect_failed);
     }
   });
-  this->socket.async_connect(this->address, [self = this->shared_from_this()](const impl::error_code& problem) {
-    if (self->phase != connection_phase::connecting) {
-      return;
-    }
-    if (problem) {
-      self->fail(verdict::did_not_run, reason::connect_failed);
-      return;
-    }
-    self->on_connected();
-  });
+  this->socket.async_connect(this->address,
+                             [self = this->shared_from_this()](const impl::error_code& problem) {
+                               if (self->phase != connection_phase::connecting) {
+                                 return;
+                               }
+                               if (problem) {
+                                 self->fail(verdict::did_not_run, reason::connect_failed);
+                                 return;
+                               }
+                               self->on_connected();
+                             });
 }
 
 void backend_connection::on_connected() {
@@ -106,21 +108,22 @@
 
 void backend_connection::send_request() {
   this->phase = connection_phase::busy;
-  boost::asio::async_write(this->socket, boost::asio::buffer(this->current.bytes),
-                           [self = this->shared_from_this()](const impl::error_code& problem, std::size_t bytes) {
-                             if (self->phase != connection_phase::busy) {
-                               return;
-                             }
-                             if (problem) {
-                               // An answer may already be waiting to be read, for example a refusal.
-                               if (!self->read_active) {
-                                 self->fail(bytes == 0 ? verdict::did_not_run : verdict::may_have_run,
-                                            reason::reset_before_first_byte);
-                               }
-                               return;
-                             }
-                             self->request_written = true;
-                           });
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->current.bytes),
+      [self = this->shared_from_this()](const impl::error_code& problem, std::size_t bytes) {
+        if (self->phase != connection_phase::busy) {
+          return;
+        }
+        if (problem) {
+          // An answer may already be waiting to be read, for example a refusal.
+          if (!self->read_active) {
+            self->fail(bytes == 0 ? verdict::did_not_run : verdict::may_have_run,
+                       reason::reset_before_first_byte);
+          }
+          return;
+        }
+        self->request_written = true;
+      });
 }
 
 void backend_connection::wait_readable() {
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -77,8 +77,8 @@
   }
   this->closes = this->connection->decide_close(*this);
   const auto phrase = head.reason.empty() ? status_phrase(head.status) : std::string_view{head.reason};
-  absl::StrAppend(&this->output, "HTTP/1.1 ", head.status, " ", absl::string_view{phrase.data(), phrase.size()},
-                  "\r\n");
+  absl::StrAppend(&this->output, "HTTP/1.1 ", head.status, " ",
+                  absl::string_view{phrase.data(), phrase.size()}, "\r\n");
   append_fields(this->output, head.fields);
   if (head.length) {
     absl::StrAppend(&this->output, "Content-Length: ", *head.length, "\r\n");
@@ -325,18 +325,19 @@
     return;
   }
   this->write_active = true;
-  boost::asio::async_write(this->socket, boost::asio::buffer(this->writing),
-                           [self = this->shared_from_this()](const impl::error_code& problem, std::size_t bytes) {
-                             self->write_active = false;
-                             if (self->phase == connection_phase::closed) {
-                               return;
-                             }
-                             if (problem) {
-                               self->shut_down();
-                               return;
-                             }
-                             self->on_written(bytes);
-                           });
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->writing),
+      [self = this->shared_from_this()](const impl::error_code& problem, std::size_t bytes) {
+        self->write_active = false;
+        if (self->phase == connection_phase::closed) {
+          return;
+        }
+        if (problem) {
+          self->shut_down();
+          return;
+        }
+        self->on_written(bytes);
+      });
 }
 
 void caller_connection::on_written(std::size_t bytes) {
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -51,31 +51,31 @@
 }
 
 void http_listener::accept_next() {
-  this->acceptor.async_accept([this](const boost::system::error_code& problem,
-                                     boost::asio::ip::tcp::socket accepted) {
-    if (problem == boost::asio::error::operation_aborted || !this->acceptor.is_open()) {
-      return;
-    }
-    if (problem) {
-      this->accept_pause.expires_after(impl::accept_retry);
-      this->accept_pause.async_wait([this](const boost::system::error_code& stopped) {
-        if (!stopped) {
-          this->accept_next();
+  this->acceptor.async_accept(
+      [this](const boost::system::error_code& problem, boost::asio::ip::tcp::socket accepted) {
+        if (problem == boost::asio::error::operation_aborted || !this->acceptor.is_open()) {
+          return;
+        }
+        if (problem) {
+          this->accept_pause.expires_after(impl::accept_retry);
+          this->accept_pause.async_wait([this](const boost::system::error_code& stopped) {
+            if (!stopped) {
+              this->accept_next();
+            }
+          });
+          return;
         }
+        if (this->connections.size() < this->connection_limit) {
+          auto connection = std::make_shared<caller_connection>(std::move(accepted), this->limits,
+                                                                this->clock, this->on_request);
+          if (this->draining) {
+            connection->drain();
+          }
+          this->connections.insert(connection);
+          connection->start();
+        }
+        this->accept_next();
       });
-      return;
-    }
-    if (this->connections.size() < this->connection_limit) {
-      auto connection = std::make_shared<caller_connection>(std::move(accepted), this->limits, this->clock,
-                                                            this->on_request);
-      if (this->draining) {
-        connection->drain();
-      }
-      this->connections.insert(connection);
-      connection->start();
-    }
-    this->accept_next();
-  });
 }
 
 void http_listener::sweep() {
@@ -104,15 +104,17 @@
 void http_listener::stop_reading() {
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
-  const std::vector<std::shared_ptr<caller_connection>> all{this->connections.begin(), this->connections.end()};
+  const std::vector<std::shared_ptr<caller_connection>> all{this->connections.begin(),
+                                                            this->connections.end()};
   for (const auto& connection : all) {
     connection->stop_reading();
   }
 }
 
 bool http_listener::has_work() const {
-  return std::any_of(this->connections.begin(), this->connections.end(),
-                     [](const auto& connection) { return !connection->is_closed() && !connection->is_idle(); });
+  return std::any_of(this->connections.begin(), this->connections.end(), [](const auto& connection) {
+    return !connection->is_closed() && !connection->is_idle();
+  });
 }
 
 }  // namespace zinnia
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length",
-    "TE",         "Trailer",    "Upgrade",          "Expect"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE", "Trailer",
+    "Upgrade",    "Expect"};
 
 [[nodiscard]] std::string percent_decode(std::string_view text) {
   std::string decoded;
--- a/packages/observe/include/zinnia/observe/log.hpp
+++ b/packages/observe/include/zinnia/observe/log.hpp
@@ -11,7 +11,8 @@
 
 /// \brief   One log line, handed over when it goes out of scope.
 ///
-/// \details Each line has the event's name, the node, the time in ms since the Unix epoch and the fields given.
+/// \details Each line has the event's name, the node, the time in ms since the Unix epoch and the fields
+/// given.
 ///
 /// \code
 /// log_line{log_level::info, "request_finished"}.field("request", id.str()).field("status", 200);
--- a/packages/observe/src/log.cpp
+++ b/packages/observe/src/log.cpp
@@ -22,7 +22,8 @@
 
 /// Text kept for a slow reader of standard output.
 constexpr std::size_t buffer_limit = 512 << 10;
-/// Lines of level `info` and below that may be written in one second; at full load a node serves fewer requests.
+/// Lines of level `info` and below that may be written in one second; at full load a node serves fewer
+/// requests.
 constexpr int ordinary_lines_per_second = 400;
 /// Lines of any level in one second.
 constexpr int lines_per_second = 1500;
@@ -161,11 +162,11 @@
     ++impl::dropped();
     return;
   }
-  this->text = absl::StrCat("{\"time_ms\":", unix_time_ms(), ",\"level\":\"");
+  this->text = absl::StrCat(R"({"time_ms":)", unix_time_ms(), R"(,"level":")");
   this->text += impl::level_words.at(static_cast<std::size_t>(severity));
-  this->text += "\",\"event\":";
+  this->text += "\R"(","event":)";
   impl::append_quoted(this->text, event);
-  this->text += ",\"node\":";
+  this->text += R"(,"node":)";
   impl::append_quoted(this->text, impl::node_name());
 }
 
@@ -178,9 +179,9 @@
 
 log_line& log_line::field(std::string_view name, std::string_view value) {
   if (!this->text.empty()) {
-    this->text += ",\"";
+    this->text += R"(,")";
     this->text += name;
-    this->text += "\":";
+    this->text += R"(":)";
     impl::append_quoted(this->text, value);
   }
   return *this;
@@ -188,9 +189,9 @@
 
 log_line& log_line::field(std::string_view name, std::int64_t value) {
   if (!this->text.empty()) {
-    this->text += ",\"";
+    this->text += R"(,")";
     this->text += name;
-    absl::StrAppend(&this->text, "\":", value);
+    absl::StrAppend(&this->text, R"(":)", value);
   }
   return *this;
 }
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -42,7 +42,8 @@
 
 /// \brief   State of one backend server at this node. Not thread safe; all times are passed in.
 /// \details Loads answered: slow servers (the slowness factor), servers that fail part of their requests (the
-///          failure ratio, which placement turns into a cost), and lost ones (suspension until a health check).
+///          failure ratio, which placement turns into a cost), and lost ones (suspension until a health
+///          check).
 class backend_state {
  public:
   explicit backend_state(backend_declaration declaration);
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -69,7 +69,8 @@
   using settings_source = std::function<placement_settings(const service_id&)>;
 
   /// \param regions The region of each known failure domain.
-  backend_table(place here_in, std::map<failure_domain_id, region_id> regions_in, settings_source settings_in);
+  backend_table(place here_in, std::map<failure_domain_id, region_id> regions_in,
+                settings_source settings_in);
 
   /// \brief Takes over what a snapshot declares; state of servers that stay is kept.
   void apply(const routing_snapshot& snapshot, time_point now);
@@ -110,7 +111,9 @@
     double work_ms{0};
     double wait_ms{0};
     double cost_ms{0};
-    [[nodiscard]] double total_ms() const noexcept { return this->round_trip_ms + this->wait_ms + this->work_ms; }
+    [[nodiscard]] double total_ms() const noexcept {
+      return this->round_trip_ms + this->wait_ms + this->work_ms;
+    }
   };
 
   [[nodiscard]] std::vector<std::shared_ptr<backend_state>> usable(const service_group& group,
@@ -125,7 +128,8 @@
   [[nodiscard]] candidate weigh(const service_group& group, const placement_request& request,
                                 const std::shared_ptr<backend_state>& backend, const backend_state* home,
                                 double utilisation, time_point now);
-  [[nodiscard]] double transfer_cost(const service_group& group, const backend_state& backend, double kib) const;
+  [[nodiscard]] double transfer_cost(const service_group& group, const backend_state& backend,
+                                     double kib) const;
   [[nodiscard]] placement_decision refuse(reason why, duration retry_after, int candidates) const;
   [[nodiscard]] region_id region_of(const failure_domain_id& domain) const;
 
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -87,7 +87,8 @@
 double backend_state::load(time_point now) const noexcept {
   const auto age = static_cast<double>((now - this->reported_at).ms);
   const double average = this->others_average * std::exp(-age / impl::average_fade_ms);
-  return this->own_in_flight + average + (this->others_reported - average) * std::exp(-age / impl::report_fade_ms);
+  return this->own_in_flight + average +
+         (this->others_reported - average) * std::exp(-age / impl::report_fade_ms);
 }
 
 double backend_state::faded(double value, double neutral, time_point since, time_point now) const noexcept {
@@ -110,7 +111,8 @@
   this->failures = this->failure_ratio(now) * (1 - impl::newest_weight) + failed * impl::newest_weight;
   this->slow_factor = earlier_slowness;
   if (outcome == backend_outcome::answered) {
-    const double ratio = static_cast<double>(took.ms) / static_cast<double>(std::max<std::int64_t>(expected.ms, 1));
+    const double ratio =
+        static_cast<double>(took.ms) / static_cast<double>(std::max<std::int64_t>(expected.ms, 1));
     const double bounded = std::clamp(ratio, impl::least_slowness, impl::most_slowness);
     this->slow_factor = earlier_slowness * (1 - impl::newest_weight) + bounded * impl::newest_weight;
     this->losses_in_a_row = 0;
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -19,10 +19,12 @@
 constexpr double newest_round_trip_weight = 0.3;
 /// How many times longer work takes while a server is cold, until its answers say so themselves.
 constexpr double cold_slowness = 2;
-/// What a failed attempt costs, as latency: a repeat elsewhere, or for requests that run at most once the answer.
+/// What a failed attempt costs, as latency: a repeat elsewhere, or for requests that run at most once the
+/// answer.
 constexpr double repeatable_failure_ms = 400;
 constexpr double final_failure_ms = 2000;
-/// Part of the rate that a cold server bears which its warming node uses; a second node may warm it for a moment.
+/// Part of the rate that a cold server bears which its warming node uses; a second node may warm it for a
+/// moment.
 constexpr double used_cold_rate = 0.8;
 /// Cost of moving an answer's bytes that halves a server's share of the homes.
 constexpr double transfer_halving_ms = 20;
@@ -30,7 +32,8 @@
 constexpr double used_latency_part = 0.9;
 /// Share of the homes that a server beyond that keeps.
 constexpr double too_far_part = 0.1;
-/// Utilisation of a service up to which objects may leave their homes; above it misses would feed on themselves.
+/// Utilisation of a service up to which objects may leave their homes; above it misses would feed on
+/// themselves.
 constexpr double spare_utilisation = 0.6;
 /// Weight of the newest request in a service's average work.
 constexpr double newest_work_weight = 0.05;
@@ -89,15 +92,12 @@
 
 void backend_table::assign_warming(const std::map<node_id, place>& alive, const node_id& self) {
   for (const auto& [id, backend] : this->backends) {
-    const auto region = this->region_of(backend->declared().domain);
-    const auto nearness = [&](const place& other) {
-      return other.domain == backend->declared().domain ? 2 : other.region == region ? 1 : 0;
-    };
+    const place where{backend->declared().domain, this->region_of(backend->declared().domain)};
     int nearest = -1;
     std::uint64_t best_weight = 0;
     const node_id* owner = nullptr;
-    for (const auto& [node, where] : alive) {
-      const int near = nearness(where);
+    for (const auto& [node, other] : alive) {
+      const int near = other.domain == where.domain ? 2 : other.region == where.region ? 1 : 0;
       const auto weight = rendezvous_weight(node.str(), id.str());
       if (near > nearest || (near == nearest && weight > best_weight)) {
         nearest = near;
@@ -138,7 +138,8 @@
 
 bool backend_table::may_receive(const backend_state& backend, time_point now) const {
   const auto& declared = backend.declared();
-  if (backend.is_suspended() || declared.mode != backend_mode::ready || this->evacuated.contains(declared.domain)) {
+  if (backend.is_suspended() || declared.mode != backend_mode::ready ||
+      this->evacuated.contains(declared.domain)) {
     return false;
   }
   if (!backend.is_cold(now)) {
@@ -157,9 +158,8 @@
     const auto& declared = backend->declared();
     const bool allowed = request.rule->allowed_regions.empty() ||
                          request.rule->allowed_regions.contains(this->region_of(declared.domain));
-    const bool untried =
-        request.tried == nullptr ||
-        std::find(request.tried->begin(), request.tried->end(), declared.id) == request.tried->end();
+    const bool untried = request.tried == nullptr || std::find(request.tried->begin(), request.tried->end(),
+                                                               declared.id) == request.tried->end();
     if (allowed && untried && this->may_receive(*backend, now)) {
       found.push_back(backend);
     }
@@ -180,7 +180,8 @@
   const double kib = std::exp2(std::round(std::log2(std::max(estimate.answer_kib(), 1.0))));
   const double bytes_part = 1 / (1 + this->transfer_cost(group, backend, kib) / impl::transfer_halving_ms);
   const auto soonest = static_cast<double>(this->round_trip(backend).ms) + estimate.warm_ms();
-  const bool in_time = soonest < impl::used_latency_part * static_cast<double>(request.rule->target_latency.ms);
+  const bool in_time =
+      soonest < impl::used_latency_part * static_cast<double>(request.rule->target_latency.ms);
   return weight * slots * bytes_part * (in_time ? 1 : impl::too_far_part);
 }
 
@@ -205,13 +206,15 @@
   return homes;
 }
 
-double backend_table::transfer_cost(const service_group& group, const backend_state& backend, double kib) const {
+double backend_table::transfer_cost(const service_group& group, const backend_state& backend,
+                                    double kib) const {
   const auto& domain = backend.declared().domain;
   if (domain == this->here.domain) {
     return 0;
   }
-  const double rate = this->region_of(domain) == this->here.region ? group.settings.domain_transfer_ms_per_kib
-                                                                   : group.settings.region_transfer_ms_per_kib;
+  const double rate = this->region_of(domain) == this->here.region
+                          ? group.settings.domain_transfer_ms_per_kib
+                          : group.settings.region_transfer_ms_per_kib;
   return rate * kib;
 }
 
@@ -226,8 +229,7 @@
   weighed.warm = !request.object || backend.get() == home || backend->objects.contains(*request.object);
   weighed.round_trip_ms = static_cast<double>(this->round_trip(*backend).ms);
   weighed.work_ms = (weighed.warm ? estimate.warm_ms() : estimate.cold_ms()) * slowness;
-  const double ahead =
-      backend->load(now) + backend->queue.count_ahead(request.rule->priority) + 1 - slots;
+  const double ahead = backend->load(now) + backend->queue.count_ahead(request.rule->priority) + 1 - slots;
   weighed.wait_ms = std::max(ahead, 0.0) * group.mean_work_ms * slowness / slots;
   const double miss = weighed.warm ? 0 : (estimate.cold_ms() - estimate.warm_ms()) * slowness;
   const double failure =
--- a/packages/routing/src/wait_queue.cpp
+++ b/packages/routing/src/wait_queue.cpp
@@ -7,10 +7,10 @@
 namespace zinnia {
 
 void wait_queue::push(const entry& waiting) {
-  const auto place = std::upper_bound(this->entries.begin(), this->entries.end(), waiting,
-                                      [](const entry& a, const entry& b) {
-                                        return std::pair{a.priority, a.arrived} < std::pair{b.priority, b.arrived};
-                                      });
+  const auto place = std::upper_bound(
+      this->entries.begin(), this->entries.end(), waiting, [](const entry& a, const entry& b) {
+        return std::pair{a.priority, a.arrived} < std::pair{b.priority, b.arrived};
+      });
   this->entries.insert(place, waiting);
 }
 
@@ -43,9 +43,9 @@
 }
 
 int wait_queue::count_ahead(int priority) const noexcept {
-  return static_cast<int>(std::count_if(this->entries.begin(), this->entries.end(), [priority](const entry& waiting) {
-    return waiting.priority <= priority;
-  }));
+  return static_cast<int>(
+      std::count_if(this->entries.begin(), this->entries.end(),
+                    [priority](const entry& waiting) { return waiting.priority <= priority; }));
 }
 
 }  // namespace zinnia
--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -73,7 +73,8 @@
 
 /// \brief   Decides which call to make next and applies its answer. No I/O; not thread safe.
 ///
-/// \details An object never goes back to an older version, whatever a late answer says. Objects disappear only
+/// \details An object never goes back to an older version, whatever a late answer says. Objects disappear
+/// only
 ///          by a change that says so, or when a complete list taken later lacks them.
 class object_feed {
  public:
--- a/packages/store/src/http_multi.cpp
+++ b/packages/store/src/http_multi.cpp
@@ -149,7 +149,8 @@
   const CURLMsg* message = curl_multi_info_read(multi, &messages_left);
   if (message == nullptr) {
     int ready = 0;
-    curl_multi_poll(multi, &extra, extra_count, static_cast<int>(std::max<std::int64_t>(longest.ms, 0)), &ready);
+    curl_multi_poll(multi, &extra, extra_count, static_cast<int>(std::max<std::int64_t>(longest.ms, 0)),
+                    &ready);
     curl_multi_perform(multi, &running);
     message = curl_multi_info_read(multi, &messages_left);
   }
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -6,7 +6,8 @@
 
 namespace zinnia {
 
-object_feed::object_feed(feed_timing timing_in, std::uint64_t seed) : timing{timing_in}, random_state{seed | 1U} {}
+object_feed::object_feed(feed_timing timing_in, std::uint64_t seed)
+    : timing{timing_in}, random_state{seed | 1U} {}
 
 std::optional<feed_call> object_feed::next(time_point now) {
   if (this->under_way || now < this->not_before) {
--- a/packages/traffic/include/zinnia/traffic/key_service.hpp
+++ b/packages/traffic/include/zinnia/traffic/key_service.hpp
@@ -12,9 +12,9 @@
 #include <thread>
 
 #include "zinnia/observe/metrics.hpp"
-#include "zinnia/store/object_store.hpp"
 #include "zinnia/steering/key_home.hpp"
 #include "zinnia/steering/traffic_view.hpp"
+#include "zinnia/store/object_store.hpp"
 #include "zinnia/wire/frames.hpp"
 
 namespace zinnia {
