--- a/apps/zinniactl/commands.cpp
+++ b/apps/zinniactl/commands.cpp
@@ -1,4 +1,4 @@
-// Settings, drains, moves and status.
+// Settings, drains, moves, status and fates.
 #include "commands.hpp"
 
 #include <cstdlib>
@@ -8,15 +8,13 @@
 #include <random>
 #include <sstream>
 
-#include "zinnia/steering/node_machine.hpp"
-#include "zinnia/steering/shift_plan.hpp"
+#include "zinnia/membership/member_codec.hpp"
 #include "zinnia/store/http_call.hpp"
 
 namespace zinnia {
 namespace impl {
 namespace {
 
-constexpr duration store_limit{5000};
 constexpr long http_ok = 200;
 
 [[nodiscard]] std::string unique_id() {
@@ -24,10 +22,6 @@
   return std::to_string(unix_time_ms()) + '-' + std::to_string(source());
 }
 
-[[nodiscard]] std::string history_key(object_version version) {
-  return "history/settings/" + std::to_string(version.count());
-}
-
 [[nodiscard]] nlohmann::json to_json(const std::vector<settings_change>& changes) {
   nlohmann::json list = nlohmann::json::array();
   for (const auto& change : changes) {
@@ -55,8 +49,7 @@
 }  // namespace impl
 
 command_runner::command_runner(command_options given)
-    : options{std::move(given)},
-      store{std::make_unique<http_object_store>(this->options.store_url, impl::store_limit)} {}
+    : options{std::move(given)}, store{this->options.store} {}
 
 const std::vector<command_runner::command_entry>& command_runner::table() {
   static const std::vector<command_entry> entries{
@@ -94,20 +87,22 @@
 }
 
 std::optional<stored_settings> command_runner::load() {
-  const auto reply = this->store->get(settings_key);
-  stored_settings found;
-  if (reply.status == store_status::not_found) {
-    return found;
-  }
-  if (!reply.ok()) {
+  const auto objects = this->store.list(own_kinds::settings);
+  if (!objects) {
     this->complain("the platform's store does not answer");
     return std::nullopt;
   }
-  found.version = reply.version;
-  if (auto document = decode_settings_document(reply.value)) {
-    found.document = *document;
-    if (auto tree = settings_tree::parse(*document, "stored settings")) {
-      found.tree = std::move(tree).value();
+  stored_settings found;
+  for (const auto& object : *objects) {
+    if (object.name != own_kinds::settings_name) {
+      continue;
+    }
+    found.version = object.version;
+    if (auto document = decode_settings_document(object.document)) {
+      found.document = *document;
+      if (auto tree = settings_tree::parse(*document, "stored settings")) {
+        found.tree = std::move(tree).value();
+      }
     }
   }
   return found;
@@ -146,22 +141,6 @@
   impl::print_text(changes);
 }
 
-void command_runner::print_shift_notes(const settings_tree& tree) {
-  if (this->options.as_json) {
-    return;
-  }
-  for (const auto& shift : tree.shifts()) {
-    if (shift.kind != shift_kind::drain_region) {
-      continue;
-    }
-    for (const auto& service : tree.services()) {
-      std::cout << "  shift " << shift.id << ": caps out of " << shift.target << " can take over "
-                << replaceable_percent(tree, service, region_id{shift.target}) << "% of " << service.str()
-                << "'s slots\n";
-    }
-  }
-}
-
 exit_code command_runner::plan() {
   const auto base = this->load();
   if (!base) {
@@ -173,14 +152,14 @@
   }
   this->print_changes("plan against version " + std::to_string(base->version.count()), base->document,
                       *changed);
-  this->print_shift_notes(*settings_tree::parse(*changed, this->options.file));
   return exit_code::ok;
 }
 
 exit_code command_runner::report_conflict(const settings_document& base, const settings_document& mine,
-                                          const store_reply& reply) {
+                                          const write_result& refused) {
   this->complain("refused: the settings have changed since version that this edit is based on");
-  if (const auto theirs = decode_settings_document(reply.value)) {
+  const auto theirs = decode_settings_document(refused.current ? refused.current->document : "");
+  if (theirs) {
     this->print_changes("their change, by " + theirs->author, base, *theirs);
   }
   this->print_changes("your change", base, mine);
@@ -196,38 +175,32 @@
     this->complain(tree.last_error().describe());
     return exit_code::bad_input;
   }
-  if (base.version.count() != 0) {
-    // Kept so that a later conflict can show what both sides changed.
-    static_cast<void>(this->store->put(impl::history_key(base.version), encode(base.document), {}));
-  }
-  const auto reply = put_resolved(*this->store, settings_key, encode(changed), base.version);
-  switch (reply.status) {
-    case store_status::ok:
+  const auto written = this->store.write(own_kinds::settings, own_kinds::settings_name, encode(changed), base.version);
+  switch (written.status) {
+    case write_status::ok:
       break;
-    case store_status::conflict:
-    case store_status::not_found: {
-      const auto current = this->store->get(settings_key);
-      return this->report_conflict(base.document, changed, current);
-    }
-    case store_status::unknown:
-      this->complain("the answer was lost and the store cannot be read: edit " + changed.edit_id +
+    case write_status::conflict:
+    case write_status::not_found:
+      return this->report_conflict(base.document, changed, written);
+    case write_status::unknown:
+      this->complain("the answer was lost and the store cannot tell: edit " + changed.edit_id +
                      " may or may not be in force; run 'zinniactl show' when the store is back");
       return exit_code::unknown;
-    case store_status::unavailable:
+    case write_status::unavailable:
       this->complain("the platform's store does not answer; nothing was written");
       return exit_code::failed;
   }
   if (this->options.as_json) {
-    std::cout << nlohmann::json{{"accepted_version", reply.version.count()}, {"edit", changed.edit_id}}.dump()
+    std::cout << nlohmann::json{{"accepted_version", written.version.count()}, {"edit", changed.edit_id}}.dump()
               << '\n';
   } else {
-    std::cout << "accepted as version " << reply.version.count() << '\n';
+    std::cout << "accepted as version " << written.version.count() << '\n';
   }
   return exit_code::ok;
 }
 
 exit_code command_runner::apply() {
-  auto base = this->load();
+  const auto base = this->load();
   if (!base) {
     return exit_code::failed;
   }
@@ -235,14 +208,13 @@
   if (!changed) {
     return exit_code::bad_input;
   }
-  const bool outdated =
-      this->options.expect_version >= 0 && this->options.expect_version != base->version.count();
-  if (outdated) {
-    const auto known = this->store->get(impl::history_key(object_version{this->options.expect_version}));
-    const auto planned =
-        known.ok() ? decode_settings_document(known.value) : result<settings_document>{error{}};
-    const auto current = this->store->get(settings_key);
-    return this->report_conflict(planned ? *planned : settings_document{}, *changed, current);
+  const bool is_outdated =
+      this->options.expect_version >= 0 && base->version.count() != this->options.expect_version;
+  if (is_outdated) {
+    this->complain("refused: the settings are at version " + std::to_string(base->version.count()) +
+                   ", not at " + std::to_string(this->options.expect_version));
+    this->print_changes("your change", base->document, *changed);
+    return exit_code::conflict;
   }
   this->print_changes("changes", base->document, *changed);
   return this->write(*base, *changed);
@@ -255,7 +227,12 @@
     return base ? exit_code::not_found : exit_code::failed;
   }
   nlohmann::json shown{{"version", base->version.count()}, {"author", base->document.author}};
-  for (const auto& service : base->tree->services()) {
+  auto services = base->tree->services();
+  if (services.empty()) {
+    // The tree speaks for services that are declared elsewhere.
+    services.emplace_back(this->options.service.empty() ? "any" : this->options.service);
+  }
+  for (const auto& service : services) {
     if (!this->options.service.empty() && service.str() != this->options.service) {
       continue;
     }
@@ -305,8 +282,7 @@
   const auto code = this->write(*base, changed);
   if (code == exit_code::ok && !this->options.as_json) {
     std::cout << "shift " << shift.id << '\n';
-    this->print_shift_notes(*settings_tree::parse(changed, "settings"));
-  }
+    }
   return code;
 }
 
@@ -352,53 +328,56 @@
   return this->write(*base, changed);
 }
 
-exit_code command_runner::status() {
-  const auto listed = this->store->list(holdings_prefix);
-  if (listed.status != store_status::ok) {
+std::optional<std::vector<member>> command_runner::nodes() {
+  const auto objects = this->store.list(own_kinds::nodes);
+  if (!objects) {
     this->complain("the platform's store does not answer");
+    return std::nullopt;
+  }
+  std::vector<member> found;
+  for (const auto& object : *objects) {
+    if (const auto decoded = decode_member(object.name, object.document)) {
+      found.push_back(*decoded);
+    }
+  }
+  return found;
+}
+
+exit_code command_runner::status() {
+  const auto registered = this->nodes();
+  if (!registered) {
     return exit_code::failed;
   }
   nlohmann::json all = nlohmann::json::array();
-  for (const auto& entry : listed.entries) {
-    const auto table = decode_holdings_table(this->store->get(entry.key).value);
-    if (!table) {
-      continue;
-    }
-    for (const auto& [id, node] : table->nodes) {
-      http_call call;
-      call.url = "http://" + node.caller_address + "/v1/status";
-      const auto answer = perform(call);
-      auto value = nlohmann::json::parse(answer.body, nullptr, false);
-      if (answer.status != impl::http_ok || value.is_discarded()) {
-        value = {{"node", id.str()}, {"unreachable", true}};
-      }
-      value["heirs"] = nlohmann::json::array();
-      for (const auto& heir : node.heirs) {
-        value["heirs"].push_back(heir.str());
-      }
-      all.push_back(value);
+  for (const auto& node : *registered) {
+    http_call call;
+    call.url = "http://" + node.operator_address + "/v1/status";
+    const auto answer = perform(call);
+    auto value = nlohmann::json::parse(answer.body, nullptr, false);
+    if (answer.status != impl::http_ok || value.is_discarded()) {
+      value = {{"unreachable", true}};
     }
+    value["node"] = node.id.str();
+    value["region"] = node.where.region.str();
+    value["domain"] = node.where.domain.str();
+    all.push_back(value);
   }
   if (this->options.as_json) {
     std::cout << all.dump() << '\n';
     return exit_code::ok;
   }
   for (const auto& node : all) {
-    std::cout << node["node"].get<std::string>();
+    std::cout << node["node"].get<std::string>() << "  " << node["region"].get<std::string>() << '/'
+              << node["domain"].get<std::string>();
     if (node.contains("unreachable")) {
       std::cout << "  unreachable\n";
       continue;
     }
-    std::cout << "  " << node["region"].get<std::string>() << '/' << node["domain"].get<std::string>()
-              << "  settings " << node["settings_version"] << "  upstreams " << node["upstreams"].size()
-              << "  buckets " << node["buckets"].size() << "  in flight " << node["in_flight"]
-              << (node["leaving"].get<bool>() ? "  leaving" : "")
-              << (node["may_dispatch"].get<bool>() ? "" : "  may not dispatch") << "  heirs "
-              << node["heirs"].dump() << '\n';
-  }
-  if (!all.empty() && all[0].contains("shifts")) {
-    for (const auto& shift : all[0]["shifts"]) {
-      std::cout << "shift " << shift["id"].get<std::string>() << "  " << shift["percent"] << "%"
+    std::cout << "  configuration " << node["config_version"] << "  backend servers " << node["backends"]
+              << "  nodes alive " << node["nodes_alive"].size() << "  under way " << node["requests_under_way"]
+              << '\n';
+    for (const auto& shift : node["shifts"]) {
+      std::cout << "  shift " << shift["id"].get<std::string>() << "  " << shift["percent"] << "%"
                 << (shift["complete"].get<bool>() ? "  complete" : "  waits for ")
                 << shift["waits_for"].get<std::string>() << '\n';
     }
@@ -406,4 +385,52 @@
   return exit_code::ok;
 }
 
+exit_code command_runner::fate() {
+  const auto registered = this->nodes();
+  if (!registered) {
+    return exit_code::failed;
+  }
+  const auto& id = this->options.words[1];
+  std::vector<std::string> silent;
+  bool found = false;
+  for (const auto& node : *registered) {
+    http_call call;
+    call.url = "http://" + node.operator_address + "/v1/requests/" + url_escape(id);
+    const auto answer = perform(call);
+    if (answer.status == 0) {
+      silent.push_back(node.id.str());
+    }
+    if (answer.status != impl::http_ok) {
+      continue;
+    }
+    found = true;
+    auto record = nlohmann::json::parse(answer.body, nullptr, false);
+    record["node"] = node.id.str();
+    if (this->options.as_json) {
+      std::cout << record.dump() << '\n';
+      continue;
+    }
+    std::cout << "request   " << id << "  at node " << node.id.str() << '\n'
+              << "service   " << record["service"].get<std::string>() << "  route "
+              << record["route"].get<std::string>() << '\n'
+              << "ended     status " << record["status"] << ", " << record["verdict"].get<std::string>()
+              << ", reason " << record["reason"].get<std::string>() << ", after " << record["took_ms"] << " ms\n"
+              << "attempts  " << record["attempts"].get<std::string>() << '\n'
+              << "placed    on '" << record["placed_on"].get<std::string>() << "' of " << record["candidates"]
+              << " candidates, load " << record["load_percent"] << "%, expected " << record["expected_ms"]
+              << " ms, waited " << record["waited_ms"] << " ms\n"
+              << "by        configuration " << record["config_version"] << ", snapshot " << record["snapshot"]
+              << '\n';
+  }
+  if (found) {
+    return exit_code::ok;
+  }
+  std::string missing = "no node that answers remembers request '" + id + "'; see the logs";
+  for (const auto& name : silent) {
+    missing += "; " + name + " does not answer";
+  }
+  this->complain(missing);
+  return exit_code::not_found;
+}
+
 }  // namespace zinnia
--- a/apps/zinniactl/commands.hpp
+++ b/apps/zinniactl/commands.hpp
@@ -1,12 +1,13 @@
 // The commands of zinniactl.
 #pragma once
 
-#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "store_session.hpp"
+#include "zinnia/membership/member_table.hpp"
 #include "zinnia/settings/settings_tree.hpp"
-#include "zinnia/store/http_object_store.hpp"
 
 namespace zinnia {
 
@@ -17,13 +18,13 @@
   bad_input = 2,
   conflict = 3,
   not_found = 4,
-  state_mismatch = 5,
   unknown = 6,
 };
 
 /// \brief What the command line gave.
 struct command_options {
-  std::string store_url;
+  /// The platform's store, as "ip:port".
+  std::string store;
   bool as_json{false};
   std::vector<std::string> words;
   std::string author;
@@ -34,10 +35,6 @@
   std::string from;
   std::string to;
   std::string start{"now"};
-  std::string expect;
-  std::string outcome;
-  std::string reason_text;
-  std::string evidence;
   std::int64_t percent{100};
   std::int64_t expect_version{-1};
 };
@@ -73,30 +70,24 @@
   [[nodiscard]] exit_code drain();
   [[nodiscard]] exit_code move();
   [[nodiscard]] exit_code cancel_shift();
-  [[nodiscard]] exit_code status();
   [[nodiscard]] std::optional<stored_settings> load();
   [[nodiscard]] exit_code write(const stored_settings& base, settings_document changed);
   [[nodiscard]] exit_code report_conflict(const settings_document& base, const settings_document& mine,
-                                          const store_reply& reply);
+                                          const write_result& refused);
   [[nodiscard]] exit_code add_shift(shift_intent shift);
   [[nodiscard]] std::optional<settings_document> read_file(const settings_document& base);
   void print_changes(const std::string& title, const settings_document& before,
                      const settings_document& after);
-  void print_shift_notes(const settings_tree& tree);
 
-  // Fates.
+  // Running nodes.
+  [[nodiscard]] std::optional<std::vector<member>> nodes();
+  [[nodiscard]] exit_code status();
   [[nodiscard]] exit_code fate();
-  [[nodiscard]] exit_code resolve();
-  [[nodiscard]] exit_code fate_from_batches(const std::string& id);
-  [[nodiscard]] exit_code print_fate(const std::string& record, const std::string& source);
-  [[nodiscard]] std::string caller_address_of(const std::string& node);
-  [[nodiscard]] std::optional<std::string> find_record(const std::string& id, std::string& source,
-                                                       std::string& missing);
 
   void complain(const std::string& message) const;
 
   command_options options;
-  std::unique_ptr<http_object_store> store;
+  store_session store;
 };
 
 }  // namespace zinnia
--- a/apps/zinniactl/main.cpp
+++ b/apps/zinniactl/main.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr const char* usage_text =
-    "usage: zinniactl --store URL [options] COMMAND\n\n"
+    "usage: zinniactl --store IP:PORT [options] COMMAND\n\n"
     "  plan --file F                      what applying F would change\n"
     "  apply --file F [--expect-version N]  write F, if the settings are still at version N\n"
     "  show [--service S --region R --domain D]  values in force and where each comes from\n"
@@ -16,10 +16,9 @@
     "  move --service S --from R --to R [--percent P] [--start now|MS]\n"
     "  cancel-shift ID                    end a drain or move\n"
     "  status                             nodes, and what each shift waits for\n"
-    "  fate ID                            what became of a request\n"
-    "  fate resolve ID --expect uncertain --outcome ran|did-not-run --reason T --evidence T\n\n"
+    "  fate ID                            what became of a request, asked of all nodes\n\n"
     "exit codes: 0 done, 1 store unreachable, 2 bad input, 3 conflicting edit, 4 not found,\n"
-    "            5 not in the expected state, 6 outcome unknown\n\n";
+    "            6 outcome unknown\n\n";
 
 }  // namespace
 
@@ -27,13 +26,13 @@
   namespace po = boost::program_options;
   zinnia::command_options given;
   std::string output;
-  const char* const store_variable = std::getenv("ZINNIA_STORE_URL");
+  const char* const store_variable = std::getenv("ZINNIA_STORE");
   const char* const user_variable = std::getenv("USER");
   po::options_description options{"options"};
   auto add = options.add_options();
   add("help", "print this text");
-  add("store", po::value(&given.store_url)->default_value(store_variable == nullptr ? "" : store_variable),
-      "platform's object API; or ZINNIA_STORE_URL");
+  add("store", po::value(&given.store)->default_value(store_variable == nullptr ? "" : store_variable),
+      "platform's store, ip:port; or ZINNIA_STORE");
   add("output", po::value(&output)->default_value("text"), "text or json");
   add("author",
       po::value(&given.author)->default_value(user_variable == nullptr ? "operator" : user_variable),
@@ -47,10 +46,6 @@
   add("start", po::value(&given.start)->default_value("now"), "now, or ms since 1970");
   add("percent", po::value(&given.percent)->default_value(100), "1 to 100");
   add("expect-version", po::value(&given.expect_version), "version that the edit is based on");
-  add("expect", po::value(&given.expect), "state that the request is in");
-  add("outcome", po::value(&given.outcome), "ran or did-not-run");
-  add("reason", po::value(&given.reason_text), "why");
-  add("evidence", po::value(&given.evidence), "what was found, and where");
   add("words", po::value(&given.words), "command and arguments");
   po::positional_options_description positions;
   positions.add("words", -1);
@@ -66,7 +61,7 @@
     std::cout << usage_text << options;
     return 0;
   }
-  if (given.words.empty() || given.store_url.empty() || (output != "text" && output != "json")) {
+  if (given.words.empty() || given.store.empty() || (output != "text" && output != "json")) {
     std::cerr << usage_text;
     return static_cast<int>(zinnia::exit_code::bad_input);
   }
--- /dev/null
+++ b/apps/zinniactl/store_session.cpp
@@ -0,0 +1,64 @@
+// Blocking calls on the store's protocol.
+#include "store_session.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace zinnia {
+
+std::optional<std::vector<stored_object>> store_session::list(const std::string& kind) const {
+  std::vector<stored_object> all;
+  feed_call call;
+  while (true) {
+    const auto reply = this->protocol.decode_read(call, perform(this->protocol.read(kind, call)));
+    if (reply.status != feed_status::ok) {
+      return std::nullopt;
+    }
+    all.insert(all.end(), reply.items.begin(), reply.items.end());
+    if (!reply.has_more || reply.items.empty()) {
+      return all;
+    }
+    call.after = reply.items.back().name;
+  }
+}
+
+std::optional<stored_object> store_session::find(const std::string& kind, const std::string& name) const {
+  const auto all = this->list(kind);
+  if (!all) {
+    return std::nullopt;
+  }
+  for (const auto& object : *all) {
+    if (object.name == name) {
+      return object;
+    }
+  }
+  return stored_object{};
+}
+
+write_result store_session::write(const std::string& kind, const std::string& name, const std::string& document,
+                                  object_version expected) const {
+  const auto call = expected.count() == 0 ? this->protocol.create(kind, name, document)
+                                          : this->protocol.replace(kind, name, document, expected);
+  write_result result;
+  result.status = this->protocol.decode_write(perform(call));
+  if (result.status == write_status::unavailable) {
+    return result;
+  }
+  const auto present = this->find(kind, name);
+  if (!present) {
+    result.status = result.status == write_status::ok ? write_status::ok : write_status::unknown;
+    return result;
+  }
+  result.current = present;
+  result.version = present->version;
+  if (result.status == write_status::unknown) {
+    const bool took_effect = nlohmann::json::parse(present->document, nullptr, false) ==
+                             nlohmann::json::parse(document, nullptr, false);
+    // A write that has not taken effect yet may still do so; only another version rules that out.
+    result.status = took_effect                    ? write_status::ok
+                    : present->version != expected ? write_status::conflict
+                                                   : write_status::unknown;
+  }
+  return result;
+}
+
+}  // namespace zinnia
--- a/apps/zinniad/daemon_options.cpp
+++ b/apps/zinniad/daemon_options.cpp
@@ -1,11 +1,11 @@
-// Boost.Program_options with one table of numeric settings, so that each has a range.
+// Boost.Program_options with a table of numeric settings, so that each has a range.
 #include "daemon_options.hpp"
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/program_options.hpp>
 #include <charconv>
-#include <functional>
 #include <sstream>
 
 namespace zinnia {
@@ -14,8 +14,9 @@
 
 namespace po = boost::program_options;
 
-constexpr const char* version_text = "zinniad 0.1.0\n";
+constexpr const char* version_text = "zinniad 0.2.0\n";
 const std::string environment_prefix = "ZINNIA_";
+constexpr std::int64_t highest_port = 65'535;
 
 struct number_option {
   const char* name;
@@ -23,57 +24,57 @@
   std::int64_t lowest;
   std::int64_t highest;
   const char* help;
-  void (*assign)(daemon_options&, std::int64_t);
+  /// Whether a settings file gives the value instead.
+  bool from_file;
+  void (*assign)(node_settings&, std::int64_t);
 };
 
-constexpr std::array<number_option, 14> number_options{{
-    {"heartbeat-ms", "500", 20, 10'000, "period of heartbeats",
-     [](daemon_options& o, std::int64_t v) { o.lease.heartbeat = {v}; }},
-    {"term-ms", "4000", 200, 60'000, "lease term; more than twice the heartbeat period",
-     [](daemon_options& o, std::int64_t v) { o.lease.term = {v}; }},
-    {"drift-ms", "200", 1, 10'000, "bound on clock drift within a term",
-     [](daemon_options& o, std::int64_t v) { o.lease.drift = {v}; }},
-    {"store-limit-ms", "2000", 50, 60'000, "longest call to the platform's store",
-     [](daemon_options& o, std::int64_t v) { o.store_limit = {v}; }},
-    {"probe-ms", "500", 50, 60'000, "period of probes of held backend servers",
-     [](daemon_options& o, std::int64_t v) { o.probe_period = {v}; }},
-    {"fate-ms", "1000", 100, 60'000, "period of fate batches",
-     [](daemon_options& o, std::int64_t v) { o.fate_period = {v}; }},
-    {"stop-limit-ms", "120000", 0, 3'600'000, "longest graceful stop",
-     [](daemon_options& o, std::int64_t v) { o.stop_limit = {v}; }},
-    {"fate-records", "20000", 100, 10'000'000, "fate records kept in memory",
-     [](daemon_options& o, std::int64_t v) { o.fate_records = static_cast<std::size_t>(v); }},
-    {"max-body-bytes", "16777216", 1024, 67'108'864, "largest request body",
-     [](daemon_options& o, std::int64_t v) { o.limits.most_body_bytes = static_cast<std::size_t>(v); }},
-    {"max-header-bytes", "32768", 4096, 1'048'576, "largest request head",
-     [](daemon_options& o, std::int64_t v) { o.limits.most_header_bytes = static_cast<std::size_t>(v); }},
-    {"idle-s", "30", 1, 3'600, "a caller silent for so many seconds is disconnected",
-     [](daemon_options& o, std::int64_t v) { o.limits.idle_seconds = static_cast<unsigned>(v); }},
-    {"max-connections", "1000", 8, 100'000, "connections of callers",
-     [](daemon_options& o, std::int64_t v) { o.limits.most_connections = static_cast<unsigned>(v); }},
-    {"io-threads", "2", 2, 64, "threads that serve connections and look-ups",
-     [](daemon_options& o, std::int64_t v) { o.limits.threads = static_cast<unsigned>(v); }},
-    {"workers", "64", 1, 4'096, "threads that run requests",
-     [](daemon_options& o, std::int64_t v) { o.limits.workers = static_cast<std::size_t>(v); }},
+constexpr std::array<number_option, 6> number_options{{
+    {"peer-port", "7100", 1, highest_port, "UDP port for heartbeats between nodes", true,
+     [](node_settings& s, std::int64_t v) { s.peer_port = static_cast<std::uint16_t>(v); }},
+    {"stop-limit-ms", "6000", 3000, 3'600'000, "longest graceful stop", true,
+     [](node_settings& s, std::int64_t v) { s.stop_limit = {v}; }},
+    {"drain-limit-ms", "2500", 0, 3'600'000, "time within which a leaving backend server gets nothing more", true,
+     [](node_settings& s, std::int64_t v) { s.drain_limit = {v}; }},
+    {"retry-percent", "20", 0, 100, "repeats of all nodes for each hundred requests", true,
+     [](node_settings& s, std::int64_t v) { s.retry_budget.ratio = static_cast<double>(v) / 100; }},
+    {"max-descriptors", "1024", 300, 1'000'000, "file descriptors of the process", true,
+     [](node_settings& s, std::int64_t v) { s.most_descriptors = static_cast<std::size_t>(v); }},
+    {"fate-records", "1000", 0, 10'000'000, "finished requests kept in memory for questions", false,
+     [](node_settings& s, std::int64_t v) { s.fate_records = static_cast<std::size_t>(v); }},
+}};
+
+struct address_option {
+  const char* name;
+  const char* initial;
+  const char* help;
+  endpoint_setting node_settings::*member;
+};
+
+constexpr std::array<address_option, 5> address_options{{
+    {"listen-callers", "127.0.0.1:7300", "ip:port for callers", &node_settings::callers},
+    {"listen-ready", "127.0.0.1:7301", "ip:port for readiness checks", &node_settings::readiness},
+    {"listen-directory", "127.0.0.1:7302", "ip:port for questions where to connect", &node_settings::directory},
+    {"listen-operators", "127.0.0.1:7303", "ip:port for metrics and operators", &node_settings::operators},
+    {"store", "", "platform's store, ip:port; required", &node_settings::store},
 }};
 
 [[nodiscard]] po::options_description describe() {
   po::options_description all{
       "zinniad: an entry VM of zinniafield.\nEach option can be given as an environment variable too: "
-      "--store-url as ZINNIA_STORE_URL; the flag wins"};
+      "--store as ZINNIA_STORE; the flag wins.\nWhere the platform gives a settings file, only --tree, "
+      "--log-level and --fate-records are taken"};
   auto add = all.add_options();
   add("help", "print this text");
   add("version", "print the version");
+  add("tree", po::value<std::string>()->default_value(""), "file of the settings tree until the store has one");
+  add("log-level", po::value<std::string>()->default_value("info"), "debug, info, warn or error");
   add("node", po::value<std::string>()->default_value(""), "name of this entry VM; required");
   add("region", po::value<std::string>()->default_value(""), "region of this VM; required");
   add("domain", po::value<std::string>()->default_value(""), "failure domain of this VM; required");
-  add("store-url", po::value<std::string>()->default_value(""),
-      "platform's object API, http://ip:port; required");
-  add("listen-caller", po::value<std::string>()->default_value("127.0.0.1:0"), "ip:port for callers");
-  add("listen-peer", po::value<std::string>()->default_value("127.0.0.1:0"), "ip:port for other nodes");
-  add("advertise-peer", po::value<std::string>()->default_value(""),
-      "ip:port told to other nodes, if another");
-  add("log-level", po::value<std::string>()->default_value("info"), "debug, info, warn or error");
+  for (const auto& option : address_options) {
+    add(option.name, po::value<std::string>()->default_value(option.initial), option.help);
+  }
   for (const auto& option : number_options) {
     std::ostringstream help;
     help << option.help << "; " << option.lowest << " to " << option.highest;
@@ -87,66 +88,95 @@
 }
 
 [[nodiscard]] bool is_name(const std::string& text) {
-  return !text.empty() && text.size() <= 64 &&
+  constexpr std::size_t longest_name = 64;
+  return !text.empty() && text.size() <= longest_name &&
          std::all_of(text.begin(), text.end(), [](unsigned char letter) {
            return std::isalnum(letter) != 0 || letter == '-' || letter == '_';
          });
 }
 
-void read_names(const po::variables_map& given, daemon_options& options) {
-  const std::array<std::pair<const char*, std::string*>, 3> names{
-      {{"node", &options.node}, {"region", &options.region}, {"domain", &options.domain}}};
-  for (const auto& [name, target] : names) {
-    *target = given[name].as<std::string>();
-    if (!is_name(*target)) {
-      throw bad(name, *target, "1 to 64 letters, digits, '-' or '_'");
-    }
-  }
-  options.store_url = given["store-url"].as<std::string>();
-  if (!options.store_url.starts_with("http://") || options.store_url.size() <= 7) {
-    throw bad("store-url", options.store_url, "http://ip:port");
-  }
-  options.log_level = given["log-level"].as<std::string>();
-  const std::array<std::string, 4> levels{"debug", "info", "warn", "error"};
-  if (std::find(levels.begin(), levels.end(), options.log_level) == levels.end()) {
-    throw bad("log-level", options.log_level, "debug, info, warn, error");
+[[nodiscard]] std::string read_name(const po::variables_map& given, const char* name) {
+  auto text = given[name].as<std::string>();
+  if (!is_name(text)) {
+    throw bad(name, text, "1 to 64 letters, digits, '-' or '_'");
   }
+  return text;
 }
 
-[[nodiscard]] socket_address read_address(const po::variables_map& given, const char* name) {
+[[nodiscard]] endpoint_setting read_address(const po::variables_map& given, const char* name) {
   const auto text = given[name].as<std::string>();
-  const auto parsed = parse_address(text);
-  if (!parsed) {
+  const auto colon = text.rfind(':');
+  endpoint_setting parsed;
+  parsed.ip = text.substr(0, colon);
+  boost::system::error_code problem;
+  static_cast<void>(boost::asio::ip::make_address_v4(parsed.ip, problem));
+  std::int64_t port = -1;
+  if (colon != std::string::npos) {
+    std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  }
+  if (problem || port < 0 || port > highest_port) {
     throw bad(name, text, "ip:port with a port of 0 to 65535");
   }
-  return *parsed;
+  parsed.port = static_cast<std::uint16_t>(port);
+  return parsed;
 }
 
-void read_numbers(const po::variables_map& given, daemon_options& options) {
+void read_number(const po::variables_map& given, const number_option& option, node_settings& settings) {
+  const auto text = given[option.name].as<std::string>();
+  std::int64_t value = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  const bool whole = parsed.ec == std::errc{} && parsed.ptr == end;
+  if (!whole || value < option.lowest || value > option.highest) {
+    throw bad(option.name, text, std::to_string(option.lowest) + " to " + std::to_string(option.highest));
+  }
+  option.assign(settings, value);
+}
+
+void read_common(const po::variables_map& given, node_settings& settings) {
+  settings.tree_file = given["tree"].as<std::string>();
+  settings.log_level = given["log-level"].as<std::string>();
+  const std::array<std::string, 4> levels{"debug", "info", "warn", "error"};
+  if (std::find(levels.begin(), levels.end(), settings.log_level) == levels.end()) {
+    throw bad("log-level", settings.log_level, "debug, info, warn, error");
+  }
+}
+
+[[nodiscard]] node_settings read_all(const po::variables_map& given) {
+  node_settings settings;
+  read_common(given, settings);
+  settings.node = node_id{read_name(given, "node")};
+  settings.here = {failure_domain_id{read_name(given, "domain")}, region_id{read_name(given, "region")}};
+  for (const auto& option : address_options) {
+    settings.*(option.member) = read_address(given, option.name);
+  }
+  settings.ip = settings.callers.ip;
   for (const auto& option : number_options) {
-    const auto text = given[option.name].as<std::string>();
-    std::int64_t value = 0;
-    const char* const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    const bool whole = parsed.ec == std::errc{} && parsed.ptr == end;
-    if (!whole || value < option.lowest || value > option.highest) {
-      throw bad(option.name, text, std::to_string(option.lowest) + " to " + std::to_string(option.highest));
-    }
-    option.assign(options, value);
+    read_number(given, option, settings);
   }
-  if (options.lease.heartbeat * 2 >= options.lease.term) {
-    throw bad("heartbeat-ms", std::to_string(options.lease.heartbeat.ms),
-              "less than half of term-ms " + std::to_string(options.lease.term.ms));
+  return settings;
+}
+
+/// Adds to a settings file's values; options that the file replaces must not be given.
+[[nodiscard]] node_settings read_beside_file(const po::variables_map& given, const node_settings& base) {
+  node_settings settings = base;
+  read_common(given, settings);
+  for (const auto& [name, value] : given) {
+    const bool taken = name == "tree" || name == "log-level" || name == "fate-records";
+    if (!taken && !value.defaulted() && name != "help" && name != "version") {
+      throw bad(name, value.as<std::string>(), "nothing, as the settings file gives it");
+    }
   }
-  if (options.lease.drift * 2 >= options.lease.term) {
-    throw bad("drift-ms", std::to_string(options.lease.drift.ms),
-              "less than half of term-ms " + std::to_string(options.lease.term.ms));
+  for (const auto& option : number_options) {
+    if (!option.from_file) {
+      read_number(given, option, settings);
+    }
   }
+  return settings;
 }
 
-/// ZINNIA_STORE_URL names the option store-url; other variables are none of ours.
-[[nodiscard]] std::string option_of_variable(const po::options_description& all,
-                                             const std::string& variable) {
+/// ZINNIA_STORE names the option store; other variables are none of ours.
+[[nodiscard]] std::string option_of_variable(const po::options_description& all, const std::string& variable) {
   if (!variable.starts_with(environment_prefix)) {
     return {};
   }
@@ -163,7 +193,8 @@
 }  // namespace
 }  // namespace impl
 
-result<parsed_options> parse_daemon_options(int argc, const char* const* argv) {
+result<parsed_options> parse_daemon_options(int argc, const char* const* argv,
+                                            const std::optional<node_settings>& base) {
   const auto all = impl::describe();
   try {
     impl::po::variables_map given;
@@ -181,16 +212,7 @@
     if (given.contains("version")) {
       return parsed_options{std::nullopt, impl::version_text};
     }
-    daemon_options options;
-    impl::read_names(given, options);
-    options.caller = impl::read_address(given, "listen-caller");
-    options.peer = impl::read_address(given, "listen-peer");
-    options.advertised_peer = given["advertise-peer"].as<std::string>();
-    if (!options.advertised_peer.empty()) {
-      static_cast<void>(impl::read_address(given, "advertise-peer"));
-    }
-    impl::read_numbers(given, options);
-    return parsed_options{options, {}};
+    return parsed_options{base ? impl::read_beside_file(given, *base) : impl::read_all(given), {}};
   } catch (const error& cause) {
     return cause;
   } catch (const impl::po::error& cause) {
--- a/packages/control/include/zinnia/control/fwd.hpp
+++ /dev/null
@@ -1,8 +0,0 @@
-// Forward declarations of the control package.
-#pragma once
-
-namespace zinnia {
-
-class control_loop;
-
-}  // namespace zinnia
--- a/packages/core/include/zinnia/core/ids.hpp
+++ b/packages/core/include/zinnia/core/ids.hpp
@@ -45,9 +45,8 @@
 /// \brief A backend server, written as "ip:port".
 using upstream_id = strong_id<struct upstream_tag>;
 using request_id = strong_id<struct request_tag>;
-using idempotency_key = strong_id<struct idempotency_key_tag>;
-/// \brief Anything held by exactly one node: an upstream's slots or a key bucket.
-using holding_id = strong_id<struct holding_tag>;
+/// \brief One run of a backend server as it was declared; outlives its address.
+using backend_id = strong_id<struct backend_tag>;
 /// \brief One run of a node's process; a restart gets another.
 using incarnation_id = strong_id<struct incarnation_tag>;
 
--- a/packages/core/include/zinnia/core/units.hpp
+++ b/packages/core/include/zinnia/core/units.hpp
@@ -24,7 +24,5 @@
 
 /// \brief Version of an object in the platform's store; 0 means "does not exist".
 using object_version = strong_number<struct object_version_tag>;
-/// \brief Ownership epoch of a holding; grows with every change of holder.
-using epoch = strong_number<struct epoch_tag>;
 
 }  // namespace zinnia
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "zinnia/core/clock.hpp"
@@ -13,6 +14,7 @@
 #include "zinnia/http/backend_pool.hpp"
 #include "zinnia/http/caller_connection.hpp"
 #include "zinnia/observe/metrics.hpp"
+#include "zinnia/observe/recent_records.hpp"
 #include "zinnia/routing/backend_table.hpp"
 #include "zinnia/routing/declarations.hpp"
 #include "zinnia/routing/retry_allowance.hpp"
@@ -29,11 +31,12 @@
   node_id self;
   place here;
   std::map<failure_domain_id, region_id> regions;
-  backend_table::settings_source settings;
   wire_dialect dialect;
   retry_budget_settings retry_budget;
   /// Bytes of request bodies that may be held at once.
   std::size_t body_memory{64 << 20};
+  /// Finished requests that can be asked for.
+  std::size_t fate_records{1000};
 };
 
 /// \brief   Routes requests and keeps what is known of backend servers.
@@ -57,6 +60,10 @@
 
   [[nodiscard]] std::size_t requests_under_way() const noexcept { return this->flows.size(); }
   [[nodiscard]] const routing_snapshot* snapshot() const noexcept { return this->current.get(); }
+  /// \brief The record of a finished request as JSON, if it is still kept.
+  [[nodiscard]] std::optional<std::string> find_record(const std::string& request) const {
+    return this->records.find(request);
+  }
   /// \brief The longest time for which any route lets a request wait; 0 while none is known.
   [[nodiscard]] duration longest_timeout() const noexcept;
   /// \brief Figures of the moment for the metrics page.
@@ -89,6 +96,7 @@
   std::map<wait_ticket, std::shared_ptr<request_flow>> flows;
   std::map<backend_id, std::unique_ptr<health_check>> checks;
   wait_ticket next_ticket{1};
+  recent_records records;
   std::size_t body_bytes{0};
   int alive_nodes{1};
   boost::asio::steady_timer timer;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -35,7 +35,8 @@
       clock{clock_in},
       counts{counts_in},
       options{std::move(options_in)},
-      table{this->options.here, this->options.regions, this->options.settings},
+      table{this->options.here, this->options.regions},
+      records{this->options.fate_records},
       timer{context_in} {
   this->tick();
 }
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -70,6 +70,7 @@
       exchange{std::move(exchange_in)},
       snapshot{std::move(snapshot_in)},
       rule{rule_in},
+      repeatable{may_repeat(rule_in.kind, this->exchange->head().method)},
       arrived{this->exchange->received_at()},
       timer{owner_in.context} {
   const auto& fields = this->exchange->head().fields;
@@ -99,7 +100,7 @@
       self->on_deadline();
     }
   });
-  if (may_repeat(this->rule.kind)) {
+  if (this->repeatable) {
     this->place();
     return;
   }
@@ -118,6 +119,8 @@
   request.rule = &this->rule;
   request.service = this->service;
   request.object = this->object;
+  request.repeatable = this->repeatable;
+  request.spread = stable_hash(this->id);
   request.deadline = this->deadline;
   request.tried = &this->tried;
   this->decision = this->owner.table.choose(request, now);
@@ -161,7 +164,8 @@
   call.is_head_request = head.method == "HEAD";
   call.id_field = dialect.request_id;
   call.id = this->id;
-  absl::StrAppend(&call.bytes, head.method, " ", head.target, " HTTP/1.1\r\n");
+  const auto target = std::string_view{head.target}.substr(this->rule.hidden_prefix);
+  absl::StrAppend(&call.bytes, head.method, " ", absl::string_view{target.data(), target.size()}, " HTTP/1.1\r\n");
   append_fields(call.bytes, end_to_end_fields(head.fields, {dialect.time_left_ms, dialect.expected_backend}));
   const auto left = std::max<std::int64_t>((this->deadline - this->owner.clock.now()).ms, 1);
   absl::StrAppend(&call.bytes, dialect.time_left_ms, ": ", left, "\r\n");
@@ -342,7 +346,7 @@
 }
 
 bool request_flow::try_repeat(const judgement& judged) {
-  if (this->known != verdict::did_not_run && !may_repeat(this->rule.kind)) {
+  if (this->known != verdict::did_not_run && !this->repeatable) {
     return false;
   }
   this->tried.push_back(this->decision.target->declared().id);
@@ -460,9 +464,18 @@
     this->owner.counts.record(timing::queue_wait, this->waited);
   }
   this->owner.counts.ended(this->known);
+  const auto record = this->make_record(status, why, took).str();
   const bool served = impl::is_success(status) && why == reason::none;
-  log_line{served ? log_level::info : log_level::warn, "request_ended"}
-      .field("request", this->id)
+  log_line{served ? log_level::info : log_level::warn, "request_ended"}.merge(record);
+  this->owner.records.add(this->id, record);
+  this->owner.body_bytes -= this->exchange->body().size();
+  this->owner.flows.erase(this->ticket);
+}
+
+json_object request_flow::make_record(int status, reason why, duration took) const {
+  constexpr double percent = 100;
+  json_object record;
+  record.field("request", this->id)
       .field("route", this->rule.name)
       .field("service", this->service.str())
       .field("priority", this->rule.priority)
@@ -476,13 +489,12 @@
       .field("time_left_ms", (this->deadline - this->arrived - took).ms)
       .field("placed_on", this->decision.target ? this->decision.target->declared().id.str() : "")
       .field("warm", this->decision.warm ? 1 : 0)
-      .field("load_percent", static_cast<std::int64_t>(this->decision.load * 100))
+      .field("load_percent", static_cast<std::int64_t>(this->decision.load * percent))
       .field("expected_ms", this->decision.expected.ms)
       .field("candidates", this->decision.candidates)
       .field("config_version", static_cast<std::int64_t>(this->snapshot->version.count()))
       .field("snapshot", static_cast<std::int64_t>(this->snapshot->sequence));
-  this->owner.body_bytes -= this->exchange->body().size();
-  this->owner.flows.erase(this->ticket);
+  return record;
 }
 
 }  // namespace zinnia
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -8,6 +8,7 @@
 
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/backend_connection.hpp"
+#include "zinnia/observe/json_object.hpp"
 
 namespace zinnia {
 
@@ -57,6 +58,7 @@
   void learn(const judgement& judged, duration took);
   void close(int status, reason why);
   [[nodiscard]] header_fields own_fields() const;
+  [[nodiscard]] json_object make_record(int status, reason why, duration took) const;
   [[nodiscard]] bool is_sent() const noexcept { return this->connection != nullptr; }
 
   gateway& owner;
@@ -67,6 +69,7 @@
   service_id service;
   std::string id;
   std::optional<std::uint64_t> object;
+  bool repeatable{true};
   time_point arrived;
   time_point deadline;
   boost::asio::steady_timer timer;
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -19,6 +19,8 @@
   std::string caller_address;
   /// Where heartbeats are sent, as "ip:port".
   std::string peer_address;
+  /// Where operators ask, as "ip:port".
+  std::string operator_address;
   incarnation_id incarnation;
 
   friend bool operator==(const member& a, const member& b) noexcept {
--- /dev/null
+++ b/packages/membership/src/member_codec.cpp
@@ -0,0 +1,32 @@
+// Encoding by nlohmann::json.
+#include "zinnia/membership/member_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace zinnia {
+
+std::string encode_member(const member& self) {
+  return nlohmann::json{{"domain", self.where.domain.str()},   {"region", self.where.region.str()},
+                        {"callers", self.caller_address},      {"peers", self.peer_address},
+                        {"operators", self.operator_address}, {"incarnation", self.incarnation.str()}}
+      .dump();
+}
+
+result<member> decode_member(const std::string& name, const std::string& document) {
+  try {
+    const auto parsed = nlohmann::json::parse(document);
+    const auto text = [&](const char* field) { return parsed.at(field).get<std::string>(); };
+    member decoded;
+    decoded.id = node_id{name};
+    decoded.where = {failure_domain_id{text("domain")}, region_id{text("region")}};
+    decoded.caller_address = text("callers");
+    decoded.peer_address = text("peers");
+    decoded.operator_address = text("operators");
+    decoded.incarnation = incarnation_id{text("incarnation")};
+    return decoded;
+  } catch (const nlohmann::json::exception& problem) {
+    return error{reason::invalid_setting, problem.what(), "entry of node " + name};
+  }
+}
+
+}  // namespace zinnia
--- a/platform/include/zinnia/platform/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -5,44 +5,44 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <thread>
 
 #include "zinnia/http/caller_connection.hpp"
 #include "zinnia/membership/member_table.hpp"
+#include "zinnia/node/deployment.hpp"
 #include "zinnia/observe/metrics.hpp"
-#include "zinnia/platform/object_api.hpp"
-#include "zinnia/platform/settings_file.hpp"
 #include "zinnia/routing/snapshot_builder.hpp"
 #include "zinnia/store/http_multi.hpp"
 #include "zinnia/store/object_feed.hpp"
 
-namespace zinnia::platform {
+namespace zinnia {
 
 /// \brief What the control thread hands to the traffic thread; called on the control thread.
 struct control_events {
   std::function<void(std::shared_ptr<const routing_snapshot>)> on_snapshot;
   std::function<void(caller_limits)> on_limits;
   std::function<void(live_members)> on_members;
+  /// Drains and moves, as lines for operators.
+  std::function<void(std::vector<shift_progress>)> on_progress;
 };
 
 /// \brief   Runs from construction to destruction.
 /// \details The last known state stays in force while the store is away.
 class control_thread {
  public:
-  control_thread(const process_settings& settings_in, std::string settings_file_in, member self_in,
-                 metrics& counts_in, control_events events_in);
+  control_thread(const deployment& outside_in, const node_settings& settings_in,
+                 std::shared_ptr<const settings_tree> tree, member self_in, metrics& counts_in,
+                 control_events events_in);
   ~control_thread();
   control_thread(const control_thread&) = delete;
   control_thread& operator=(const control_thread&) = delete;
   control_thread(control_thread&&) = delete;
   control_thread& operator=(control_thread&&) = delete;
 
-  /// \brief Whether a configuration and the backend servers are known. Any thread.
-  [[nodiscard]] bool is_ready() const noexcept { return this->ready.load(); }
+  /// \brief Whether routes and backend servers are known, and no drain takes the node out. Any thread.
+  [[nodiscard]] bool is_ready() const noexcept { return this->ready.load() && !this->drained.load(); }
   /// \brief Tells the others that this node is about to stop, and removes its entry. Any thread.
   void begin_leaving();
   /// \brief Looks at the settings file again. Any thread.
@@ -71,6 +71,9 @@
   void apply_config(const object_change& change);
   void apply_evacuation(const object_change& change);
   void apply_node(const object_change& change);
+  void apply_tree(const object_change& change);
+  [[nodiscard]] watched_kind& configuration_watch() { return this->watches.front(); }
+  [[nodiscard]] watched_kind& node_watch() { return this->watches.back(); }
   void publish(time_point now);
   void keep_registered(time_point now);
   void forget_silent(time_point now);
@@ -78,28 +81,26 @@
   void receive_beats(time_point now);
   void send_beats(time_point now);
   void check_settings_file(time_point now);
+  [[nodiscard]] bool is_leaving() const noexcept { return this->leaving.load() || this->drained.load(); }
   [[nodiscard]] duration time_to_next(time_point now) const;
 
-  process_settings settings;
-  std::string settings_file;
+  const deployment& outside;
+  node_settings settings;
   member self;
   metrics& counts;
   control_events events;
   boot_clock clock;
-  object_api api;
   http_multi calls;
-  std::array<watched_kind, 4> watches;
+  std::array<watched_kind, 5> watches;
   snapshot_builder builder;
   member_table members;
   live_members last_alive;
-  // Entries that could not be read and have been logged, by their version.
-  std::map<std::string, object_version> unreadable;
   int beat_socket{-1};
   time_point next_beat;
   time_point write_not_before;
   time_point forget_not_before;
   time_point settings_checked_at;
-  std::int64_t settings_changed_ns{0};
+  std::int64_t settings_stamp{0};
   // The configuration's own version, the version that no watch explains, and the last one acted on.
   object_version config_seen;
   object_version unexplained;
@@ -108,9 +109,10 @@
   bool removal_sent{false};
   std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
+  std::atomic<bool> drained{false};
   std::atomic<bool> reload_wanted{false};
   std::atomic<bool> stopping{false};
   std::thread thread;
 };
 
-}  // namespace zinnia::platform
+}  // namespace zinnia
--- /dev/null
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -0,0 +1,56 @@
+// What one node is told at its start: where it stands, where it listens and which budgets hold.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "zinnia/core/clock.hpp"
+#include "zinnia/core/ids.hpp"
+#include "zinnia/routing/backend_table.hpp"
+#include "zinnia/routing/retry_allowance.hpp"
+
+namespace zinnia {
+
+/// \brief An address to listen on or to call; port 0 lets the kernel choose.
+struct endpoint_setting {
+  std::string ip;
+  std::uint16_t port{0};
+
+  [[nodiscard]] std::string str() const { return this->ip + ':' + std::to_string(this->port); }
+};
+
+/// \brief Checked settings of one node.
+struct node_settings {
+  node_id node;
+  std::string ip;
+  place here;
+  /// The region of each failure domain.
+  std::map<failure_domain_id, region_id> regions;
+
+  endpoint_setting callers;
+  endpoint_setting readiness;
+  endpoint_setting directory;
+  /// Metrics, and the operators' interface.
+  endpoint_setting operators;
+  endpoint_setting store;
+  /// Port for heartbeats between nodes.
+  std::uint16_t peer_port{0};
+
+  std::size_t most_descriptors{1024};
+  retry_budget_settings retry_budget;
+  /// Time from the order to stop until the process is killed.
+  duration stop_limit{6000};
+  /// Longest time for which callers keep an answer of the directory.
+  duration longest_answer_life{5000};
+  /// Time within which a backend server that leaves must get no more requests.
+  duration drain_limit{2500};
+
+  /// File of the settings tree that holds until the store has one; empty: defaults.
+  std::string tree_file;
+  std::string log_level{"info"};
+  /// Finished requests that a node can be asked about.
+  std::size_t fate_records{1000};
+};
+
+}  // namespace zinnia
--- a/platform/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -1,10 +1,9 @@
 // Watches, registration, heartbeats and publication.
-#include "zinnia/platform/control_thread.hpp"
+#include "zinnia/node/control_thread.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -13,10 +12,10 @@
 
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/membership/beat_codec.hpp"
+#include "zinnia/membership/member_codec.hpp"
 #include "zinnia/observe/log.hpp"
-#include "zinnia/platform/documents.hpp"
 
-namespace zinnia::platform {
+namespace zinnia {
 namespace impl {
 namespace {
 
@@ -59,7 +58,7 @@
   return to_sockaddr(text.substr(0, colon), static_cast<std::uint16_t>(port));
 }
 
-[[nodiscard]] int open_beat_socket(const process_settings& settings) {
+[[nodiscard]] int open_beat_socket(const node_settings& settings) {
   const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const auto address = to_sockaddr(settings.ip, settings.peer_port);
   if (descriptor < 0 || bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
@@ -71,51 +70,38 @@
   return descriptor;
 }
 
-[[nodiscard]] std::int64_t change_time_ns(const std::string& file) {
-  struct stat state {};
-  constexpr std::int64_t ns_per_second = 1'000'000'000;
-  return stat(file.c_str(), &state) == 0 ? state.st_mtim.tv_sec * ns_per_second + state.st_mtim.tv_nsec : 0;
-}
-
-[[nodiscard]] feed_timing watch_timing(duration wait, duration settle) {
+/// Pauses of different nodes and kinds are spread by the seed.
+[[nodiscard]] object_feed make_feed(const char* kind, duration wait, duration settle, const node_id& self) {
   feed_timing timing;
   timing.watch_wait = wait;
   timing.settle_pause = settle;
-  return timing;
+  return {timing, stable_hash(self.str() + kind)};
 }
 
 }  // namespace
 }  // namespace impl
 
-control_thread::control_thread(const process_settings& settings_in, std::string settings_file_in,
-                               member self_in, metrics& counts_in, control_events events_in)
-    : settings{settings_in},
-      settings_file{std::move(settings_file_in)},
+control_thread::control_thread(const deployment& outside_in, const node_settings& settings_in,
+                               std::shared_ptr<const settings_tree> tree, member self_in, metrics& counts_in,
+                               control_events events_in)
+    : outside{outside_in},
+      settings{settings_in},
       self{std::move(self_in)},
       counts{counts_in},
       events{std::move(events_in)},
-      api{settings_in.store.str()},
-      watches{
-          {{kinds::config,
-            object_feed{impl::watch_timing(impl::short_watch, duration{0}), stable_hash(this->self.id.str())},
-            0, false, false, &control_thread::apply_config},
-           {kinds::servers,
-            object_feed{impl::watch_timing(impl::long_watch, impl::settle_pause),
-                        stable_hash(this->self.id.str()) + 2},
-            0, false, false, &control_thread::apply_server},
-           {kinds::evacuations,
-            object_feed{impl::watch_timing(impl::long_watch, impl::settle_pause),
-                        stable_hash(this->self.id.str()) + 4},
-            0, false, false, &control_thread::apply_evacuation},
-           {kinds::nodes,
-            object_feed{impl::watch_timing(impl::long_watch, impl::settle_pause),
-                        stable_hash(this->self.id.str()) + 6},
-            0, false, false, &control_thread::apply_node}}},
-      builder{std::clamp(settings_in.drain_limit - impl::drain_margin, duration{0}, impl::lapse_grace)},
+      watches{{{outside_in.configuration_kind(), impl::make_feed(outside_in.configuration_kind(), impl::short_watch, duration{0}, this->self.id), 0, false, false, &control_thread::apply_config},
+               {outside_in.backend_kind(), impl::make_feed(outside_in.backend_kind(), impl::long_watch, impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_server},
+               {outside_in.evacuation_kind(), impl::make_feed(outside_in.evacuation_kind(), impl::long_watch, impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_evacuation},
+               {own_kinds::settings, impl::make_feed(own_kinds::settings, impl::long_watch, duration{0}, this->self.id), 0, false, false, &control_thread::apply_tree},
+               {own_kinds::nodes, impl::make_feed(own_kinds::nodes, impl::long_watch, impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_node}}},
+      builder{std::clamp(settings_in.drain_limit - impl::drain_margin, duration{0}, impl::lapse_grace),
+              settings_in.regions},
       members{this->self.id},
       beat_socket{impl::open_beat_socket(settings_in)},
-      settings_changed_ns{impl::change_time_ns(this->settings_file)},
-      thread{[this] { this->run(); }} {}
+      settings_stamp{outside_in.settings_stamp()} {
+  this->builder.set_tree(std::move(tree));
+  this->thread = std::thread{[this] { this->run(); }};
+}
 
 control_thread::~control_thread() {
   this->stopping = true;
@@ -170,7 +156,7 @@
 void control_thread::start_call(watched_kind& watched, const feed_call& call) {
   this->counts.add(counter::store_calls);
   watched.call_active = true;
-  watched.call = this->calls.start(this->api.read(watched.kind, call),
+  watched.call = this->calls.start(this->outside.store().read(watched.kind, call),
                                    [this, &watched, call](const http_answer& answer) {
                                      watched.call_active = false;
                                      this->on_answer(watched, call, answer);
@@ -178,7 +164,7 @@
 }
 
 void control_thread::on_answer(watched_kind& watched, const feed_call& call, const http_answer& answer) {
-  const auto reply = this->api.decode_read(call, answer);
+  const auto reply = this->outside.store().decode_read(call, answer);
   watched.feed.on_reply(reply, this->clock.now());
   if (reply.status == feed_status::history_gone) {
     log_line{log_level::info, "store_history_gone"}
@@ -187,7 +173,7 @@
     // The store dropped changes of all kinds; the other watches may have missed theirs without being cut.
     this->renew_watches(watched);
   }
-  if (reply.status == feed_status::ok && watched.kind == kinds::config) {
+  if (reply.status == feed_status::ok && &watched == &this->configuration_watch()) {
     this->renew_if_silent(reply.newest);
   }
   this->note_dependency(watched, answer);
@@ -210,7 +196,7 @@
       .field("status", answer.status)
       .field("cause", answer.failure)
       .field("age_ms", (this->clock.now() - watched.feed.last_answer()).ms);
-  if (!is_lost && watched.kind == kinds::config) {
+  if (!is_lost && &watched == &this->configuration_watch()) {
     // The other watches may hang on connections that will never answer.
     this->renew_watches(watched);
   }
@@ -219,7 +205,7 @@
 void control_thread::renew_if_silent(object_version newest) {
   object_version explained;
   for (const auto& watched : this->watches) {
-    if (watched.kind != kinds::config) {
+    if (&watched != &this->configuration_watch()) {
       explained = std::max(explained, watched.feed.known_up_to());
     }
   }
@@ -231,7 +217,7 @@
     log_line{log_level::warn, "watches_silent"}
         .field("newest", newest.count())
         .field("known", explained.count());
-    this->renew_watches(this->watches.front());
+    this->renew_watches(this->configuration_watch());
   }
 }
 
@@ -254,7 +240,7 @@
     this->builder.remove_backend(backend_id{object.name}, this->clock.now());
     return;
   }
-  const auto decoded = decode_server(object.name, object.document, this->clock.now());
+  const auto decoded = this->outside.decode_backend(object, this->clock.now());
   if (!decoded || !this->settings.regions.contains(decoded->domain)) {
     this->counts.add(counter::settings_rejected);
     log_line{log_level::warn, "backend_entry_unreadable"}
@@ -277,10 +263,11 @@
 
 void control_thread::apply_config(const object_change& change) {
   const auto& object = change.object;
-  if (change.deleted || object.name != "main") {
+  const auto found = this->outside.decode_configuration(object);
+  if (change.deleted || !found) {
     return;
   }
-  const auto decoded = decode_configuration(object.document);
+  const auto& decoded = *found;
   if (!decoded) {
     this->counts.add(counter::settings_rejected);
     log_line{log_level::error, "configuration_rejected"}
@@ -306,6 +293,27 @@
   this->builder.set_evacuated(failure_domain_id{change.object.name}, !change.deleted);
 }
 
+void control_thread::apply_tree(const object_change& change) {
+  if (change.object.name != own_kinds::settings_name || change.deleted) {
+    return;
+  }
+  const auto document = decode_settings_document(change.object.document);
+  const auto tree = document ? settings_tree::parse(*document, "stored settings")
+                             : result<settings_tree>{document.last_error()};
+  if (!tree) {
+    this->counts.add(counter::settings_rejected);
+    log_line{log_level::error, "settings_tree_rejected"}
+        .field("version", change.object.version.count())
+        .field("cause", tree.last_error().describe());
+    return;
+  }
+  log_line{log_level::info, "settings_tree_accepted"}
+      .field("version", change.object.version.count())
+      .field("author", document->author)
+      .field("edit", document->edit_id);
+  this->builder.set_tree(std::make_shared<const settings_tree>(*tree));
+}
+
 void control_thread::apply_node(const object_change& change) {
   if (change.deleted) {
     this->members.remove(node_id{change.object.name});
@@ -320,20 +328,23 @@
 }
 
 void control_thread::publish(time_point now) {
-  this->builder.settle(now);
+  const auto unix_now = unix_time_ms();
+  this->builder.settle(now, unix_now);
   const bool is_complete = std::all_of(
       this->watches.begin(), this->watches.end(),
-      [](const watched_kind& watched) { return watched.kind == kinds::nodes || watched.feed.is_complete(); });
-  if (is_complete && this->builder.version().count() > 0) {
+      [](const watched_kind& watched) { return watched.kind == own_kinds::nodes || watched.feed.is_complete(); });
+  if (is_complete && this->builder.has_routes()) {
     if (const auto snapshot = this->builder.publish()) {
+      this->drained = snapshot->shifts.drained_nodes.contains(this->self.id);
       this->events.on_snapshot(snapshot);
+      this->events.on_progress(this->builder.progress(unix_now));
     }
     if (!this->ready.exchange(true)) {
       log_line{log_level::info, "ready"}.field("config_version",
                                                static_cast<std::int64_t>(this->builder.version().count()));
     }
   }
-  this->members.set_self(this->ready, this->leaving);
+  this->members.set_self(this->ready, this->is_leaving());
   auto alive = this->members.alive(now);
   if (alive != this->last_alive) {
     this->last_alive = alive;
@@ -343,7 +354,7 @@
 }
 
 void control_thread::keep_registered(time_point now) {
-  const auto& feed = this->watches.back().feed;
+  const auto& feed = this->node_watch().feed;
   if (!feed.is_complete() || this->write_active || now < this->write_not_before) {
     return;
   }
@@ -352,20 +363,20 @@
   if (this->leaving) {
     if (is_present && !this->removal_sent) {
       this->removal_sent = true;
-      this->write(this->api.remove(kinds::nodes, this->self.id.str(), own->second.version), "leave",
+      this->write(this->outside.store().remove(own_kinds::nodes, this->self.id.str(), own->second.version), "leave",
                   this->self.id.str());
     }
     return;
   }
   const auto document = encode_member(this->self);
   if (!is_present) {
-    this->write(this->api.create(kinds::nodes, this->self.id.str(), document), "register",
+    this->write(this->outside.store().create(own_kinds::nodes, this->self.id.str(), document), "register",
                 this->self.id.str());
     return;
   }
   const auto known = decode_member(own->first, own->second.document);
   if (!known || known->incarnation != this->self.incarnation) {
-    this->write(this->api.replace(kinds::nodes, this->self.id.str(), document, own->second.version),
+    this->write(this->outside.store().replace(own_kinds::nodes, this->self.id.str(), document, own->second.version),
                 "register", this->self.id.str());
   }
 }
@@ -375,10 +386,10 @@
     return;
   }
   this->forget_not_before = now + impl::forget_period;
-  const auto& objects = this->watches.back().feed.objects();
+  const auto& objects = this->node_watch().feed.objects();
   for (const auto& silent : this->members.to_forget(now)) {
     if (const auto entry = objects.find(silent.str()); entry != objects.end()) {
-      this->write(this->api.remove(kinds::nodes, silent.str(), entry->second.version), "forget",
+      this->write(this->outside.store().remove(own_kinds::nodes, silent.str(), entry->second.version), "forget",
                   silent.str());
       return;
     }
@@ -392,8 +403,8 @@
   this->counts.add(counter::store_calls);
   this->calls.start(call, [this, purpose, name](const http_answer& answer) {
     this->write_active = false;
-    const auto reply = this->api.decode_write(answer);
-    log_line{reply.ok() ? log_level::info : log_level::warn, "store_written"}
+    const bool is_done = this->outside.store().decode_write(answer) == write_status::ok;
+    log_line{is_done ? log_level::info : log_level::warn, "store_written"}
         .field("purpose", purpose)
         .field("node_entry", name)
         .field("status", answer.status)
@@ -410,7 +421,7 @@
   beat.id = this->self.id;
   beat.incarnation = this->self.incarnation;
   beat.ready = this->ready;
-  beat.leaving = this->leaving;
+  beat.leaving = this->is_leaving();
   beat.version = this->builder.version();
   const auto datagram = encode_beat(beat);
   for (const auto& peer : this->members.peers()) {
@@ -444,20 +455,23 @@
     return;
   }
   this->settings_checked_at = now;
-  const auto changed_at = impl::change_time_ns(this->settings_file);
-  if (!wanted && changed_at == this->settings_changed_ns) {
+  const auto stamp = this->outside.settings_stamp();
+  if (!wanted && stamp == this->settings_stamp) {
     return;
   }
-  this->settings_changed_ns = changed_at;
-  const auto read = read_settings(this->settings_file);
+  this->settings_stamp = stamp;
+  const auto read = this->outside.reread_settings();
   if (!read) {
-    log_line{log_level::error, "settings_rejected"}.field("cause", read.last_error().describe());
+    return;
+  }
+  if (!*read) {
+    log_line{log_level::error, "settings_rejected"}.field("cause", read->last_error().describe());
     return;
   }
   // Addresses and places hold for the life of a process; the rest is taken over.
-  this->settings.regions = read->regions;
+  this->settings.regions = (*read)->regions;
   log_line{log_level::info, "settings_reloaded"}.field("regions",
-                                                       static_cast<std::int64_t>(read->regions.size()));
+                                                       static_cast<std::int64_t>((*read)->regions.size()));
 }
 
-}  // namespace zinnia::platform
+}  // namespace zinnia
--- a/platform/src/platform_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -1,5 +1,5 @@
 // Wiring of listeners, gateway and control thread, and the order of a stop.
-#include "zinnia/platform/platform_node.hpp"
+#include "zinnia/node/entry_node.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -11,35 +11,33 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <random>
+#include <sstream>
 
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
 #include "zinnia/observe/log.hpp"
-#include "zinnia/platform/control_thread.hpp"
-#include "zinnia/platform/process_flags.hpp"
-#include "zinnia/platform/settings_file.hpp"
+#include "zinnia/node/control_thread.hpp"
+#include "zinnia/node/operator_interface.hpp"
 
-namespace zinnia::platform {
+namespace zinnia {
 namespace impl {
 namespace {
 
 constexpr int exit_no_port = 1;
-constexpr int exit_bad_settings = 2;
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
 /// Descriptors kept for files, backend servers and the store.
 constexpr std::size_t reserved_descriptors = 1200;
-/// Connections to each of the addresses besides that of callers.
+/// Connections to the addresses of readiness and operators.
 constexpr std::size_t service_connections = 200;
-/// Metrics address, as in deploy/system.toml.
-constexpr std::uint16_t metrics_port = 9464;
-constexpr std::string_view metrics_path = "/metrics";
+/// Connections to the directory's address.
+constexpr std::size_t directory_connections = 800;
 /// How long callers keep an answer of the directory; short, as a node that stops is named until then.
 constexpr duration answer_life{2000};
 /// Time before the process would be killed at which it ends by itself.
@@ -50,22 +48,14 @@
 constexpr duration least_stop_time{2600};
 constexpr std::chrono::milliseconds stop_poll{50};
 
-[[nodiscard]] wire_dialect platform_dialect() {
-  return {.request_id = "Request-Id",
-          .time_left_ms = "Deadline-Ms",
-          .object_key = "Affinity-Key",
-          .expected_backend = "Expect-Instance",
-          .did_not_run = "Not-Executed",
-          .backend_load = "Server-Load",
-          .backend_id = "Instance-Id",
-          .cold_left_ms = "Cold-Start-Ms",
-          .answer_stamp = "Server-Stamp"};
-}
-
 [[nodiscard]] boost::asio::ip::tcp::endpoint to_endpoint(const endpoint_setting& address) {
   return {boost::asio::ip::make_address_v4(address.ip), address.port};
 }
 
+[[nodiscard]] std::size_t most_callers(const node_settings& settings) {
+  return settings.most_descriptors - std::min(settings.most_descriptors / 2, reserved_descriptors);
+}
+
 [[nodiscard]] incarnation_id make_incarnation() {
   std::random_device source;
   return incarnation_id{absl::StrCat(unix_time_ms(), "-", source())};
@@ -74,7 +64,7 @@
 /// Everything of one process, in the order of construction.
 class node {
  public:
-  node(const process_settings& settings_in, const std::string& settings_file, settings_tree tree_in);
+  node(const deployment& outside_in, const node_settings& settings_in, std::shared_ptr<const settings_tree> tree_in);
   [[nodiscard]] int run();
 
  private:
@@ -84,13 +74,13 @@
   [[nodiscard]] bool listen();
   void answer_directory(const std::shared_ptr<caller_exchange>& exchange);
   void answer_readiness(const std::shared_ptr<caller_exchange>& exchange);
-  void answer_metrics(const std::shared_ptr<caller_exchange>& exchange);
   void wait_for_signal();
   void begin_stop();
   void continue_stop();
 
-  process_settings settings;
-  settings_tree tree;
+  const deployment& outside;
+  node_settings settings;
+  std::shared_ptr<const settings_tree> tree;
   boot_clock clock;
   metrics counts;
   boost::asio::io_context context{1};
@@ -98,46 +88,45 @@
   http_listener callers;
   http_listener readiness;
   http_listener directory;
-  http_listener metrics_page;
+  http_listener operators;
   boost::asio::signal_set signals;
   boost::asio::steady_timer stop_timer;
   live_members alive;
+  std::vector<shift_progress> progress;
   bool stopping{false};
   time_point stop_began;
   bool reading_stopped{false};
   time_point reading_stopped_at;
-  std::string settings_file;
   std::unique_ptr<control_thread> control;
 };
 
-node::node(const process_settings& settings_in, const std::string& settings_file_in, settings_tree tree_in)
-    : settings{settings_in},
+node::node(const deployment& outside_in, const node_settings& settings_in,
+           std::shared_ptr<const settings_tree> tree_in)
+    : outside{outside_in},
+      settings{settings_in},
       tree{std::move(tree_in)},
       traffic{this->context, this->clock, this->counts, this->options()},
-      callers{this->context, this->clock,
-              settings_in.most_descriptors - std::min(settings_in.most_descriptors / 2, reserved_descriptors),
+      callers{this->context, this->clock, impl::most_callers(settings_in),
               [this](const auto& exchange) { this->traffic.handle(exchange); }},
       readiness{this->context, this->clock, service_connections,
                 [this](const auto& exchange) { this->answer_readiness(exchange); }},
-      directory{this->context, this->clock, service_connections * 4,
+      directory{this->context, this->clock, directory_connections,
                 [this](const auto& exchange) { this->answer_directory(exchange); }},
-      metrics_page{this->context, this->clock, service_connections,
-                   [this](const auto& exchange) { this->answer_metrics(exchange); }},
+      operators{this->context, this->clock, service_connections,
+                [this](const auto& exchange) {
+                  answer_operator(*exchange, {this->traffic, this->counts, this->alive, this->progress});
+                }},
       signals{this->context, SIGTERM, SIGINT, SIGHUP},
-      stop_timer{this->context},
-      settings_file{settings_file_in} {}
+      stop_timer{this->context} {}
 
 gateway_options node::options() const {
   gateway_options chosen;
   chosen.self = this->settings.node;
   chosen.here = this->settings.here;
   chosen.regions = this->settings.regions;
-  chosen.settings = [this](const service_id& service) {
-    const auto& here = this->settings.here;
-    return to_placement_settings(this->tree.effective(service, here.region, here.domain).values);
-  };
-  chosen.dialect = platform_dialect();
+  chosen.dialect = this->outside.dialect();
   chosen.retry_budget = this->settings.retry_budget;
+  chosen.fate_records = this->settings.fate_records;
   return chosen;
 }
 
@@ -146,6 +135,7 @@
   own.id = this->settings.node;
   own.where = this->settings.here;
   own.caller_address = this->settings.callers.str();
+  own.operator_address = this->settings.operators.str();
   own.peer_address = absl::StrCat(this->settings.ip, ":", this->settings.peer_port);
   own.incarnation = make_incarnation();
   return own;
@@ -170,6 +160,11 @@
       this->traffic.set_alive(places);
     });
   };
+  handlers.on_progress = [this](std::vector<shift_progress> shifts) {
+    boost::asio::post(this->context, [this, shifts = std::move(shifts)]() mutable {
+      this->progress = std::move(shifts);
+    });
+  };
   return handlers;
 }
 
@@ -183,7 +178,7 @@
   };
   return start(this->callers, this->settings.callers) && start(this->readiness, this->settings.readiness) &&
          start(this->directory, this->settings.directory) &&
-         start(this->metrics_page, {this->settings.ip, metrics_port});
+         start(this->operators, this->settings.operators);
 }
 
 int node::run() {
@@ -192,8 +187,7 @@
     return exit_no_port;
   }
   this->wait_for_signal();
-  this->control = std::make_unique<control_thread>(this->settings, this->settings_file, this->self(),
-                                                   this->counts, this->events());
+  this->control = std::make_unique<control_thread>(this->outside, this->settings, this->tree, this->self(), this->counts, this->events());
   log_line{log_level::info, "started"}
       .field("callers", this->settings.callers.str())
       .field("domain", this->settings.here.domain.str())
@@ -212,31 +206,20 @@
 }
 
 void node::answer_directory(const std::shared_ptr<caller_exchange>& exchange) {
-  if (exchange->head().path() != "/zinniafield/resolve") {
+  const auto caller = this->outside.directory_question(exchange->head());
+  if (!caller) {
     exchange->respond(status_not_found, {}, "");
     return;
   }
   this->counts.add(counter::lookups);
-  const place caller{failure_domain_id{exchange->head().query("zone").value_or("")},
-                     region_id{exchange->head().query("region").value_or("")}};
-  const auto addresses = addresses_for(this->alive, caller);
+  const auto addresses = addresses_for(this->alive, *caller);
   if (addresses.empty()) {
     exchange->respond(status_unavailable, {}, "");
     return;
   }
-  constexpr std::int64_t ms_per_second = 1000;
   const auto life = std::min(answer_life, this->settings.longest_answer_life);
-  const nlohmann::json body{{"addresses", addresses}, {"ttlS", life.ms / ms_per_second}};
-  exchange->respond(status_ok, {{"Content-Type", "application/json"}}, body.dump());
-}
-
-void node::answer_metrics(const std::shared_ptr<caller_exchange>& exchange) {
-  if (exchange->head().path() != metrics_path) {
-    exchange->respond(status_not_found, {}, "");
-    return;
-  }
-  exchange->respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                    this->counts.render(this->traffic.gauges()));
+  exchange->respond(status_ok, {{"Content-Type", "application/json"}},
+                    this->outside.directory_answer(addresses, life));
 }
 
 void node::wait_for_signal() {
@@ -293,30 +276,31 @@
 }  // namespace
 }  // namespace impl
 
-int run_platform_node(const std::string& settings_file, int argc, char** argv) {
-  const auto flags = parse_flags(argc, argv);
-  if (!flags) {
-    std::cerr << "zinniad: " << flags.last_error().describe() << '\n';
-    return impl::exit_bad_settings;
-  }
-  if (!flags->help.empty()) {
-    std::cout << flags->help;
-    return 0;
+int run_entry_node(const deployment& outside, const node_settings& settings,
+                   std::shared_ptr<const settings_tree> tree) {
+  start_logging(log_level_from_word(settings.log_level), settings.node.str());
+  const int code = impl::node{outside, settings, std::move(tree)}.run();
+  // Ends without static destructors: that of log4cplus waits for the threads of a pool that is not used.
+  std::quick_exit(code);
+}
+
+result<std::shared_ptr<const settings_tree>> read_tree(const std::string& file_name) {
+  if (file_name.empty()) {
+    return std::make_shared<const settings_tree>();
   }
-  const auto settings = read_settings(settings_file);
-  if (!settings) {
-    std::cerr << "zinniad: " << settings.last_error().describe() << '\n';
-    return impl::exit_bad_settings;
+  std::ifstream file{file_name};
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return error{reason::invalid_setting, "tree: cannot be read; allowed: a readable file", file_name};
   }
-  const auto tree = read_tree(flags->tree_file);
-  if (!tree) {
-    std::cerr << "zinniad: " << tree.last_error().describe() << '\n';
-    return impl::exit_bad_settings;
+  settings_document document;
+  document.tree_text = text.str();
+  auto parsed = settings_tree::parse(document, file_name);
+  if (!parsed) {
+    return parsed.last_error();
   }
-  start_logging(log_level_from_word(flags->log_level), settings->node.str());
-  const int code = impl::node{*settings, settings_file, *tree}.run();
-  // Ends without static destructors: that of log4cplus waits for the threads of a pool that is not used.
-  std::quick_exit(code);
+  return std::make_shared<const settings_tree>(std::move(parsed).value());
 }
 
-}  // namespace zinnia::platform
+}  // namespace zinnia
--- /dev/null
+++ b/packages/node/src/operator_interface.cpp
@@ -0,0 +1,91 @@
+// The operators' routes.
+#include "zinnia/node/operator_interface.hpp"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr std::string_view requests_path = "/v1/requests/";
+
+void answer_json(caller_exchange& exchange, const json& body) {
+  exchange.respond(status_ok, {{"Content-Type", "application/json"}}, body.dump() + '\n');
+}
+
+void answer_metrics(caller_exchange& exchange, const operator_view& view) {
+  exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                   view.counts.render(view.traffic.gauges()));
+}
+
+void answer_status(caller_exchange& exchange, const operator_view& view) {
+  json body{{"requests_under_way", view.traffic.requests_under_way()},
+            {"nodes_alive", json::array()},
+            {"shifts", json::array()},
+            {"config_version", 0},
+            {"backends", 0},
+            {"evacuated", json::array()}};
+  for (const auto& [id, known] : view.alive) {
+    body["nodes_alive"].push_back(id.str());
+  }
+  for (const auto& shift : view.progress) {
+    body["shifts"].push_back({{"id", shift.id},
+                              {"percent", shift.percent},
+                              {"complete", shift.complete},
+                              {"waits_for", shift.waits_for}});
+  }
+  if (const auto* const snapshot = view.traffic.snapshot()) {
+    body["config_version"] = snapshot->version.count();
+    body["backends"] = snapshot->backends.size();
+    for (const auto& domain : snapshot->evacuated) {
+      body["evacuated"].push_back(domain.str());
+    }
+  }
+  answer_json(exchange, body);
+}
+
+void answer_request(caller_exchange& exchange, const operator_view& view) {
+  const std::string id{exchange.head().path().substr(requests_path.size())};
+  const auto record = view.traffic.find_record(id);
+  if (!record) {
+    exchange.respond(status_not_found, {}, "");
+    return;
+  }
+  exchange.respond(status_ok, {{"Content-Type", "application/json"}}, *record + '\n');
+}
+
+void answer_entries(caller_exchange& exchange, const operator_view& view) {
+  const place caller{failure_domain_id{exchange.head().query("domain").value_or("")},
+                     region_id{exchange.head().query("region").value_or("")}};
+  answer_json(exchange, {{"entries", addresses_for(view.alive, caller)}});
+}
+
+struct operator_route {
+  std::string_view path;
+  void (*answer)(caller_exchange&, const operator_view&);
+};
+
+constexpr std::array<operator_route, 4> routes{{{"/metrics", answer_metrics},
+                                                {"/v1/status", answer_status},
+                                                {"/v1/requests/", answer_request},
+                                                {"/v1/entries", answer_entries}}};
+
+}  // namespace
+}  // namespace impl
+
+void answer_operator(caller_exchange& exchange, const operator_view& view) {
+  for (const auto& route : impl::routes) {
+    if (exchange.head().path().starts_with(route.path)) {
+      route.answer(exchange, view);
+      return;
+    }
+  }
+  exchange.respond(impl::status_not_found, {}, "");
+}
+
+}  // namespace zinnia
--- a/packages/observe/include/zinnia/observe/log.hpp
+++ b/packages/observe/include/zinnia/observe/log.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "zinnia/observe/json_object.hpp"
+
 namespace zinnia {
 
 enum class log_level : unsigned char { debug, info, warn, error };
@@ -26,13 +28,21 @@
   log_line& operator=(log_line&&) = delete;
   ~log_line();
 
-  log_line& field(std::string_view name, std::string_view value);
-  log_line& field(std::string_view name, std::int64_t value);
+  template <class Value>
+  log_line& field(std::string_view name, const Value& value) {
+    if (this->wanted) {
+      this->line.field(name, value);
+    }
+    return *this;
+  }
+  /// \brief Appends the fields of a finished object.
+  log_line& merge(std::string_view object);
 
  private:
   log_level level;
-  // Empty when lines of this level are not wanted, or too many have been written lately.
-  std::string text;
+  // False when lines of this level are not wanted, or too many have been written lately.
+  bool wanted;
+  json_object line;
 };
 
 /// \brief Sends log lines of at least this level to standard output; to be called once, by `main`.
--- a/packages/observe/src/log.cpp
+++ b/packages/observe/src/log.cpp
@@ -1,7 +1,6 @@
 // log4cplus with an appender that collects lines and writes them without blocking.
 #include "zinnia/observe/log.hpp"
 
-#include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 #include <fcntl.h>
 #include <log4cplus/appender.h>
@@ -111,19 +110,14 @@
   }
 };
 
-void append_quoted(std::string& out, std::string_view value) {
-  out += '"';
-  for (const char letter : value) {
-    if (letter == '"' || letter == '\\') {
-      out += '\\';
-      out += letter;
-    } else if (static_cast<unsigned char>(letter) < ' ') {
-      out += ' ';
-    } else {
-      out += letter;
-    }
+/// Whether a line should be written now; counts it, or counts it as dropped.
+[[nodiscard]] bool is_wanted(log_level level) {
+  if (!log4cplus::Logger::getRoot().isEnabledFor(to_log4cplus(level))) {
+    return false;
   }
-  out += '"';
+  const bool admitted = lines().admit(level);
+  dropped() += admitted ? 0 : 1;
+  return admitted;
 }
 
 }  // namespace
@@ -154,44 +148,23 @@
                                           : static_cast<log_level>(found - impl::level_words.begin());
 }
 
-log_line::log_line(log_level severity, std::string_view event) : level{severity} {
-  if (!log4cplus::Logger::getRoot().isEnabledFor(impl::to_log4cplus(severity))) {
-    return;
-  }
-  if (!impl::lines().admit(severity)) {
-    ++impl::dropped();
-    return;
-  }
-  this->text = absl::StrCat(R"({"time_ms":)", unix_time_ms(), R"(,"level":")");
-  this->text += impl::level_words.at(static_cast<std::size_t>(severity));
-  this->text += "\R"(","event":)";
-  impl::append_quoted(this->text, event);
-  this->text += R"(,"node":)";
-  impl::append_quoted(this->text, impl::node_name());
+log_line::log_line(log_level severity, std::string_view event)
+    : level{severity}, wanted{impl::is_wanted(severity)} {
+  this->field("time_ms", unix_time_ms())
+      .field("level", impl::level_words.at(static_cast<std::size_t>(severity)))
+      .field("event", event)
+      .field("node", impl::node_name());
 }
 
 log_line::~log_line() {
-  if (!this->text.empty()) {
-    this->text += '}';
-    log4cplus::Logger::getRoot().log(impl::to_log4cplus(this->level), this->text);
+  if (this->wanted) {
+    log4cplus::Logger::getRoot().log(impl::to_log4cplus(this->level), this->line.str());
   }
 }
 
-log_line& log_line::field(std::string_view name, std::string_view value) {
-  if (!this->text.empty()) {
-    this->text += R"(,")";
-    this->text += name;
-    this->text += R"(":)";
-    impl::append_quoted(this->text, value);
-  }
-  return *this;
-}
-
-log_line& log_line::field(std::string_view name, std::int64_t value) {
-  if (!this->text.empty()) {
-    this->text += R"(,")";
-    this->text += name;
-    absl::StrAppend(&this->text, R"(":)", value);
+log_line& log_line::merge(std::string_view object) {
+  if (this->wanted) {
+    this->line.merge(object);
   }
   return *this;
 }
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -4,7 +4,6 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,6 +31,10 @@
   service_id service;
   /// Hash of the object that the request concerns; nothing if it names none.
   std::optional<std::uint64_t> object;
+  /// Whether it may run more than once.
+  bool repeatable{true};
+  /// Hash of the request, by which moves take their part of the requests that name no object.
+  std::uint64_t spread{0};
   time_point deadline;
   /// Backend servers that have already been tried.
   const std::vector<backend_id>* tried{nullptr};
@@ -66,11 +69,9 @@
 ///          its deadline, with distance, bytes and the slots that a miss takes counted in.
 class backend_table {
  public:
-  using settings_source = std::function<placement_settings(const service_id&)>;
-
   /// \param regions The region of each known failure domain.
-  backend_table(place here_in, std::map<failure_domain_id, region_id> regions_in,
-                settings_source settings_in);
+  backend_table(place here_in, std::map<failure_domain_id, region_id> regions_in)
+      : here{std::move(here_in)}, regions{std::move(regions_in)} {}
 
   /// \brief Takes over what a snapshot declares; state of servers that stay is kept.
   void apply(const routing_snapshot& snapshot, time_point now);
@@ -131,15 +132,17 @@
   [[nodiscard]] double transfer_cost(const service_group& group, const backend_state& backend,
                                      double kib) const;
   [[nodiscard]] placement_decision refuse(reason why, duration retry_after, int candidates) const;
+  /// Leaves only the region to which a move sends this request, if servers there can take it.
+  void follow_moves(const placement_request& request, std::vector<std::shared_ptr<backend_state>>& among) const;
   [[nodiscard]] region_id region_of(const failure_domain_id& domain) const;
 
   place here;
   std::map<failure_domain_id, region_id> regions;
-  settings_source settings_for;
   std::map<service_id, service_group> services;
   std::map<backend_id, std::shared_ptr<backend_state>> backends;
   std::map<failure_domain_id, double> round_trips;
   std::set<failure_domain_id> evacuated;
+  shift_state shifts;
   absl::flat_hash_map<std::string, work_estimate> estimates;
 };
 
--- a/packages/routing/include/zinnia/routing/declarations.hpp
+++ b/packages/routing/include/zinnia/routing/declarations.hpp
@@ -6,16 +6,17 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/core/units.hpp"
+#include "zinnia/routing/shift_state.hpp"
+#include "zinnia/settings/settings_tree.hpp"
 
 namespace zinnia {
 
-/// \brief One run of a backend server as it was declared; outlives its address.
-using backend_id = strong_id<struct backend_tag>;
 /// \brief Version of the configuration that is in force; grows with every accepted change.
 using config_version = strong_number<struct config_version_tag, std::uint64_t>;
 
@@ -27,9 +28,15 @@
   unsafe,
   /// Idempotent, with large answers.
   download,
+  /// Idempotent if the method is GET or HEAD.
+  by_method,
 };
 
-[[nodiscard]] constexpr bool may_repeat(request_kind kind) noexcept {
+/// \brief Whether a request may run more than once.
+[[nodiscard]] constexpr bool may_repeat(request_kind kind, std::string_view method) noexcept {
+  if (kind == request_kind::by_method) {
+    return method == "GET" || method == "HEAD";
+  }
   return kind != request_kind::unsafe;
 }
 
@@ -42,9 +49,12 @@
 /// \brief Where requests of a host and path prefix go, and within which limits.
 struct route {
   std::string name;
+  /// Empty: any host that has no routes of its own.
   std::string host;
   /// Begins and ends with a slash.
   std::string prefix;
+  /// Leading characters of the path that the backend server does not see.
+  std::size_t hidden_prefix{0};
   request_kind kind{request_kind::safe};
   /// 0 is the most urgent.
   int priority{0};
@@ -101,6 +111,10 @@
   std::map<backend_id, backend_declaration> backends;
   /// Failure domains to which nothing may be sent.
   std::set<failure_domain_id> evacuated;
+  /// The settings tree in force.
+  std::shared_ptr<const settings_tree> tree;
+  /// What the operators' drains and moves ask for at this moment.
+  shift_state shifts;
 };
 
 }  // namespace zinnia
--- /dev/null
+++ b/packages/routing/include/zinnia/routing/tree_declarations.hpp
@@ -0,0 +1,20 @@
+// Routes and backend servers that the settings tree itself declares, for deployments without another source.
+#pragma once
+
+#include <vector>
+
+#include "zinnia/routing/declarations.hpp"
+
+namespace zinnia {
+
+/// \brief What a tree declares; empty for a tree without services.
+struct tree_declarations {
+  /// One for each service: "/v1/services/NAME/" on any host, the prefix hidden from the backend server.
+  std::vector<route> routes;
+  std::vector<service_declaration> services;
+  std::vector<backend_declaration> backends;
+};
+
+[[nodiscard]] tree_declarations declarations_of(const settings_tree& tree);
+
+}  // namespace zinnia
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/routing/rendezvous_score.hpp"
@@ -48,16 +49,14 @@
 }  // namespace
 }  // namespace impl
 
-backend_table::backend_table(place here_in, std::map<failure_domain_id, region_id> regions_in,
-                             settings_source settings_in)
-    : here{std::move(here_in)}, regions{std::move(regions_in)}, settings_for{std::move(settings_in)} {}
-
 void backend_table::apply(const routing_snapshot& snapshot, time_point now) {
   std::map<service_id, service_group> next;
   for (const auto& [id, declaration] : snapshot.services) {
     auto& group = next[id];
     group.declaration = declaration;
-    group.settings = this->settings_for(id);
+    if (snapshot.tree != nullptr) {
+      group.settings = to_placement_settings(snapshot.tree->effective(id, this->here.region, this->here.domain).values);
+    }
     if (const auto known = this->services.find(id); known != this->services.end()) {
       group.mean_work_ms = known->second.mean_work_ms;
     }
@@ -73,6 +72,7 @@
     }
   }
   this->evacuated = snapshot.evacuated;
+  this->shifts = snapshot.shifts;
   std::map<backend_id, std::shared_ptr<backend_state>> kept;
   for (const auto& [id, declaration] : snapshot.backends) {
     auto& backend = kept[id];
@@ -139,7 +139,8 @@
 bool backend_table::may_receive(const backend_state& backend, time_point now) const {
   const auto& declared = backend.declared();
   if (backend.is_suspended() || declared.mode != backend_mode::ready ||
-      this->evacuated.contains(declared.domain)) {
+      this->evacuated.contains(declared.domain) ||
+      this->shifts.closed.contains(declared.id)) {
     return false;
   }
   if (!backend.is_cold(now)) {
@@ -167,6 +168,30 @@
   return found;
 }
 
+void backend_table::follow_moves(const placement_request& request,
+                                 std::vector<std::shared_ptr<backend_state>>& among) const {
+  const auto found = this->shifts.moves.find({request.service, this->here.region});
+  if (found == this->shifts.moves.end()) {
+    return;
+  }
+  constexpr std::uint64_t percent = 100;
+  auto position = static_cast<std::int64_t>(request.object.value_or(request.spread) % percent);
+  for (const auto& part : found->second) {
+    position -= part.percent;
+    if (position >= 0) {
+      continue;
+    }
+    std::vector<std::shared_ptr<backend_state>> there;
+    std::copy_if(among.begin(), among.end(), std::back_inserter(there), [&](const auto& backend) {
+      return this->region_of(backend->declared().domain) == part.to;
+    });
+    if (!there.empty()) {
+      among = std::move(there);
+    }
+    return;
+  }
+}
+
 double backend_table::home_weight(const service_group& group, const backend_state& backend,
                                   const placement_request& request, const work_estimate& estimate) const {
   const auto& domain = backend.declared().domain;
@@ -232,8 +257,7 @@
   const double ahead = backend->load(now) + backend->queue.count_ahead(request.rule->priority) + 1 - slots;
   weighed.wait_ms = std::max(ahead, 0.0) * group.mean_work_ms * slowness / slots;
   const double miss = weighed.warm ? 0 : (estimate.cold_ms() - estimate.warm_ms()) * slowness;
-  const double failure =
-      may_repeat(request.rule->kind) ? impl::repeatable_failure_ms : impl::final_failure_ms;
+  const double failure = request.repeatable ? impl::repeatable_failure_ms : impl::final_failure_ms;
   weighed.cost_ms = weighed.total_ms() + miss * group.settings.miss_penalty * std::min(utilisation, 1.0) +
                     backend->failure_ratio(now) * failure +
                     this->transfer_cost(group, *backend, estimate.answer_kib());
@@ -254,7 +278,8 @@
     return this->refuse(reason::no_backend, impl::most_retry_after, 0);
   }
   auto& group = found->second;
-  const auto usable_now = this->usable(group, request, now);
+  auto usable_now = this->usable(group, request, now);
+  this->follow_moves(request, usable_now);
   if (usable_now.empty()) {
     return this->refuse(reason::no_backend, impl::most_retry_after, 0);
   }
--- a/packages/routing/src/route_table.cpp
+++ b/packages/routing/src/route_table.cpp
@@ -29,7 +29,10 @@
 }
 
 const route* route_table::find(std::string_view host, std::string_view path) const {
-  const auto found = this->by_host.find(impl::host_key(host));
+  auto found = this->by_host.find(impl::host_key(host));
+  if (found == this->by_host.end()) {
+    found = this->by_host.find(std::string{});
+  }
   if (found == this->by_host.end()) {
     return nullptr;
   }
--- /dev/null
+++ b/packages/routing/src/shift_plan.cpp
@@ -0,0 +1,161 @@
+// Steps of drains and moves.
+#include "zinnia/routing/shift_plan.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+constexpr std::int64_t all_percent = 100;
+
+[[nodiscard]] region_id region_of(const shift_inventory& inventory, const backend_declaration& backend) {
+  const auto found = inventory.regions->find(backend.domain);
+  return found == inventory.regions->end() ? region_id{} : found->second;
+}
+
+[[nodiscard]] std::int64_t slots_of(const shift_inventory& inventory, const service_id& service,
+                                    const region_id& region) {
+  std::int64_t slots = 0;
+  for (const auto& [id, backend] : *inventory.backends) {
+    if (backend.service == service && region_of(inventory, backend) == region) {
+      slots += backend.slots;
+    }
+  }
+  return slots;
+}
+
+[[nodiscard]] bool is_target(const shift_intent& shift, const shift_inventory& inventory,
+                             const backend_declaration& backend) {
+  switch (shift.kind) {
+    case shift_kind::drain_upstream:
+      return shift.target == backend.id.str();
+    case shift_kind::drain_domain:
+      return shift.target == backend.domain.str();
+    case shift_kind::drain_region:
+      return shift.target == region_of(inventory, backend).str();
+    default:
+      return false;
+  }
+}
+
+/// Closes the first part of the targets of each service, in the order of their ids.
+void close_targets(const settings_tree& tree, const shift_inventory& inventory, const shift_intent& shift,
+                   std::int64_t now_unix_ms, std::set<backend_id>& closed) {
+  std::map<service_id, std::vector<const backend_declaration*>> targets;
+  for (const auto& [id, backend] : *inventory.backends) {
+    if (is_target(shift, inventory, backend)) {
+      targets[backend.service].push_back(&backend);
+    }
+  }
+  for (const auto& [service, backends] : targets) {
+    const auto region = region_of(inventory, *backends.front());
+    auto percent = shift_percent(shift, tree.effective(service, region, backends.front()->domain).values, now_unix_ms);
+    if (shift.kind == shift_kind::drain_region) {
+      percent = std::min(percent, replaceable_percent(tree, inventory, service, region));
+    }
+    const auto count = static_cast<std::int64_t>(backends.size()) * percent / all_percent;
+    for (std::int64_t i = 0; i < count; ++i) {
+      closed.insert(backends[static_cast<std::size_t>(i)]->id);
+    }
+  }
+}
+
+/// Services that a shift concerns, as far as the inventory knows them.
+[[nodiscard]] std::set<service_id> services_of(const shift_inventory& inventory, const shift_intent& shift) {
+  std::set<service_id> services;
+  for (const auto& [id, backend] : *inventory.backends) {
+    if (is_target(shift, inventory, backend)) {
+      services.insert(backend.service);
+    }
+  }
+  return services;
+}
+
+}  // namespace
+}  // namespace impl
+
+std::int64_t shift_percent(const shift_intent& shift, const service_settings& values, std::int64_t now_unix_ms) {
+  if (now_unix_ms < shift.start_unix_ms) {
+    return 0;
+  }
+  const bool at_once = shift.kind == shift_kind::drain_upstream || shift.kind == shift_kind::drain_entry;
+  if (at_once || shift.start_unix_ms == 0) {
+    return shift.percent;
+  }
+  const auto steps = (now_unix_ms - shift.start_unix_ms) / values.ramp_interval_ms + 1;
+  const auto to_complete = impl::all_percent / values.ramp_step_percent + 1;
+  return std::min(shift.percent, std::min(steps, to_complete) * values.ramp_step_percent);
+}
+
+std::int64_t replaceable_percent(const settings_tree& tree, const shift_inventory& inventory,
+                                 const service_id& service, const region_id& from) {
+  const auto slots = impl::slots_of(inventory, service, from);
+  const bool has_links = std::any_of(tree.links().begin(), tree.links().end(),
+                                     [&](const link_declaration& link) { return link.from == from; });
+  if (slots == 0 || !has_links) {
+    return impl::all_percent;
+  }
+  const auto service_ms = tree.effective(service, from).values.typical_service_ms;
+  std::int64_t replaced = 0;
+  for (const auto& link : tree.links()) {
+    const auto found = link.caps.find(service);
+    if (link.from == from && found != link.caps.end()) {
+      // A request is in flight on the link for the way there and back as well.
+      replaced += found->second * service_ms / (service_ms + 2 * link.delay_ms);
+    }
+  }
+  return std::min(impl::all_percent, replaced * impl::all_percent / slots);
+}
+
+shift_state shifts_in_force(const settings_tree& tree, const shift_inventory& inventory, std::int64_t now_unix_ms) {
+  shift_state state;
+  for (const auto& shift : tree.shifts()) {
+    if (now_unix_ms < shift.start_unix_ms) {
+      continue;
+    }
+    switch (shift.kind) {
+      case shift_kind::drain_entry:
+        state.drained_nodes.insert(node_id{shift.target});
+        break;
+      case shift_kind::move: {
+        const region_id from{shift.target};
+        const auto percent = shift_percent(shift, tree.effective(shift.service, from).values, now_unix_ms);
+        state.moves[{shift.service, from}].push_back({shift.to, percent});
+        break;
+      }
+      default:
+        impl::close_targets(tree, inventory, shift, now_unix_ms, state.closed);
+    }
+  }
+  return state;
+}
+
+std::vector<shift_progress> progress_of(const settings_tree& tree, const shift_inventory& inventory,
+                                        std::int64_t now_unix_ms) {
+  std::vector<shift_progress> all;
+  for (const auto& shift : tree.shifts()) {
+    const auto values = tree.effective(shift.service, region_id{shift.target}).values;
+    shift_progress progress{shift.id, shift_percent(shift, values, now_unix_ms), false, {}};
+    if (now_unix_ms < shift.start_unix_ms) {
+      progress.waits_for = "start time";
+    } else if (progress.percent < shift.percent) {
+      progress.waits_for = "next step";
+    }
+    if (shift.kind == shift_kind::drain_region) {
+      for (const auto& service : impl::services_of(inventory, shift)) {
+        const auto limit = replaceable_percent(tree, inventory, service, region_id{shift.target});
+        if (limit < progress.percent) {
+          progress.percent = limit;
+          progress.waits_for = "caps of " + service.str() + " out of " + shift.target;
+        }
+      }
+    }
+    progress.complete = progress.percent >= shift.percent;
+    all.push_back(progress);
+  }
+  return all;
+}
+
+}  // namespace zinnia
--- a/packages/routing/src/snapshot_builder.cpp
+++ b/packages/routing/src/snapshot_builder.cpp
@@ -9,14 +9,35 @@
   if (declaration.version <= this->state.version) {
     return false;
   }
+  this->configured = declaration;
   this->state.version = declaration.version;
-  this->state.routes = std::make_shared<const route_table>(declaration.routes);
+  this->rebuild_routes();
+  return true;
+}
+
+void snapshot_builder::rebuild_routes() {
+  auto routes = this->configured.routes;
+  routes.insert(routes.end(), this->from_tree.routes.begin(), this->from_tree.routes.end());
+  this->state.routes = std::make_shared<const route_table>(std::move(routes));
   this->state.services.clear();
-  for (const auto& service : declaration.services) {
-    this->state.services.emplace(service.id, service);
+  for (const auto* const list : {&this->configured.services, &this->from_tree.services}) {
+    for (const auto& service : *list) {
+      this->state.services.emplace(service.id, service);
+    }
   }
   this->changed = true;
-  return true;
+}
+
+void snapshot_builder::set_tree(std::shared_ptr<const settings_tree> tree) {
+  for (const auto& backend : this->from_tree.backends) {
+    this->state.backends.erase(backend.id);
+  }
+  this->from_tree = declarations_of(*tree);
+  for (const auto& backend : this->from_tree.backends) {
+    this->state.backends.emplace(backend.id, backend);
+  }
+  this->state.tree = std::move(tree);
+  this->rebuild_routes();
 }
 
 void snapshot_builder::set_backend(const backend_declaration& declaration) {
@@ -51,7 +72,12 @@
   this->changed = true;
 }
 
-void snapshot_builder::settle(time_point now) {
+void snapshot_builder::settle(time_point now, std::int64_t now_unix_ms) {
+  if (this->state.tree != nullptr && (!this->state.tree->shifts().empty() || !(this->state.shifts == shift_state{}))) {
+    auto shifts = shifts_in_force(*this->state.tree, {&this->state.backends, &this->regions}, now_unix_ms);
+    this->changed = this->changed || !(shifts == this->state.shifts);
+    this->state.shifts = std::move(shifts);
+  }
   for (auto removal = this->removals.begin(); removal != this->removals.end();) {
     if (now < removal->second) {
       ++removal;
@@ -71,6 +97,12 @@
   return next;
 }
 
+std::vector<shift_progress> snapshot_builder::progress(std::int64_t now_unix_ms) const {
+  return this->state.tree == nullptr
+             ? std::vector<shift_progress>{}
+             : progress_of(*this->state.tree, {&this->state.backends, &this->regions}, now_unix_ms);
+}
+
 std::shared_ptr<const routing_snapshot> snapshot_builder::publish() {
   if (!this->changed) {
     return nullptr;
--- a/packages/store/include/zinnia/store/fwd.hpp
+++ b/packages/store/include/zinnia/store/fwd.hpp
@@ -3,9 +3,12 @@
 
 namespace zinnia {
 
-class object_store;
-class http_object_store;
-struct store_reply;
-enum class store_status : unsigned char;
+class store_protocol;
+class object_feed;
+class http_multi;
+struct http_call;
+struct http_answer;
+struct stored_object;
+enum class write_status : unsigned char;
 
 }  // namespace zinnia
