Keep watches within the store's history

Cause: watches of kinds that do not change waited 20 s, as long as the history is kept; each ended with a lost history, and each loss renewed all other watches: 18 calls a node at once. Change: a watch waits 70 percent of the history; a renewal is not repeated within a second.

--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -105,6 +105,7 @@
   object_version config_seen;
   object_version unexplained;
   object_version renewed_for;
+  time_point renewed_at;
   bool write_active{false};
   bool removal_sent{false};
   std::atomic<bool> ready{false};
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -34,6 +34,8 @@
   /// Metrics, and the operators' interface.
   endpoint_setting operators;
   endpoint_setting store;
+  /// How long the store keeps changes for watches.
+  duration store_history{20'000};
   /// Port for heartbeats between nodes.
   std::uint16_t peer_port{0};
 
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -19,8 +19,12 @@
 namespace impl {
 namespace {
 
-/// How long the store may hold a watch; a call is priced, so long ones are cheap.
-constexpr duration long_watch{20'000};
+/// Part of the store's history for which a watch may wait; a call is priced, so long ones are cheap, but one that
+/// waits past the history ends with a list.
+constexpr std::int64_t watch_history_percent = 70;
+constexpr std::int64_t percent = 100;
+/// A lost history renews all watches; within this time the others' own loss does not do so again.
+constexpr duration renewal_pause{1000};
 /// The watch of the configuration also shows whether the store answers at all: a store that fell silent is
 /// noticed within this time and the call's slack, below the shortest `stableWindowMs` (3 s).
 constexpr duration short_watch{1800};
@@ -70,6 +74,10 @@
   return descriptor;
 }
 
+[[nodiscard]] duration long_watch(const node_settings& settings) {
+  return {settings.store_history.ms * watch_history_percent / percent};
+}
+
 /// Pauses of different nodes and kinds are spread by the seed.
 [[nodiscard]] object_feed make_feed(const char* kind, duration wait, duration settle, const node_id& self) {
   feed_timing timing;
@@ -90,10 +98,10 @@
       counts{counts_in},
       events{std::move(events_in)},
       watches{{{outside_in.configuration_kind(), impl::make_feed(outside_in.configuration_kind(), impl::short_watch, duration{0}, this->self.id), 0, false, false, &control_thread::apply_config},
-               {outside_in.backend_kind(), impl::make_feed(outside_in.backend_kind(), impl::long_watch, impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_server},
-               {outside_in.evacuation_kind(), impl::make_feed(outside_in.evacuation_kind(), impl::long_watch, impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_evacuation},
-               {own_kinds::settings, impl::make_feed(own_kinds::settings, impl::long_watch, duration{0}, this->self.id), 0, false, false, &control_thread::apply_tree},
-               {own_kinds::nodes, impl::make_feed(own_kinds::nodes, impl::long_watch, impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_node}}},
+               {outside_in.backend_kind(), impl::make_feed(outside_in.backend_kind(), impl::long_watch(settings_in), impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_server},
+               {outside_in.evacuation_kind(), impl::make_feed(outside_in.evacuation_kind(), impl::long_watch(settings_in), impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_evacuation},
+               {own_kinds::settings, impl::make_feed(own_kinds::settings, impl::long_watch(settings_in), duration{0}, this->self.id), 0, false, false, &control_thread::apply_tree},
+               {own_kinds::nodes, impl::make_feed(own_kinds::nodes, impl::long_watch(settings_in), impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_node}}},
       builder{std::clamp(settings_in.drain_limit - impl::drain_margin, duration{0}, impl::lapse_grace),
               settings_in.regions},
       members{this->self.id},
@@ -222,6 +230,11 @@
 }
 
 void control_thread::renew_watches(const watched_kind& except) {
+  const auto now = this->clock.now();
+  if (now - this->renewed_at < impl::renewal_pause) {
+    return;
+  }
+  this->renewed_at = now;
   for (auto& watched : this->watches) {
     if (&watched != &except && watched.call_active) {
       this->calls.cancel(watched.call);
