--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -131,6 +131,7 @@
   void on_written(std::size_t bytes);
   void begin_linger();
   void close_if_idle();
+  void end_output();
   void shut_down();
   [[nodiscard]] bool decide_close(const caller_exchange& exchange);
 
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -322,6 +322,9 @@
     }
   }
   if (this->writing.empty()) {
+    if (this->phase == connection_phase::lingering) {
+      this->end_output();
+    }
     return;
   }
   this->write_active = true;
@@ -344,8 +347,7 @@
   this->writing.erase(0, bytes);
   this->last_activity = this->clock.now();
   if (this->phase == connection_phase::lingering) {
-    impl::error_code ignored;
-    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    this->end_output();
     return;
   }
   this->flush();
@@ -408,6 +410,10 @@
   }
   this->input_ended = true;
   this->begin_linger();
+  this->end_output();
+}
+
+void caller_connection::end_output() {
   impl::error_code ignored;
   this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
 }
--- /dev/null
+++ b/packages/http/tests/backend_contract_test.cpp
@@ -0,0 +1,167 @@
+// Every way in which a backend server may answer or fail, and what is then known of the request.
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+
+#include "standins/raw_server.hpp"
+#include "zinnia/http/backend_pool.hpp"
+
+using namespace zinnia;
+using standins::raw_script;
+using standins::raw_server;
+
+namespace {
+
+/// Collects what one call brings and stops the loop at its end.
+class recorder final : public backend_call_events {
+ public:
+  explicit recorder(boost::asio::io_context& context_in) : context{context_in} {}
+  void on_head(const response_head& head) override { this->status = head.status; }
+  void on_body(std::string_view piece) override { this->body += piece; }
+  void on_end(const backend_call_end& end_in) override {
+    this->end = end_in;
+    this->context.stop();
+  }
+
+  boost::asio::io_context& context;
+  int status{0};
+  std::string body;
+  std::optional<backend_call_end> end;
+};
+
+class backend_contract : public testing::Test {
+ protected:
+  /// Runs one call to its end, at most for two seconds.
+  std::unique_ptr<recorder> call(backend_connection& connection, const std::string& id = "r1") {
+    auto seen = std::make_unique<recorder>(this->context);
+    backend_call made;
+    made.bytes = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    made.id_field = "Request-Id";
+    made.id = id;
+    connection.start(std::move(made), *seen);
+    this->run();
+    if (!seen->end) {
+      connection.cancel();
+    }
+    return seen;
+  }
+  void run() {
+    this->context.restart();
+    this->context.run_for(std::chrono::seconds{2});
+  }
+  [[nodiscard]] std::shared_ptr<backend_connection> connect(std::uint16_t port) {
+    return std::make_shared<backend_connection>(
+        this->context, boost::asio::ip::tcp::endpoint{boost::asio::ip::address_v4::loopback(), port}, this->clock);
+  }
+
+  boost::asio::io_context context;
+  boot_clock clock;
+};
+
+struct answer_case {
+  const char* name;
+  raw_script script;
+  bool complete;
+  verdict outcome;
+  int status;
+  std::string body;
+  bool reusable;
+};
+
+TEST_F(backend_contract, table) {
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
+  const std::vector<answer_case> table{
+      {"whole", {head + "Content-Length: 5\r\n\r\nhello", true}, true, verdict::ran, 200, "hello", true},
+      {"chunks", {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true}, true, verdict::ran, 200,
+       "hello", true},
+      {"said close", {head + "Connection: close\r\nContent-Length: 5\r\n\r\nhello", true}, true, verdict::ran, 200,
+       "hello", false},
+      {"short keep-alive", {head + "Keep-Alive: timeout=1\r\nContent-Length: 5\r\n\r\nhello", true}, true,
+       verdict::ran, 200, "hello", false},
+      {"interim answer first", {"HTTP/1.1 103 Early\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", true}, true,
+       verdict::ran, 200, "ok", true},
+      {"no length, ends in order", {head + "\r\nhello"}, true, verdict::ran, 200, "hello", false},
+      {"no length, reset", {head + "\r\nhello", false, 0, true}, false, verdict::may_have_run, 200, "hello", false},
+      {"cut in the body", {head + "Content-Length: 9\r\n\r\nhello"}, false, verdict::may_have_run, 200, "hello", false},
+      {"cut in a chunk", {head + "Transfer-Encoding: chunked\r\n\r\n9\r\nhello"}, false, verdict::may_have_run, 200,
+       "hello", false},
+      {"cut in the head", {"HTTP/1.1 200 OK\r\nConte"}, false, verdict::may_have_run, 0, "", false},
+      {"closed without answer", {""}, false, verdict::may_have_run, 0, "", false},
+      {"reset without answer", {"", false, 0, true}, false, verdict::may_have_run, 0, "", false},
+      {"no HTTP", {"what is this?\r\n\r\n", true}, false, verdict::may_have_run, 0, "", false},
+      {"bytes after the answer", {head + "Content-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\n", true}, true,
+       verdict::ran, 200, "hello", false},
+      {"another request's answer first",
+       {"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold" + head + "Content-Length: 3\r\n\r\nnew",
+        true}, true, verdict::ran, 200, "new", false},
+      {"only another request's answer",
+       {"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold"}, false, verdict::may_have_run, 0, "",
+       false},
+  };
+  for (const auto& row : table) {
+    const raw_server server{[&row](int) { return row.script; }};
+    const auto connection = this->connect(server.port());
+    const auto seen = this->call(*connection);
+    ASSERT_TRUE(seen->end) << row.name;
+    EXPECT_EQ(seen->end->complete, row.complete) << row.name;
+    EXPECT_EQ(seen->end->outcome, row.outcome) << row.name;
+    EXPECT_EQ(seen->status, row.status) << row.name;
+    EXPECT_EQ(seen->body, row.body) << row.name;
+    EXPECT_EQ(connection->is_reusable(this->clock.now()), row.reusable) << row.name;
+    connection->cancel();
+  }
+}
+
+TEST_F(backend_contract, a_refused_connection_proves_that_nothing_ran) {
+  std::uint16_t port = 0;
+  {
+    const raw_server gone{[](int) { return raw_script{}; }};
+    port = gone.port();
+  }
+  const auto connection = this->connect(port);
+  const auto seen = this->call(*connection);
+  ASSERT_TRUE(seen->end);
+  EXPECT_EQ(seen->end->outcome, verdict::did_not_run);
+  EXPECT_EQ(seen->end->why, reason::connect_failed);
+}
+
+TEST_F(backend_contract, a_late_extra_answer_is_not_taken_for_the_next_one) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\none";
+  const std::string next = "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nContent-Length: 3\r\n\r\ntwo";
+  const raw_server server{[&](int number) { return raw_script{number == 0 ? answer : answer + next, true}; }};
+  const auto connection = this->connect(server.port());
+  EXPECT_EQ(this->call(*connection, "r1")->body, "one");
+  ASSERT_TRUE(connection->is_reusable(this->clock.now()));
+  const auto second = this->call(*connection, "r2");
+  EXPECT_EQ(second->body, "two");
+  EXPECT_FALSE(connection->is_reusable(this->clock.now()));
+  connection->cancel();
+}
+
+TEST_F(backend_contract, bytes_on_an_idle_connection_end_it) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\none";
+  const raw_server server{[&](int) { return raw_script{answer}; }};
+  const auto connection = this->connect(server.port());
+  EXPECT_EQ(this->call(*connection)->body, "one");
+  this->run();
+  EXPECT_FALSE(connection->is_open());
+}
+
+TEST_F(backend_contract, a_pool_keeps_to_its_limit_and_reuses) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\none";
+  const raw_server server{[&](int) { return raw_script{answer, true}; }};
+  backend_pool pool{this->context, {boost::asio::ip::address_v4::loopback(), server.port()}, this->clock};
+  auto first = pool.acquire(2);
+  const auto second = pool.acquire(2);
+  EXPECT_EQ(pool.acquire(2), nullptr);
+  EXPECT_EQ(this->call(*first)->body, "one");
+  auto* const kept = first.get();
+  pool.release(std::move(first));
+  EXPECT_EQ(pool.acquire(2).get(), kept);
+  pool.release(second);
+}
+
+}  // namespace
--- /dev/null
+++ b/packages/http/tests/parser_test.cpp
@@ -0,0 +1,94 @@
+// Parsers and field rules, by tables.
+#include <gtest/gtest.h>
+
+#include "zinnia/http/message_parser.hpp"
+
+using namespace zinnia;
+
+namespace {
+
+struct request_case {
+  const char* name;
+  std::string bytes;
+  parse_progress expected;
+  std::string body;
+};
+
+TEST(request_parser, table) {
+  const std::vector<request_case> table{
+      {"no body", "GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n", parse_progress::complete, ""},
+      {"body by length", "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello", parse_progress::complete,
+       "hello"},
+      {"body in chunks", "POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+       parse_progress::complete, "abcde"},
+      {"trailers are not fields",
+       "POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Late: 1\r\n\r\n",
+       parse_progress::complete, "a"},
+      {"half a body", "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel", parse_progress::needs_more, "hel"},
+      {"half a head", "GET /a/ HTTP/1.1\r\nHos", parse_progress::needs_more, ""},
+      {"length and chunks", "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       parse_progress::malformed, ""},
+      {"two lengths", "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+       parse_progress::malformed, ""},
+      {"negative length", "POST /a/ HTTP/1.1\r\nContent-Length: -5\r\n\r\n", parse_progress::malformed, ""},
+      {"no request", "hello there\r\n\r\n", parse_progress::malformed, ""},
+      {"space in a name", "GET /a/ HTTP/1.1\r\nBad Name: 1\r\n\r\n", parse_progress::malformed, ""},
+      {"chunk size not a number", "POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+       parse_progress::malformed, ""},
+  };
+  for (const auto& row : table) {
+    request_parser parser{16 << 10};
+    std::size_t used = 0;
+    EXPECT_EQ(parser.feed(row.bytes, used), row.expected) << row.name;
+    if (row.expected != parse_progress::malformed) {
+      EXPECT_EQ(parser.take_body_text(), row.body) << row.name;
+    }
+  }
+}
+
+TEST(request_parser, takes_a_request_byte_by_byte_and_leaves_the_next_one) {
+  const std::string bytes = "POST /a/?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b/ HTTP/1.1\r\n";
+  request_parser parser{16 << 10};
+  std::string input;
+  std::size_t fed = 0;
+  auto progress = parse_progress::needs_more;
+  while (progress == parse_progress::needs_more) {
+    input += bytes.at(fed++);
+    std::size_t used = 0;
+    progress = parser.feed(input, used);
+    input.erase(0, used);
+  }
+  ASSERT_EQ(progress, parse_progress::complete);
+  const auto head = parser.take_head();
+  EXPECT_EQ(head.target, "/a/?x=1");
+  EXPECT_EQ(head.path(), "/a/");
+  EXPECT_EQ(head.query("x"), "1");
+  EXPECT_EQ(parser.take_body_text(), "abc");
+  EXPECT_EQ(bytes.substr(fed), "GET /b/ HTTP/1.1\r\n");
+}
+
+TEST(request_parser, refuses_a_head_over_its_limit) {
+  request_parser parser{1024};
+  std::size_t used = 0;
+  EXPECT_EQ(parser.feed("GET / HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n", used),
+            parse_progress::malformed);
+  EXPECT_EQ(parser.problem(), boost::beast::http::error::header_limit);
+}
+
+TEST(message, passes_on_only_end_to_end_fields) {
+  const header_fields fields{{"Host", "h"},           {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"},
+                             {"Transfer-Encoding", "chunked"}, {"X-Kept", "2"},            {"X-Replaced", "3"}};
+  const auto kept = end_to_end_fields(fields, {"x-replaced"});
+  ASSERT_EQ(kept.size(), 2U);
+  EXPECT_EQ(kept[0].name, "Host");
+  EXPECT_EQ(kept[1].name, "X-Kept");
+}
+
+TEST(message, numbers_have_no_sign_and_no_text) {
+  EXPECT_EQ(parse_number("1200"), 1200);
+  for (const auto* const bad : {"", "-1", "+1", "1s", "abc", "99999999999999999999"}) {
+    EXPECT_FALSE(parse_number(bad)) << bad;
+  }
+}
+
+}  // namespace
--- /dev/null
+++ b/packages/observe/tests/observe_test.cpp
@@ -0,0 +1,49 @@
+// JSON lines, the ring of records and the counters.
+#include <gtest/gtest.h>
+
+#include "zinnia/observe/json_object.hpp"
+#include "zinnia/observe/metrics.hpp"
+#include "zinnia/observe/recent_records.hpp"
+
+using namespace zinnia;
+
+namespace {
+
+TEST(json_object, stays_one_valid_line_whatever_the_values) {
+  json_object object;
+  EXPECT_EQ(object.str(), "{}");
+  object.field("text", "a \"quoted\" \\ value\nand a line").field("number", std::int64_t{-7});
+  EXPECT_EQ(object.str(), R"({"text":"a \"quoted\" \\ value and a line","number":-7})");
+  json_object other;
+  other.merge("{}").merge(object.str()).field("last", std::int64_t{1});
+  EXPECT_EQ(other.str(), R"({"text":"a \"quoted\" \\ value and a line","number":-7,"last":1})");
+}
+
+TEST(recent_records, keeps_the_latest) {
+  recent_records records{2};
+  records.add("a", "1");
+  records.add("b", "2");
+  records.add("a", "3");
+  EXPECT_EQ(records.find("a"), "3");
+  records.add("c", "4");
+  EXPECT_FALSE(records.find("a"));
+  EXPECT_EQ(records.find("b"), "2");
+  EXPECT_EQ(records.size(), 2U);
+  recent_records none{0};
+  none.add("a", "1");
+  EXPECT_FALSE(none.find("a"));
+}
+
+TEST(metrics, counts_refusals_and_retries_by_reason_and_times_in_buckets) {
+  metrics counts;
+  counts.refused(reason::wait_exceeds_deadline);
+  counts.retried(reason::backend_shed);
+  counts.record(timing::request, duration{70});
+  const auto text = counts.render({{"zinnia_gauge", "", 5}});
+  EXPECT_NE(text.find("zinnia_refusals_total{reason=\"wait-exceeds-deadline\"} 1"), std::string::npos);
+  EXPECT_NE(text.find("zinnia_retries_total{reason=\"backend-shed\"} 1"), std::string::npos);
+  EXPECT_NE(text.find("zinnia_request_ms_count 1"), std::string::npos);
+  EXPECT_NE(text.find("zinnia_gauge 5"), std::string::npos);
+}
+
+}  // namespace
--- /dev/null
+++ b/packages/routing/tests/shift_plan_test.cpp
@@ -0,0 +1,81 @@
+// Drains and moves step by step.
+#include <gtest/gtest.h>
+
+#include "zinnia/routing/shift_plan.hpp"
+
+using namespace zinnia;
+
+namespace {
+
+class shifts : public testing::Test {
+ protected:
+  void SetUp() override {
+    for (int i = 0; i < 8; ++i) {
+      backend_declaration backend;
+      backend.id = backend_id{"b" + std::to_string(i)};
+      backend.service = service_id{"desk"};
+      backend.domain = failure_domain_id{i < 4 ? "near-a" : "far-a"};
+      backend.slots = 3;
+      this->backends.emplace(backend.id, backend);
+    }
+  }
+  [[nodiscard]] static settings_tree tree_with(const shift_intent& shift, int cap) {
+    const std::string text =
+        "settings: {ramp_step_percent: 25, ramp_interval_ms: 1000, typical_service_ms: 20}\n"
+        "places: {near: {domains: {near-a: {}}}, far: {domains: {far-a: {}}}}\n"
+        "services: {desk: {}}\n"
+        "links: [{from: near, to: far, delay_ms: 10, capacity: " + std::to_string(cap) + ", caps: {desk: " +
+        std::to_string(cap) + "}}]\n";
+    auto tree = settings_tree::parse({"e", "t", text, {shift}}, "t");
+    EXPECT_TRUE(tree) << tree.last_error().describe();
+    return std::move(tree).value();
+  }
+  [[nodiscard]] shift_state state(const settings_tree& tree, std::int64_t now) const {
+    return shifts_in_force(tree, {&this->backends, &this->regions}, now);
+  }
+
+  std::map<backend_id, backend_declaration> backends;
+  std::map<failure_domain_id, region_id> regions{{failure_domain_id{"near-a"}, region_id{"near"}},
+                                                 {failure_domain_id{"far-a"}, region_id{"far"}}};
+};
+
+TEST_F(shifts, region_drain_closes_step_by_step) {
+  const auto tree = tree_with({"d", shift_kind::drain_region, "near", {}, {}, 100, 10'000}, 24);
+  EXPECT_EQ(this->state(tree, 9'999).closed.size(), 0U);
+  EXPECT_EQ(this->state(tree, 10'000).closed.size(), 1U);
+  EXPECT_EQ(this->state(tree, 11'000).closed.size(), 2U);
+  EXPECT_EQ(this->state(tree, 13'000).closed.size(), 4U);
+  EXPECT_EQ(this->state(tree, 99'000).closed.size(), 4U);
+  EXPECT_FALSE(this->state(tree, 99'000).closed.contains(backend_id{"b4"}));
+}
+
+TEST_F(shifts, region_drain_goes_no_further_than_the_caps_can_take_over) {
+  // 12 in flight on a link of 10 ms each way are 6 slots' worth of 20 ms work: half of the region.
+  const auto tree = tree_with({"d", shift_kind::drain_region, "near", {}, {}, 100, 10'000}, 12);
+  EXPECT_EQ(this->state(tree, 99'000).closed.size(), 2U);
+  const auto progress = progress_of(tree, {&this->backends, &this->regions}, 99'000);
+  ASSERT_EQ(progress.size(), 1U);
+  EXPECT_EQ(progress[0].percent, 50);
+  EXPECT_EQ(progress[0].waits_for, "caps of desk out of near");
+}
+
+TEST_F(shifts, move_grows_to_its_percentage) {
+  const auto tree = tree_with({"m", shift_kind::move, "near", service_id{"desk"}, region_id{"far"}, 60, 10'000}, 12);
+  const auto at = [&](std::int64_t now) {
+    const auto moves = this->state(tree, now).moves;
+    const auto found = moves.find({service_id{"desk"}, region_id{"near"}});
+    return found == moves.end() ? 0 : found->second.front().percent;
+  };
+  EXPECT_EQ(at(9'000), 0);
+  EXPECT_EQ(at(10'000), 25);
+  EXPECT_EQ(at(11'500), 50);
+  EXPECT_EQ(at(12'000), 60);
+}
+
+TEST_F(shifts, a_drained_server_and_a_drained_entry_take_effect_at_once) {
+  const auto tree = tree_with({"d", shift_kind::drain_entry, "entry-1", {}, {}, 100, 10'000}, 12);
+  EXPECT_TRUE(this->state(tree, 10'000).drained_nodes.contains(node_id{"entry-1"}));
+  EXPECT_FALSE(this->state(tree, 9'000).drained_nodes.contains(node_id{"entry-1"}));
+}
+
+}  // namespace
--- /dev/null
+++ b/packages/routing/tests/tables_test.cpp
@@ -0,0 +1,217 @@
+// Routes, queues, memories, budgets, splits and snapshots, each by small tables.
+#include <gtest/gtest.h>
+
+#include "zinnia/routing/object_memory.hpp"
+#include "zinnia/routing/rendezvous_score.hpp"
+#include "zinnia/routing/retry_allowance.hpp"
+#include "zinnia/routing/route_table.hpp"
+#include "zinnia/routing/snapshot_builder.hpp"
+#include "zinnia/routing/wait_queue.hpp"
+#include "zinnia/routing/weighted_split.hpp"
+#include "zinnia/routing/work_estimate.hpp"
+
+using namespace zinnia;
+
+namespace {
+
+[[nodiscard]] route make_route(const std::string& host, const std::string& prefix) {
+  route made;
+  made.name = host + prefix;
+  made.host = host;
+  made.prefix = prefix;
+  made.parts = {{service_id{"desk"}, 1}};
+  return made;
+}
+
+TEST(route_table, longest_prefix_of_the_host_wins) {
+  const route_table table{{make_route("a.example", "/x/"), make_route("a.example", "/x/y/"),
+                           make_route("b.example", "/z/"), make_route("", "/any/")}};
+  struct row {
+    const char* host;
+    const char* path;
+    const char* expected;
+  };
+  const std::vector<row> rows{{"a.example", "/x/1", "a.example/x/"},
+                              {"a.example", "/x/y/1", "a.example/x/y/"},
+                              {"A.Example:8144", "/x/y/", "a.example/x/y/"},
+                              {"a.example", "/x", ""},
+                              {"a.example", "/z/1", ""},
+                              {"b.example", "/z/1", "b.example/z/"},
+                              {"c.example", "/any/1", "/any/"},
+                              {"c.example", "/x/1", ""}};
+  for (const auto& row : rows) {
+    const auto* const found = table.find(row.host, row.path);
+    EXPECT_EQ(found == nullptr ? "" : found->name, row.expected) << row.host << row.path;
+  }
+}
+
+TEST(rendezvous_score, follows_weights_and_moves_only_what_it_must) {
+  const std::vector<double> weights{1, 1, 2};
+  const auto winner = [&](std::uint64_t item, std::size_t candidates) {
+    std::size_t best = 0;
+    for (std::size_t i = 1; i < candidates; ++i) {
+      if (rendezvous_score(i + 1, item, weights[i]) > rendezvous_score(best + 1, item, weights[best])) {
+        best = i;
+      }
+    }
+    return best;
+  };
+  std::vector<int> wins(3);
+  for (std::uint64_t item = 0; item < 40'000; ++item) {
+    const auto now = winner(item, 3);
+    ++wins[now];
+    if (now != 2) {
+      EXPECT_EQ(now, winner(item, 2));
+    }
+  }
+  EXPECT_NEAR(wins[0], 10'000, 500);
+  EXPECT_NEAR(wins[2], 20'000, 500);
+}
+
+TEST(wait_queue, urgent_first_then_by_arrival) {
+  wait_queue queue;
+  queue.push({1, 2, time_point{10}, time_point{100}});
+  queue.push({2, 1, time_point{20}, time_point{100}});
+  queue.push({3, 2, time_point{5}, time_point{100}});
+  queue.push({4, 1, time_point{15}, time_point{100}});
+  EXPECT_EQ(queue.count_ahead(1), 2);
+  EXPECT_EQ(queue.count_ahead(2), 4);
+  std::vector<wait_ticket> order;
+  while (const auto next = queue.pop()) {
+    order.push_back(next->ticket);
+  }
+  EXPECT_EQ(order, (std::vector<wait_ticket>{4, 2, 3, 1}));
+}
+
+TEST(wait_queue, reviews_those_that_waited_too_long) {
+  wait_queue queue;
+  queue.push({1, 0, time_point{0}, time_point{50}});
+  queue.push({2, 0, time_point{1}, time_point{150}});
+  EXPECT_FALSE(queue.pop_for_review(time_point{50}));
+  EXPECT_EQ(queue.pop_for_review(time_point{51})->ticket, 1U);
+  EXPECT_FALSE(queue.pop_for_review(time_point{51}));
+  queue.remove(2);
+  EXPECT_TRUE(queue.empty());
+}
+
+TEST(object_memory, forgets_the_least_recently_used) {
+  object_memory memory;
+  for (std::uint64_t object = 0; object < 3; ++object) {
+    memory.touch(object, 3);
+  }
+  memory.touch(0, 3);
+  memory.touch(3, 3);
+  EXPECT_TRUE(memory.contains(0));
+  EXPECT_FALSE(memory.contains(1));
+  EXPECT_EQ(memory.size(), 3U);
+}
+
+TEST(work_estimate, keeps_warm_and_cold_work_apart) {
+  work_estimate estimate;
+  for (int i = 0; i < 100; ++i) {
+    estimate.note_work(true, 70);
+    estimate.note_work(false, 250);
+  }
+  EXPECT_NEAR(estimate.warm_ms(), 70, 2);
+  EXPECT_NEAR(estimate.cold_ms(), 250, 2);
+}
+
+/// Plays a day on which everything fails: each request asks for a repeat at once.
+TEST(retry_allowance, all_nodes_together_stay_within_the_budget_of_any_window) {
+  const retry_budget_settings budget{0.2, 58, duration{10'000}};
+  constexpr int nodes = 9;
+  constexpr std::int64_t length_ms = 60'000;
+  std::vector<retry_allowance> allowances(nodes);
+  std::vector<std::int64_t> requests;
+  std::vector<std::int64_t> repeats;
+  for (std::int64_t now = 0; now < length_ms; now += 2) {
+    auto& allowance = allowances[static_cast<std::size_t>(now / 2) % nodes];
+    // Traffic stops for a while, so that the buckets are full when it comes back.
+    if (now > 20'000 && now < 32'000) {
+      continue;
+    }
+    requests.push_back(now);
+    allowance.on_request(budget);
+    while (allowance.try_spend(budget, nodes, time_point{now})) {
+      repeats.push_back(now);
+    }
+  }
+  for (std::int64_t start = 0; start + budget.window.ms <= length_ms; start += 500) {
+    const auto count = [&](const std::vector<std::int64_t>& times) {
+      return std::count_if(times.begin(), times.end(),
+                           [&](std::int64_t at) { return at >= start && at < start + budget.window.ms; });
+    };
+    EXPECT_LE(static_cast<double>(count(repeats)),
+              budget.ratio * static_cast<double>(count(requests)) + budget.extra) << start;
+  }
+  EXPECT_GT(repeats.size(), requests.size() / 10) << "the budget is there to be used";
+}
+
+TEST(weighted_split, any_stretch_is_divided_exactly) {
+  auto rule = make_route("a", "/x/");
+  rule.parts = {{service_id{"big"}, 90}, {service_id{"small"}, 10}};
+  weighted_split split;
+  for (int stretch = 0; stretch < 5; ++stretch) {
+    int small = 0;
+    for (int i = 0; i < 20; ++i) {
+      small += split.pick(rule) == service_id{"small"} ? 1 : 0;
+    }
+    EXPECT_EQ(small, 2);
+  }
+}
+
+[[nodiscard]] backend_declaration make_backend(const std::string& id, backend_mode mode) {
+  backend_declaration made;
+  made.id = backend_id{id};
+  made.service = service_id{"desk"};
+  made.domain = failure_domain_id{"near-a"};
+  made.mode = mode;
+  return made;
+}
+
+TEST(snapshot_builder, never_goes_back_to_an_older_configuration) {
+  snapshot_builder builder{duration{1000}, {}};
+  EXPECT_TRUE(builder.set_configuration({config_version{12}, {make_route("a", "/new/")}, {}}));
+  EXPECT_FALSE(builder.set_configuration({config_version{11}, {make_route("a", "/old/")}, {}}));
+  EXPECT_FALSE(builder.set_configuration({config_version{12}, {make_route("a", "/old/")}, {}}));
+  const auto snapshot = builder.publish();
+  EXPECT_EQ(snapshot->version, config_version{12});
+  EXPECT_NE(snapshot->routes->find("a", "/new/1"), nullptr);
+  EXPECT_EQ(builder.publish(), nullptr);
+}
+
+TEST(snapshot_builder, entries_that_lapse_stay_for_a_grace_and_draining_ones_go_at_once) {
+  snapshot_builder builder{duration{1000}, {}};
+  builder.set_backend(make_backend("lapsed", backend_mode::ready));
+  builder.set_backend(make_backend("gone", backend_mode::ready));
+  builder.set_backend(make_backend("leaving", backend_mode::draining));
+  builder.remove_backend(backend_id{"lapsed"}, time_point{0});
+  builder.remove_backend(backend_id{"gone"}, time_point{0});
+  builder.remove_backend(backend_id{"leaving"}, time_point{0});
+  EXPECT_EQ(builder.publish()->backends.size(), 2U);
+  builder.set_backend(make_backend("lapsed", backend_mode::ready));
+  EXPECT_EQ(builder.next_removal(), time_point{1000});
+  builder.settle(time_point{1000}, 0);
+  const auto snapshot = builder.publish();
+  EXPECT_EQ(snapshot->backends.size(), 1U);
+  EXPECT_TRUE(snapshot->backends.contains(backend_id{"lapsed"}));
+}
+
+TEST(snapshot_builder, a_tree_declares_routes_and_servers_of_its_own) {
+  const std::string text =
+      "places: {near: {domains: {near-a: {}}}}\n"
+      "services: {desk: {regions: {near: {domains: {near-a: {upstreams: ['127.0.0.1:9101']}}}}}}\n";
+  const auto tree = settings_tree::parse({"e", "t", text, {}}, "t");
+  ASSERT_TRUE(tree);
+  snapshot_builder builder{duration{0}, {}};
+  builder.set_tree(std::make_shared<const settings_tree>(*tree));
+  const auto snapshot = builder.publish();
+  const auto* const rule = snapshot->routes->find("any.example", "/v1/services/desk/bookings");
+  ASSERT_NE(rule, nullptr);
+  EXPECT_EQ(rule->hidden_prefix, std::string{"/v1/services/desk"}.size());
+  EXPECT_TRUE(may_repeat(rule->kind, "GET"));
+  EXPECT_FALSE(may_repeat(rule->kind, "POST"));
+  EXPECT_EQ(snapshot->backends.at(backend_id{"127.0.0.1:9101"}).port, 9101);
+}
+
+}  // namespace
--- /dev/null
+++ b/standins/platform_store.cpp
@@ -0,0 +1,216 @@
+// Objects, history and faults.
+#include "standins/platform_store.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/time.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+
+namespace zinnia::standins {
+namespace impl {
+namespace {
+
+constexpr const char* base_path = "/zinniafield/objects/";
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_created = 201;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_gone = 410;
+
+[[nodiscard]] server_answer json_answer(unsigned status, std::string body) {
+  return {status, {{"Content-Type", "application/json"}}, std::move(body), false};
+}
+
+[[nodiscard]] std::int64_t number_of(const server_request& request, const std::string& name) {
+  const auto found = request.query.find(name);
+  return found == request.query.end() ? 0 : std::strtoll(found->second.c_str(), nullptr, 10);
+}
+
+}  // namespace
+}  // namespace impl
+
+std::string platform_store::to_text(const std::string& name, const object& value) {
+  return absl::StrCat(R"({"metadata":{"name":)", nlohmann::json(name).dump(), R"(,"revision":)", value.revision,
+                      R"(,"created":)", value.created, R"(,"finalizers":[],"deleting":false},"spec":)", value.spec,
+                      R"(,"status":null})");
+}
+
+void platform_store::store(const std::string& kind, const std::string& name, const std::string& spec) {
+  auto& target = this->kinds[kind][name];
+  if (target.revision != 0 && target.spec == spec) {
+    return;
+  }
+  target.revision = ++this->revision;
+  target.created = target.created == 0 ? target.revision : target.created;
+  target.spec = spec;
+  this->history.push_back({target.revision, kind, name, target, false});
+}
+
+void platform_store::drop(const std::string& kind, const std::string& name) {
+  const auto found = this->kinds[kind].find(name);
+  if (found != this->kinds[kind].end()) {
+    this->history.push_back({++this->revision, kind, name, found->second, true});
+    this->kinds[kind].erase(found);
+  }
+}
+
+void platform_store::put(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
+  const absl::MutexLock lock{&this->mutex};
+  this->store(kind, name, spec.dump());
+}
+
+void platform_store::put_raw(const std::string& kind, const std::string& name, const std::string& text) {
+  const absl::MutexLock lock{&this->mutex};
+  this->store(kind, name, text);
+}
+
+void platform_store::erase(const std::string& kind, const std::string& name) {
+  const absl::MutexLock lock{&this->mutex};
+  this->drop(kind, name);
+}
+
+void platform_store::set_faults(const store_faults& faults_in) {
+  const absl::MutexLock lock{&this->mutex};
+  this->faults = faults_in;
+}
+
+void platform_store::forget_history() {
+  const absl::MutexLock lock{&this->mutex};
+  this->history.clear();
+  this->oldest_watch = ++this->revision;
+}
+
+std::int64_t platform_store::calls() const {
+  const absl::MutexLock lock{&this->mutex};
+  return this->call_count;
+}
+
+bool platform_store::contains(const std::string& kind, const std::string& name) const {
+  const absl::MutexLock lock{&this->mutex};
+  const auto found = this->kinds.find(kind);
+  return found != this->kinds.end() && found->second.contains(name);
+}
+
+server_answer platform_store::handle(const server_request& request) {
+  store_faults now;
+  {
+    const absl::MutexLock lock{&this->mutex};
+    ++this->call_count;
+    now = this->faults;
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds{now.silent_ms});
+  if (now.reset || now.silent_ms > 0) {
+    return {impl::status_ok, {}, {}, true};
+  }
+  if (now.refuse_status != 0) {
+    return {static_cast<unsigned>(now.refuse_status), {}, {}, false};
+  }
+  const std::string base{impl::base_path};
+  if (!request.path.starts_with(base)) {
+    return {impl::status_not_found, {}, {}, false};
+  }
+  const auto rest = request.path.substr(base.size());
+  const auto slash = rest.find('/');
+  const auto kind = rest.substr(0, slash);
+  const auto name = slash == std::string::npos ? std::string{} : rest.substr(slash + 1);
+  if (request.method != "GET") {
+    return this->write(kind, name, request);
+  }
+  return request.query.contains("watch") ? this->watch(kind, request) : this->list(kind, request);
+}
+
+server_answer platform_store::list(const std::string& kind, const server_request& request) {
+  const absl::MutexLock lock{&this->mutex};
+  const auto after = request.query.contains("after") ? request.query.at("after") : std::string{};
+  std::string items;
+  std::size_t count = 0;
+  bool has_more = false;
+  for (const auto& [name, value] : this->kinds[kind]) {
+    if (!after.empty() && name <= after) {
+      continue;
+    }
+    if (count == this->page_size) {
+      has_more = true;
+      break;
+    }
+    absl::StrAppend(&items, count++ == 0 ? "" : ",", to_text(name, value));
+  }
+  return impl::json_answer(impl::status_ok, absl::StrCat(R"({"items":[)", items, R"(],"hasMore":)",
+                                                         has_more ? "true" : "false", R"(,"currentRev":)",
+                                                         this->revision, "}"));
+}
+
+server_answer platform_store::watch(const std::string& kind, const server_request& request) {
+  const auto since = impl::number_of(request, "watch");
+  const auto deadline = absl::Now() + absl::Milliseconds(impl::number_of(request, "waitMs"));
+  while (true) {
+    {
+      const absl::MutexLock lock{&this->mutex};
+      if (since < this->oldest_watch) {
+        return {impl::status_gone, {}, {}, false};
+      }
+      std::string events;
+      for (const auto& entry : this->history) {
+        if (entry.kind == kind && entry.revision > since && !this->faults.deaf_watches) {
+          absl::StrAppend(&events, events.empty() ? "" : ",", R"({"deleted":)", entry.deleted ? "true" : "false",
+                          R"(,"object":)", to_text(entry.name, entry.value), "}");
+        }
+      }
+      if (!events.empty() || absl::Now() >= deadline) {
+        return impl::json_answer(impl::status_ok, absl::StrCat(R"({"events":[)", events, R"(],"currentRev":)",
+                                                               this->revision, "}"));
+      }
+      if (this->faults.reset || this->faults.refuse_status != 0) {
+        return {impl::status_ok, {}, {}, true};
+      }
+    }
+    constexpr std::chrono::milliseconds poll{5};
+    std::this_thread::sleep_for(poll);
+    if (peer_has_closed(request.socket)) {
+      return {impl::status_ok, {}, {}, true};
+    }
+  }
+}
+
+server_answer platform_store::write(const std::string& kind, const std::string& name,
+                                    const server_request& request) {
+  const absl::MutexLock lock{&this->mutex};
+  auto answer = this->apply_write(kind, name, request);
+  if (this->faults.lost_answers > 0) {
+    --this->faults.lost_answers;
+    answer.abort = true;
+  }
+  return answer;
+}
+
+server_answer platform_store::apply_write(const std::string& kind, const std::string& name,
+                                          const server_request& request) {
+  const auto body = nlohmann::json::parse(request.body, nullptr, false);
+  auto& objects = this->kinds[kind];
+  if (request.method == "POST") {
+    const auto created = body["metadata"]["name"].get<std::string>();
+    if (objects.contains(created)) {
+      return impl::json_answer(impl::status_conflict, to_text(created, objects[created]));
+    }
+    this->store(kind, created, body["spec"].dump());
+    return impl::json_answer(impl::status_created, to_text(created, objects[created]));
+  }
+  if (!objects.contains(name)) {
+    return {impl::status_not_found, {}, {}, false};
+  }
+  const auto expected = request.method == "PUT" ? body["metadata"].value("revision", std::int64_t{0})
+                                                : impl::number_of(request, "revision");
+  if (expected != 0 && expected != objects[name].revision) {
+    return impl::json_answer(impl::status_conflict, to_text(name, objects[name]));
+  }
+  if (request.method == "DELETE") {
+    this->drop(kind, name);
+    return {impl::status_ok, {}, {}, false};
+  }
+  this->store(kind, name, body["spec"].dump());
+  return impl::json_answer(impl::status_ok, to_text(name, objects[name]));
+}
+
+}  // namespace zinnia::standins
--- /dev/null
+++ b/standins/raw_client.cpp
@@ -0,0 +1,69 @@
+// Blocking reads with a limit.
+#include "standins/raw_client.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+
+namespace zinnia::standins {
+
+raw_client::raw_client(std::uint16_t port) : descriptor{::socket(AF_INET, SOCK_STREAM, 0)} {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  this->closed = ::connect(this->descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0;
+}
+
+raw_client::~raw_client() {
+  this->close();
+}
+
+void raw_client::close() {
+  if (this->descriptor >= 0) {
+    ::close(this->descriptor);
+    this->descriptor = -1;
+  }
+}
+
+void raw_client::send(const std::string& bytes) const {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const auto step = ::send(this->descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (step <= 0) {
+      return;
+    }
+    sent += static_cast<std::size_t>(step);
+  }
+}
+
+std::string raw_client::read_until(const std::string& text, int limit_ms) {
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds{limit_ms};
+  while (text.empty() || this->received.find(text) == std::string::npos) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        deadline - std::chrono::steady_clock::now());
+    pollfd entry{this->descriptor, POLLIN, 0};
+    if (left.count() <= 0 || ::poll(&entry, 1, static_cast<int>(left.count())) <= 0) {
+      break;
+    }
+    std::array<char, 16384> chunk{};
+    const auto got = ::recv(this->descriptor, chunk.data(), chunk.size(), 0);
+    if (got <= 0) {
+      this->closed = true;
+      break;
+    }
+    this->received.append(chunk.data(), static_cast<std::size_t>(got));
+  }
+  return this->received;
+}
+
+std::string raw_client::read_all(int limit_ms) {
+  return this->read_until({}, limit_ms);
+}
+
+}  // namespace zinnia::standins
--- a/standins/standin_backend.cpp
+++ b/standins/standin_backend.cpp
@@ -1,31 +1,51 @@
-// Stand-in for backend servers of one service: slots, service time, cold start, shedding, leaving and faults.
+// Stand-in for the backend servers of one service: slots, memory for objects, cold start, draining, registration.
 //
-// Usage: standin_backend --port 9001 --slots 3 --service-ms 20
-//   curl -X POST 'http://127.0.0.1:9001/control?state=leaving'     stops taking new work
-//   curl 'http://127.0.0.1:9001/counts'                            runs, most at once, runs of each key
-// A request's path steers it: /sleep/MS, /bytes/N, /reset-before, /reset-after, /error; all else echoes.
+// Usage: standin_backend --store 127.0.0.1:7080 --service crewdesk --zone klang-a --count 4 --work-ms 40
+//   curl -X POST 'http://127.0.0.1:PORT/control?state=draining'   reports that it leaves
+//   curl 'http://127.0.0.1:PORT/counts'                           runs, runs by request id, refusals
+// A request's path steers it: .../reset breaks the connection after the run, .../error fails.
+#include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
 #include <boost/program_options.hpp>
 #include <cstdlib>
+#include <deque>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <thread>
 
 #include "standins/http_server.hpp"
+#include "zinnia/store/http_call.hpp"
 
 namespace zinnia::standins {
 namespace impl {
 namespace {
 
-constexpr unsigned http_unavailable = 503;
-constexpr unsigned http_error = 500;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_error = 500;
+constexpr unsigned status_unavailable = 503;
 constexpr int cancel_poll_ms = 5;
+/// Objects that a server remembers; a remembered one takes a quarter of the work.
+constexpr std::size_t remembered_objects = 40;
+constexpr int warm_part = 4;
+
+struct backend_options {
+  std::string store;
+  std::string service{"crewdesk"};
+  std::string zone{"klang-a"};
+  int slots{3};
+  int queue{9};
+  int work_ms{40};
+  int heartbeat_ms{1000};
+};
 
 class backend {
  public:
-  backend(int slot_count, int service_time_ms) : slots{slot_count}, service_ms{service_time_ms} {}
+  backend(backend_options given, std::string id_in) : options{std::move(given)}, id{std::move(id_in)} {}
 
   [[nodiscard]] server_answer handle(const server_request& request) {
     if (request.path == "/health") {
@@ -35,123 +55,169 @@
       return this->counts();
     }
     if (request.path == "/control") {
-      return this->control(request);
+      const absl::MutexLock lock{&this->mutex};
+      this->draining = request.query.contains("state") && request.query.at("state") == "draining";
+      return {status_ok, {}, "ok\n", false};
     }
     return this->serve(request);
   }
 
+  /// Writes the server's own entry in the store; called every heartbeat.
+  void beat(std::uint16_t port) {
+    bool is_draining = false;
+    {
+      const absl::MutexLock lock{&this->mutex};
+      is_draining = this->draining;
+    }
+    const nlohmann::json spec{{"service", this->options.service},
+                              {"address", absl::StrCat("127.0.0.1:", port)},
+                              {"zone", this->options.zone},
+                              {"version", "v1"},
+                              {"slots", this->options.slots},
+                              {"state", is_draining ? "draining" : "ready"},
+                              {"coldRemainingMs", 0},
+                              {"sequence", 1}};
+    const auto base = absl::StrCat("http://", this->options.store, "/zinniafield/objects/servers");
+    http_call call;
+    call.method = this->registered ? "PUT" : "POST";
+    call.url = this->registered ? absl::StrCat(base, "/", this->id) : base;
+    call.headers = {"Content-Type: application/json"};
+    call.body = nlohmann::json{{"metadata", {{"name", this->id}}}, {"spec", spec}}.dump();
+    constexpr long first_refusal = 300;
+    constexpr long status_conflict = 409;
+    const auto answer = perform(call);
+    this->registered = this->registered || answer.status == status_conflict ||
+                       (answer.status != 0 && answer.status < first_refusal);
+  }
+
  private:
-  [[nodiscard]] server_answer health() {
-    const absl::MutexLock lock{&this->mutex};
-    const nlohmann::json body{
-        {"state", this->leaving ? "leaving" : "serving"}, {"slots", this->slots}, {"in_use", this->in_use}};
-    return {200, {}, body.dump(), false};
+  [[nodiscard]] std::string load() const {
+    return absl::StrCat(std::min(this->inside, this->options.slots), ",",
+                        std::max(this->inside - this->options.slots, 0), ",", this->options.slots);
   }
 
-  [[nodiscard]] server_answer counts() {
+  [[nodiscard]] server_answer health() {
     const absl::MutexLock lock{&this->mutex};
-    const nlohmann::json body{{"runs", this->runs},
-                              {"most_at_once", this->most_at_once},
-                              {"over_slots", this->over_slots},
-                              {"cancelled", this->cancelled},
-                              {"after_leaving", this->after_leaving},
-                              {"keys", this->key_runs}};
-    return {200, {}, body.dump(), false};
+    return {this->draining ? status_unavailable : status_ok,
+            {{"Instance-Id", this->id}, {"Server-Load", this->load()}, {"Cold-Start-Ms", "0"}},
+            {},
+            false};
   }
 
-  [[nodiscard]] server_answer control(const server_request& request) {
+  [[nodiscard]] server_answer counts() {
     const absl::MutexLock lock{&this->mutex};
-    const auto state = request.query.find("state");
-    if (state != request.query.end()) {
-      this->leaving = state->second == "leaving";
+    int twice = 0;
+    for (const auto& [request, runs] : this->runs_of) {
+      twice += runs > 1 ? 1 : 0;
     }
-    return {200, {}, "ok\n", false};
+    const nlohmann::json body{{"id", this->id},
+                              {"runs", this->runs},
+                              {"twice", twice},
+                              {"shed", this->shed},
+                              {"misdirected", this->misdirected},
+                              {"cancelled", this->cancelled},
+                              {"while_draining", this->while_draining}};
+    return {status_ok, {}, body.dump(), false};
   }
 
-  [[nodiscard]] static server_answer refuse(const char* why) {
-    return {http_unavailable, {{"X-Verdict", "did-not-run"}, {"X-Reason", why}}, "refused\n", false};
+  [[nodiscard]] server_answer refuse(unsigned status, const std::string& request_id) const {
+    return {status, {{"Not-Executed", "1"}, {"Request-Id", request_id}, {"Server-Load", this->load()}}, {}, false};
   }
 
   [[nodiscard]] server_answer serve(const server_request& request) {
+    const auto header = [&request](const std::string& name) {
+      const auto found = request.headers.find(name);
+      return found == request.headers.end() ? std::string{} : found->second;
+    };
+    const auto request_id = header("request-id");
     {
       const absl::MutexLock lock{&this->mutex};
-      if (this->leaving) {
-        ++this->after_leaving;
-        return refuse("leaving");
-      }
-      if (this->in_use >= this->slots) {
-        ++this->over_slots;
-        return refuse("shed");
+      const auto expected = header("expect-instance");
+      if (!expected.empty() && expected != this->id) {
+        ++this->misdirected;
+        return {status_misdirected, {{"Instance-Id", this->id}, {"Request-Id", request_id}}, {}, false};
       }
-      ++this->in_use;
-      ++this->runs;
-      this->most_at_once = std::max(this->most_at_once, this->in_use);
-      const auto key = request.headers.find("idempotency-key");
-      if (key != request.headers.end()) {
-        ++this->key_runs[key->second];
+      this->while_draining += this->draining ? 1 : 0;
+      if (this->inside >= this->options.slots + this->options.queue) {
+        ++this->shed;
+        return this->refuse(status_unavailable, request_id);
       }
+      ++this->inside;
     }
-    auto answer = this->work(request);
+    auto answer = this->run(request, request_id, header("affinity-key"));
     const absl::MutexLock lock{&this->mutex};
-    --this->in_use;
+    answer.headers["Server-Load"] = this->load();
+    --this->inside;
     return answer;
   }
 
-  [[nodiscard]] server_answer work(const server_request& request) {
-    const auto number = [&request](const std::string& prefix) {
-      return std::strtoll(request.path.c_str() + prefix.size(), nullptr, 10);
-    };
-    const std::string sleep_prefix = "/sleep/";
-    const std::string bytes_prefix = "/bytes/";
-    const bool sleeps = request.path.starts_with(sleep_prefix);
-    if (!this->pass_time(request, sleeps ? number(sleep_prefix) : this->service_ms)) {
-      return {200, {}, {}, true};
+  [[nodiscard]] server_answer run(const server_request& request, const std::string& request_id,
+                                  const std::string& object) {
+    int work_ms = 0;
+    {
+      absl::MutexLock lock{&this->mutex};
+      this->mutex.Await(absl::Condition(
+          +[](backend* self) { return self->running < self->options.slots; }, this));
+      ++this->running;
+      ++this->runs;
+      ++this->runs_of[request_id];
+      work_ms = this->recall(object) ? this->options.work_ms / warm_part : this->options.work_ms;
+    }
+    const bool finished = this->pass_time(request, work_ms);
+    {
+      const absl::MutexLock lock{&this->mutex};
+      --this->running;
+      this->cancelled += finished ? 0 : 1;
     }
-    if (request.path.starts_with("/reset")) {
-      return {200, {}, {}, true};
+    if (!finished || request.path.ends_with("/reset")) {
+      return {status_ok, {}, {}, true};
     }
-    if (request.path == "/error") {
-      return {http_error, {}, "failed\n", false};
+    const bool fails = request.path.ends_with("/error");
+    return {fails ? status_error : status_ok,
+            {{"Request-Id", request_id}, {"Server-Stamp", this->id}},
+            absl::StrCat(request.method, " ", request.path, " ", request_id, "\n", request.body),
+            false};
+  }
+
+  /// Whether the object was remembered; remembers it now.
+  [[nodiscard]] bool recall(const std::string& object) {
+    const auto found = std::find(this->objects.begin(), this->objects.end(), object);
+    const bool known = found != this->objects.end();
+    if (known) {
+      this->objects.erase(found);
     }
-    if (request.path.starts_with(bytes_prefix)) {
-      const auto seed = request.query.find("seed");
-      const char fill = seed == request.query.end() ? 'x' : seed->second.front();
-      return {200, {}, std::string(static_cast<std::size_t>(number(bytes_prefix)), fill), false};
+    this->objects.push_back(object);
+    if (this->objects.size() > remembered_objects) {
+      this->objects.pop_front();
     }
-    const nlohmann::json body{
-        {"path", request.path},
-        {"method", request.method},
-        {"body", request.body},
-        {"request",
-         request.headers.contains("x-request-id") ? request.headers.at("x-request-id") : std::string{}}};
-    return {200, {{"Content-Type", "application/json"}}, body.dump(), false};
+    return known;
   }
 
   /// \return False when the other side gave up meanwhile.
-  [[nodiscard]] bool pass_time(const server_request& request, std::int64_t ms) {
-    for (std::int64_t passed = 0; passed < ms; passed += cancel_poll_ms) {
+  [[nodiscard]] static bool pass_time(const server_request& request, int ms) {
+    for (int passed = 0; passed < ms; passed += cancel_poll_ms) {
       if (peer_has_closed(request.socket)) {
-        const absl::MutexLock lock{&this->mutex};
-        ++this->cancelled;
         return false;
       }
-      std::this_thread::sleep_for(
-          std::chrono::milliseconds{std::min<std::int64_t>(cancel_poll_ms, ms - passed)});
+      std::this_thread::sleep_for(std::chrono::milliseconds{std::min(cancel_poll_ms, ms - passed)});
     }
     return true;
   }
 
-  int slots;
-  std::int64_t service_ms;
+  backend_options options;
+  std::string id;
   absl::Mutex mutex;
-  bool leaving{false};
-  int in_use{0};
-  int most_at_once{0};
+  bool draining{false};
+  bool registered{false};
+  int inside{0};
+  int running{0};
   std::int64_t runs{0};
-  std::int64_t over_slots{0};
+  std::int64_t shed{0};
+  std::int64_t misdirected{0};
   std::int64_t cancelled{0};
-  std::int64_t after_leaving{0};
-  std::map<std::string, int> key_runs;
+  std::int64_t while_draining{0};
+  std::map<std::string, int> runs_of;
+  std::deque<std::string> objects;
 };
 
 }  // namespace
@@ -161,24 +227,27 @@
 int main(int argc, char** argv) {
   namespace po = boost::program_options;
   using namespace zinnia::standins;
-  std::uint16_t port = 0;
-  int slots = 0;
-  int service_ms = 0;
+  impl::backend_options given;
   int count = 0;
+  int port = 0;
   po::options_description options{"standin_backend"};
   auto add = options.add_options();
-  add("port", po::value(&port)->default_value(0), "port; 0 lets the kernel choose");
-  add("slots", po::value(&slots)->default_value(3), "requests at once");
-  add("service-ms", po::value(&service_ms)->default_value(20), "time of one request");
+  add("store", po::value(&given.store), "store to register with, ip:port; none: no registration");
+  add("service", po::value(&given.service), "service");
+  add("zone", po::value(&given.zone), "failure domain");
+  add("slots", po::value(&given.slots)->default_value(3), "requests at once");
+  add("work-ms", po::value(&given.work_ms)->default_value(40), "work of a request whose object is not remembered");
   add("count", po::value(&count)->default_value(1), "servers in this process, each with a port of its own");
-  po::variables_map given;
-  po::store(po::parse_command_line(argc, argv, options), given);
-  po::notify(given);
+  add("port", po::value(&port)->default_value(0), "first port; 0 lets the kernel choose");
+  po::variables_map parsed;
+  po::store(po::parse_command_line(argc, argv, options), parsed);
+  po::notify(parsed);
   block_stop_signals();
   std::vector<std::unique_ptr<impl::backend>> backends;
   std::vector<std::unique_ptr<http_server>> servers;
   for (int i = 0; i < count; ++i) {
-    backends.push_back(std::make_unique<impl::backend>(slots, service_ms));
+    backends.push_back(
+        std::make_unique<impl::backend>(given, absl::StrCat("b-", given.service, "-", given.zone, "-", i)));
     servers.push_back(std::make_unique<http_server>(
         port == 0 ? 0 : static_cast<std::uint16_t>(port + i),
         [state = backends.back().get()](const server_request& request) { return state->handle(request); }));
@@ -188,6 +257,19 @@
     }
     std::cout << "listening " << servers.back()->port() << std::endl;
   }
+  std::atomic<bool> stopping{false};
+  std::thread beats{[&] {
+    while (!stopping && !given.store.empty()) {
+      for (std::size_t i = 0; i < backends.size(); ++i) {
+        backends[i]->beat(servers[i]->port());
+      }
+      for (int passed = 0; passed < given.heartbeat_ms && !stopping; passed += impl::cancel_poll_ms) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{impl::cancel_poll_ms});
+      }
+    }
+  }};
   wait_for_stop_signal();
+  stopping = true;
+  beats.join();
   return 0;
 }
