Remove settings and reasons that nothing reads; demo and checks over the platform's stand-ins

Cause: settings, reasons and counters of the holder path were left without a reader. Change: they are removed; leave_homes and lookup_lifetime_ms are read; the demo runs six nodes over the stand-ins; a drain without stored settings is refused with a hint.

--- a/apps/zinniactl/commands.cpp
+++ b/apps/zinniactl/commands.cpp
@@ -277,6 +277,10 @@
   if (!base) {
     return exit_code::failed;
   }
+  if (base->version.count() == 0) {
+    this->complain("there are no settings to add a shift to; write a tree first with 'zinniactl apply'");
+    return exit_code::not_found;
+  }
   auto changed = base->document;
   changed.shifts.push_back(shift);
   const auto code = this->write(*base, changed);
--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -10,64 +10,28 @@
 
 enum class reason : unsigned char {
   none,
-  // Caller input.
+  // Requests refused before placement.
   bad_request,
-  body_too_large,
-  unknown_service,
-  // Admission.
-  deadline_passed,
-  queue_full,
-  slots_busy,
-  wait_exceeds_deadline,
-  reserve_kept,
-  workers_busy,
-  entry_leaving,
-  // Placement.
-  no_holder,
+  no_route,
   no_settings,
-  term_lapsed,
-  share_exhausted,
-  draining,
-  retry_budget_empty,
+  memory_short,
+  // Placement.
+  no_backend,
+  wait_exceeds_deadline,
+  deadline_passed,
   // Delivery to a backend server.
   connect_failed,
-  backend_refused,
   backend_shed,
-  reset_before_first_byte,
-  reset_mid_answer,
-  backend_timeout,
-  backend_error,
-  answer_too_large,
-  cancelled,
-  // Idempotency keys.
-  key_uncertain,
-  key_reused,
-  key_recovering,
-  key_table_full,
-  resolved_by_operator,
-  answer_not_kept,
-  journal_unavailable,
-  journal_fenced,
-  // Peers.
-  peer_unreachable,
-  peer_lost,
-  malformed_frame,
-  frame_too_large,
-  version_mismatch,
-  // Platform.
-  store_unavailable,
-  store_conflict,
-  store_unknown,
-  invalid_setting,
-  // Direct dispatch.
-  no_route,
-  no_backend,
   backend_replaced,
+  backend_error,
   answer_unsound,
+  reset_before_first_byte,
+  reset_mid_answer,
   route_timeout,
   caller_left,
-  attempts_exhausted,
-  memory_short,
+  // Input from elsewhere.
+  malformed_frame,
+  invalid_setting,
   count,
 };
 
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -320,6 +320,7 @@
     this->owner.table.note_round_trip(*target, *connected);
   }
   this->owner.pool_of(*target).release(std::exchange(this->connection, nullptr));
+  this->owner.counts.record(timing::backend, took);
   this->learn(judged, took);
   this->known = combine(this->known, judged.ran);
   absl::StrAppend(&this->history, this->history.empty() ? "" : " ", target->declared().id.str(), "=",
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -38,8 +38,6 @@
 constexpr std::size_t service_connections = 200;
 /// Connections to the directory's address.
 constexpr std::size_t directory_connections = 800;
-/// How long callers keep an answer of the directory; short, as a node that stops is named until then.
-constexpr duration answer_life{2000};
 /// Time before the process would be killed at which it ends by itself.
 constexpr duration stop_margin{700};
 /// Time for the last answers to reach their callers before the process ends; a long link's round trip.
@@ -74,6 +72,8 @@
   [[nodiscard]] bool listen();
   void answer_directory(const std::shared_ptr<caller_exchange>& exchange);
   void answer_readiness(const std::shared_ptr<caller_exchange>& exchange);
+  /// How long callers may keep an answer of the directory.
+  [[nodiscard]] duration answer_life() const;
   void wait_for_signal();
   void begin_stop();
   void continue_stop();
@@ -217,11 +217,17 @@
     exchange->respond(status_unavailable, {}, "");
     return;
   }
-  const auto life = std::min(answer_life, this->settings.longest_answer_life);
+  const auto life = std::min(this->answer_life(), this->settings.longest_answer_life);
   exchange->respond(status_ok, {{"Content-Type", "application/json"}},
                     this->outside.directory_answer(addresses, life));
 }
 
+duration node::answer_life() const {
+  const auto* const snapshot = this->traffic.snapshot();
+  const auto& tree_now = snapshot != nullptr && snapshot->tree != nullptr ? *snapshot->tree : *this->tree;
+  return {tree_now.effective({}, this->settings.here.region, this->settings.here.domain).values.lookup_lifetime_ms};
+}
+
 void node::wait_for_signal() {
   this->signals.async_wait([this](const boost::system::error_code& problem, int signal) {
     if (problem) {
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -20,26 +20,16 @@
 enum class counter : unsigned char {
   requests,
   lookups,
-  key_replays,
-  key_joins,
-  forwards,
   caller_closed,
-  caller_timeouts,
-  http_protocol_errors,
   malformed_frames,
-  oversized_frames,
-  peer_connections,
   store_calls,
   store_failures,
-  journal_batches,
-  fate_batches,
-  fate_batches_lost,
   settings_rejected,
   count,
 };
 
 /// \brief Times that are kept as histograms.
-enum class timing : unsigned char { request, queue_wait, backend, journal, count };
+enum class timing : unsigned char { request, queue_wait, backend, count };
 
 /// \brief A figure of the moment for `/metrics`.
 struct gauge {
--- a/packages/observe/src/metrics.cpp
+++ b/packages/observe/src/metrics.cpp
@@ -13,14 +13,12 @@
 constexpr double highest_ms = 60'000;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(counter::count)> counter_names{
-    "requests",          "lookups",          "key_replays",          "key_joins",        "forwards",
-    "caller_closed",     "caller_timeouts",  "http_protocol_errors", "malformed_frames", "oversized_frames",
-    "peer_connections",  "store_calls",      "store_failures",       "journal_batches",  "fate_batches",
-    "fate_batches_lost", "settings_rejected"};
+    "requests",    "lookups",        "caller_closed",    "malformed_frames",
+    "store_calls", "store_failures", "settings_rejected"};
 static_assert(!counter_names.back().empty(), "every counter has a name");
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(timing::count)> timing_names{
-    "request", "queue_wait", "backend", "journal"};
+    "request", "queue_wait", "backend"};
 
 template <std::size_t Size>
 void render_reasons(std::ostringstream& out, const std::string& name,
--- a/packages/routing/include/zinnia/routing/placement_settings.hpp
+++ b/packages/routing/include/zinnia/routing/placement_settings.hpp
@@ -18,9 +18,11 @@
   double domain_transfer_ms_per_kib{2};
   double region_transfer_ms_per_kib{2};
   /// How much a miss counts beyond its own time, as it takes slots from other requests; times utilisation.
-  double miss_penalty{1};
+  double miss_penalty{3};
   /// Backend servers that may handle an object; more would push other objects out of their memory.
   std::size_t homes_per_object{2};
+  /// Whether objects may leave their homes while the service has room to spare.
+  bool may_stray{true};
   /// Objects that a backend server is taken to remember.
   std::size_t remembered_objects{40};
   /// Requests beyond its slots that are sent to a backend server, so that a slot is never left empty.
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -307,7 +307,7 @@
     }
   };
   weigh_all(homes.empty() ? usable_now : homes);
-  if (!best && utilisation < impl::spare_utilisation) {
+  if (!best && group.settings.may_stray && utilisation < impl::spare_utilisation) {
     // The service has room, only these homes have not.
     weigh_all(usable_now);
   }
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -99,17 +99,23 @@
   this->apply();
   const std::uint64_t object = 7;
   std::set<std::string> homes;
-  for (int i = 0; i < 2; ++i) {
+  // Enough that neither home can answer within the deadline below, few enough that the service has room.
+  for (int sent = 0; sent < 6; ++sent) {
     const auto decision = this->table.choose(this->request(object), this->now);
+    ASSERT_NE(decision.target, nullptr);
     homes.insert(decision.target->declared().id.str());
-    for (int sent = 0; sent < 3; ++sent) {
-      decision.target->on_sent(this->now);
-    }
+    decision.target->on_sent(this->now);
   }
   ASSERT_EQ(homes.size(), 2U);
-  const auto stray = this->table.choose(this->request(object, 250), this->now);
+  const auto stray = this->table.choose(this->request(object, 220), this->now);
   ASSERT_NE(stray.target, nullptr);
   EXPECT_FALSE(homes.contains(stray.target->declared().id.str()));
+  // The same service under load: the object waits at its homes or is refused.
+  for (const auto& backend : this->table.all()) {
+    backend->on_sent(this->now);
+  }
+  const auto full = this->table.choose(this->request(object, 220), this->now);
+  EXPECT_EQ(full.action, placement_action::refuse);
 }
 
 /// Plays a service asked for more objects than one server remembers, at a rate that only warm servers carry.
--- a/packages/settings/include/zinnia/settings/service_settings.hpp
+++ b/packages/settings/include/zinnia/settings/service_settings.hpp
@@ -10,39 +10,36 @@
 
 namespace zinnia {
 
-/// \brief What a key home does while the platform's store cannot take its journal.
-enum class outage_policy : std::int64_t { refuse = 0, serve = 1 };
+/// \brief Whether objects may be handled elsewhere than at their homes.
+enum class stray_policy : std::int64_t {
+  never = 0,
+  /// While the service has room to spare and no home can answer in time.
+  while_spare = 1,
+};
 
 /// \brief   Values in force for one service at one place.
 /// \details Every member is within the range that `setting_table()` gives for it.
 struct service_settings {
   std::int64_t slots_per_upstream{3};
-  std::int64_t default_deadline_ms{10'000};
   std::int64_t longest_deadline_ms{30'000};
   std::int64_t queue_limit{64};
   std::int64_t typical_service_ms{20};
-  std::int64_t reserve_percent{10};
-  std::int64_t latency_weight{10};
-  std::int64_t headroom_weight{10};
-  std::int64_t retry_budget_percent{10};
   std::int64_t ramp_step_percent{25};
   std::int64_t ramp_interval_ms{10'000};
-  std::int64_t lookup_lifetime_ms{5'000};
-  std::int64_t key_window_ms{3'600'000};
-  std::int64_t store_outage{static_cast<std::int64_t>(outage_policy::refuse)};
-  std::int64_t answer_limit_bytes{16 << 20};
+  std::int64_t lookup_lifetime_ms{2'000};
   std::int64_t own_domain_weight{16};
   std::int64_t own_region_weight{4};
   std::int64_t other_region_weight{1};
   std::int64_t domain_transfer_us_per_kib{2'000};
   std::int64_t region_transfer_us_per_kib{2'000};
-  std::int64_t miss_penalty_percent{100};
+  std::int64_t miss_penalty_percent{300};
   std::int64_t homes_per_object{2};
+  std::int64_t leave_homes{static_cast<std::int64_t>(stray_policy::while_spare)};
   std::int64_t remembered_objects{40};
   std::int64_t overcommit_requests{1};
 
-  [[nodiscard]] outage_policy on_store_outage() const noexcept {
-    return static_cast<outage_policy>(this->store_outage);
+  [[nodiscard]] stray_policy on_full_homes() const noexcept {
+    return static_cast<stray_policy>(this->leave_homes);
   }
 };
 
--- a/packages/settings/include/zinnia/settings/settings_tree.hpp
+++ b/packages/settings/include/zinnia/settings/settings_tree.hpp
@@ -38,8 +38,6 @@
   }
   [[nodiscard]] const std::vector<link_declaration>& links() const noexcept { return this->link_list; }
   [[nodiscard]] const std::vector<shift_intent>& shifts() const noexcept { return this->shift_list; }
-  /// \brief Key buckets of each region.
-  [[nodiscard]] std::int64_t key_buckets() const noexcept { return this->key_bucket_count; }
   [[nodiscard]] bool has_service(const service_id& service) const noexcept;
   [[nodiscard]] bool has_region(const region_id& region) const noexcept;
   /// \brief The link between two regions, or null when none is declared.
@@ -60,7 +58,6 @@
   friend class tree_parser;
 
   std::string tree_name;
-  std::int64_t key_bucket_count{6};
   std::vector<service_id> service_list;
   std::vector<region_id> region_list;
   std::vector<domain_declaration> domain_list;
--- a/packages/settings/src/service_settings.cpp
+++ b/packages/settings/src/service_settings.cpp
@@ -7,31 +7,22 @@
 namespace impl {
 namespace {
 
-constexpr std::array<std::string_view, 2> outage_words{"refuse", "serve"};
+constexpr std::array<std::string_view, 2> stray_words{"never", "while-spare"};
 constexpr std::int64_t one_hour_ms = 3'600'000;
-constexpr std::int64_t one_day_ms = 24 * one_hour_ms;
 constexpr std::int64_t ten_minutes_ms = 600'000;
 constexpr std::int64_t one_second_us = 1'000'000;
 constexpr std::int64_t highest_weight = 1'000;
 
 using s = service_settings;
 
-constexpr std::array<setting_descriptor, 24> settings{{
+constexpr std::array<setting_descriptor, 17> settings{{
     {"slots_per_upstream", &s::slots_per_upstream, 1, 10'000},
-    {"default_deadline_ms", &s::default_deadline_ms, 10, ten_minutes_ms},
     {"longest_deadline_ms", &s::longest_deadline_ms, 100, ten_minutes_ms},
     {"queue_limit", &s::queue_limit, 0, 100'000},
     {"typical_service_ms", &s::typical_service_ms, 1, ten_minutes_ms},
-    {"reserve_percent", &s::reserve_percent, 0, 90},
-    {"latency_weight", &s::latency_weight, 0, 100},
-    {"headroom_weight", &s::headroom_weight, 0, 100},
-    {"retry_budget_percent", &s::retry_budget_percent, 0, 100},
     {"ramp_step_percent", &s::ramp_step_percent, 1, 100},
     {"ramp_interval_ms", &s::ramp_interval_ms, 100, one_hour_ms},
-    {"lookup_lifetime_ms", &s::lookup_lifetime_ms, 100, ten_minutes_ms},
-    {"key_window_ms", &s::key_window_ms, 1'000, one_day_ms},
-    {"store_outage", &s::store_outage, 0, 1, outage_words},
-    {"answer_limit_bytes", &s::answer_limit_bytes, 1'024, 64 << 20},
+    {"lookup_lifetime_ms", &s::lookup_lifetime_ms, 1'000, ten_minutes_ms},
     {"own_domain_weight", &s::own_domain_weight, 1, highest_weight},
     {"own_region_weight", &s::own_region_weight, 1, highest_weight},
     {"other_region_weight", &s::other_region_weight, 1, highest_weight},
@@ -39,6 +30,7 @@
     {"region_transfer_us_per_kib", &s::region_transfer_us_per_kib, 0, one_second_us},
     {"miss_penalty_percent", &s::miss_penalty_percent, 0, 1'000},
     {"homes_per_object", &s::homes_per_object, 1, 16},
+    {"leave_homes", &s::leave_homes, 0, 1, stray_words},
     {"remembered_objects", &s::remembered_objects, 0, 100'000},
     {"overcommit_requests", &s::overcommit_requests, 0, 100},
 }};
--- a/packages/settings/src/settings_tree.cpp
+++ b/packages/settings/src/settings_tree.cpp
@@ -25,7 +25,6 @@
 /// Flattens a tree to path and text, so that two trees compare line by line.
 [[nodiscard]] std::map<std::string, std::string> flatten(const settings_tree& tree) {
   std::map<std::string, std::string> lines;
-  lines["key_buckets"] = std::to_string(tree.key_buckets());
   for (const auto& [path, values] : tree.overrides()) {
     for (const auto& [name, value] : values) {
       lines[path + '.' + std::string{name}] = format_setting(*find_setting(name), value);
--- a/packages/settings/src/shift_checks.cpp
+++ b/packages/settings/src/shift_checks.cpp
@@ -61,14 +61,21 @@
                 "percent: " + std::to_string(shift.percent) + " is out of range; allowed: 1 to 100",
                 position};
   }
-  // Entries are VMs and not part of the tree, so their names cannot be checked here.
-  if (shift.kind != shift_kind::drain_entry) {
+  // Entries are VMs and not part of the tree; nor are upstreams and services that are declared elsewhere. Their
+  // names cannot be checked here.
+  const bool upstreams_elsewhere = this->tree.upstream_list.empty();
+  const bool is_unknowable = shift.kind == shift_kind::drain_entry ||
+                             (shift.kind == shift_kind::drain_upstream && upstreams_elsewhere);
+  if (!is_unknowable) {
     impl::require_known(shift.target, impl::known_targets(this->tree, shift.kind), position);
   }
   if (shift.kind != shift_kind::move) {
     return;
   }
   impl::require_known(shift.to.str(), impl::known_targets(this->tree, shift_kind::move), position);
+  if (this->tree.service_list.empty()) {
+    return;
+  }
   if (!this->tree.has_service(shift.service)) {
     throw error{reason::invalid_setting, "unknown service '" + shift.service.str() + "'", position};
   }
--- a/packages/settings/src/tree_parser.cpp
+++ b/packages/settings/src/tree_parser.cpp
@@ -9,7 +9,6 @@
 
 constexpr std::int64_t highest_delay_ms = 10'000;
 constexpr std::int64_t highest_link_capacity = 10'000'000;
-constexpr std::int64_t highest_key_buckets = 1'024;
 
 template <class Id>
 [[nodiscard]] std::vector<std::string> texts_of(const std::vector<Id>& ids) {
@@ -230,18 +229,6 @@
   this->tree.link_list.push_back(std::move(link));
 }
 
-void tree_parser::check_deadlines() const {
-  for (const auto& service : this->tree.service_list) {
-    const auto values = this->tree.effective(service).values;
-    if (values.default_deadline_ms > values.longest_deadline_ms) {
-      throw error{reason::invalid_setting,
-                  "default_deadline_ms: " + std::to_string(values.default_deadline_ms) +
-                      " is over longest_deadline_ms " + std::to_string(values.longest_deadline_ms),
-                  "services." + service.str()};
-    }
-  }
-}
-
 void tree_parser::check_blocks() const {
   std::vector<std::pair<client_block, const domain_declaration*>> blocks;
   for (const auto& domain : this->tree.domain_list) {
@@ -263,18 +250,13 @@
 
 settings_tree tree_parser::parse() {
   const auto root = YAML::Load(this->document.tree_text);
-  this->check_names(root, {"tree", "key_buckets", "settings", "places", "services", "links"}, "field");
+  this->check_names(root, {"tree", "settings", "places", "services", "links"}, "field");
   this->tree.tree_name = root["tree"].as<std::string>("unnamed");
-  if (root["key_buckets"]) {
-    this->tree.key_bucket_count =
-        this->read_integer(root["key_buckets"], "key_buckets", 1, impl::highest_key_buckets);
-  }
   this->read_overrides(root["settings"], "settings");
   this->read_places(root["places"]);
   this->read_services(root["services"]);
   this->read_links(root["links"]);
   this->tree.shift_list = this->document.shifts;
-  this->check_deadlines();
   this->check_blocks();
   this->check_shifts();
   return std::move(this->tree);
--- a/packages/settings/src/tree_parser.hpp
+++ b/packages/settings/src/tree_parser.hpp
@@ -35,7 +35,6 @@
   void read_upstreams(const YAML::Node& list, const service_id& service, const domain_declaration& domain);
   void read_links(const YAML::Node& links);
   void read_link(const YAML::Node& node);
-  void check_deadlines() const;
   void check_blocks() const;
   void check_shifts() const;
   void check_shift(const shift_intent& shift) const;
--- a/packages/settings/tests/tree_test.cpp
+++ b/packages/settings/tests/tree_test.cpp
@@ -8,16 +8,16 @@
 
 const char* const tree_text = R"(
 tree: test
-settings: {queue_limit: 10, reserve_percent: 5}
+settings: {queue_limit: 10, miss_penalty_percent: 5}
 places:
   klang: {domains: {klang-a: {clients: [10.1.0.0/17]}, klang-b: {clients: [10.1.128.0/17]}}}
   penang: {domains: {penang-a: {}}}
 services:
   crewdesk:
-    settings: {reserve_percent: 20}
+    settings: {miss_penalty_percent: 20}
     regions:
       klang:
-        settings: {reserve_percent: 30, store_outage: serve}
+        settings: {miss_penalty_percent: 30, leave_homes: never}
         domains:
           klang-a: {settings: {queue_limit: 99}, upstreams: ["10.0.0.1:80"]}
           klang-b: {upstreams: ["10.0.0.2:80"]}
@@ -35,15 +35,15 @@
   const service_id service{"crewdesk"};
   const auto at_domain = tree->effective(service, region_id{"klang"}, failure_domain_id{"klang-a"});
   EXPECT_EQ(at_domain.values.queue_limit, 99);
-  EXPECT_EQ(at_domain.values.reserve_percent, 30);
-  EXPECT_EQ(at_domain.values.on_store_outage(), outage_policy::serve);
+  EXPECT_EQ(at_domain.values.miss_penalty_percent, 30);
+  EXPECT_EQ(at_domain.values.on_full_homes(), stray_policy::never);
   EXPECT_EQ(at_domain.origins.at("queue_limit"), "services.crewdesk.regions.klang.domains.klang-a");
-  EXPECT_EQ(at_domain.origins.at("reserve_percent"), "services.crewdesk.regions.klang");
-  EXPECT_FALSE(at_domain.origins.contains("latency_weight"));
+  EXPECT_EQ(at_domain.origins.at("miss_penalty_percent"), "services.crewdesk.regions.klang");
+  EXPECT_FALSE(at_domain.origins.contains("own_region_weight"));
   const auto elsewhere = tree->effective(service, region_id{"penang"});
   EXPECT_EQ(elsewhere.values.queue_limit, 10);
   EXPECT_EQ(elsewhere.origins.at("queue_limit"), "settings");
-  EXPECT_EQ(elsewhere.values.reserve_percent, 20);
+  EXPECT_EQ(elsewhere.values.miss_penalty_percent, 20);
 }
 
 TEST(tree, diff_names_only_what_changed) {
@@ -97,10 +97,10 @@
                               "test.yaml:3: unknown setting 'queue_limt'; did you mean 'queue_limit'?"},
                     bad_input{"unit in value", "queue_limit: 10", "queue_limit: 10ms",
                               "'10ms' is not a whole number"},
-                    bad_input{"out of range", "reserve_percent: 5", "reserve_percent: 95",
-                              "95 is out of range; allowed: 0 to 90"},
-                    bad_input{"wrong word", "store_outage: serve", "store_outage: maybe",
-                              "'maybe' is not allowed; allowed: refuse, serve"},
+                    bad_input{"out of range", "miss_penalty_percent: 5", "miss_penalty_percent: 1095",
+                              "1095 is out of range; allowed: 0 to 1000"},
+                    bad_input{"wrong word", "leave_homes: never", "leave_homes: maybe",
+                              "leave_homes: 'maybe' is not allowed; allowed: never, while-spare"},
                     bad_input{"caps over capacity", "capacity: 10", "capacity: 9",
                               "their sum 10 is over the link's capacity 9"},
                     bad_input{"unknown region", "from: klang", "from: klagn",
--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -9,7 +9,7 @@
 store=$!
 trap 'kill "$store"; rm -rf "$work"' EXIT
 until grep -q listening "$work/store"; do sleep 0.05; done
-export ZINNIA_STORE_URL="http://127.0.0.1:$(cut -d' ' -f2 "$work/store")"
+export ZINNIA_STORE="127.0.0.1:$(cut -d' ' -f2 "$work/store")"
 export PATH="$build:$PATH"
 count=0
 for page in README.md docs/*.md docs/operating/*.md; do
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -1,20 +1,17 @@
 #!/usr/bin/env bash
-# Functions that start and stop a whole system on this machine; sourced by demo.sh and by the measurements.
+# Functions that start and stop a whole system on this machine; sourced by demo.sh.
 # Everything started is noted by process id and ended by it.
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 bin="$root/build"
 work="$(mktemp -d)"
-store_port=${ZINNIA_STORE_PORT:-7080}
-store="http://127.0.0.1:$store_port"
 pids=()
-declare -A node_pid
-declare -A caller_of
+declare -A pid_of
 
 start() {  # start NAME PROGRAM ARGUMENTS...: runs a program in the background; its output goes to a file
   local name="$1"; shift
   "$@" >"$work/$name.log" 2>&1 &
+  pid_of[$name]=$!
   pids+=($!)
-  last_pid=$!
 }
 
 stop_all() {
@@ -31,48 +28,65 @@
   done
 }
 
+port_of() {  # port_of NAME: the port that a stand-in printed
+  wait_for 10 grep -q listening "$work/$1.log"
+  sed -n 's/^listening //p' "$work/$1.log" | head -n 1
+}
+
 ctl() { "$bin/zinniactl" --store "$store" --author demo "$@"; }
 
-start_node() {  # start_node NAME REGION DOMAIN ADDRESS [FLAGS...]
-  local name="$1" region="$2" domain="$3" ip="$4"; shift 4
-  start "$name" "$bin/zinniad" --node "$name" --region "$region" --domain "$domain" --store-url "$store" \
-    --listen-caller "$ip:7300" --listen-peer "$ip:7200" --advertise-peer "$ip:7100" "$@"
-  node_pid[$name]=$last_pid
-  caller_of[$name]="$ip:7300"
+# The platform's configuration as its operator would write it: one host, a safe and an unsafe route.
+write_config() {  # write_config VERSION
+  local spec
+  spec=$(jq -nc --arg version "$1" '{version: $version,
+    limits: {maxHeaderBytes: 16384, maxBodyBytes: 1048576, headerTimeoutMs: 3000, idleTimeoutMs: 15000},
+    listeners: [{host: "demo.example", rules: [
+      {name: "slots", kind: "safe", targetLatencyMs: 300, priority: 2, sticky: true, match: {pathPrefix: "/slots/"},
+       action: {service: "crewdesk", timeoutMs: 1000, maxAttempts: 2}},
+      {name: "bookings", kind: "unsafe", targetLatencyMs: 300, priority: 1, sticky: true,
+       match: {pathPrefix: "/bookings/"}, action: {service: "crewdesk", timeoutMs: 1000, maxAttempts: 2}}]}],
+    clusters: [{name: "crewdesk", healthPath: "/health", maxConnections: 330, coldStartS: 3, coldPerS: 10}]}')
+  curl -sf -o /dev/null -X POST "http://$store/zinniafield/objects/config" \
+    -d "{\"metadata\":{\"name\":\"main\"},\"spec\":$spec}" ||
+    curl -sf -o /dev/null -X PUT "http://$store/zinniafield/objects/config/main" \
+      -d "{\"metadata\":{\"name\":\"main\"},\"spec\":$spec}"
+}
+
+start_node() {  # start_node NAME REGION DOMAIN IP
+  start "$1" "$bin/zinniad" --node "$1" --region "$2" --domain "$3" --store "$store" --tree "$root/deploy/tree.yaml" \
+    --listen-callers "$4:7300" --listen-ready "$4:7301" --listen-directory "$4:7302" --listen-operators "$4:7303"
 }
 
-# start_system TREE REGION...: store, backend servers, links and three entry VMs in two domains of each region.
+is_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$1:7301/")" = 200 ]; }
+
+# Store, backend servers of one service in six failure domains, and an entry VM in each of them.
 start_system() {
-  local tree="$1"; shift
-  start store "$bin/standin_store" --port "$store_port"
-  start crew_backends "$bin/standin_backend" --port 9101 --count 24 --slots 3 --service-ms "${SERVICE_MS:-20}"
-  start docs_backends "$bin/standin_backend" --port 9201 --count 12 --slots 3 --service-ms "${SERVICE_MS:-20}"
-  wait_for 10 curl -sf "$store/calls"
-  ctl apply --file "$tree" >/dev/null
-  local pairs=() r=0 region n
-  for region in "$@"; do
+  start store "$bin/standin_store" --port 0
+  store="127.0.0.1:$(port_of store)"
+  write_config 00000001
+  local r=0 region domain
+  for region in klang penang kuching; do
     r=$((r + 1))
-    for n in 1 2 3; do pairs+=(--pair "127.0.$r.$n:7100=127.0.$r.$n:7200"); done
+    for domain in a b; do
+      start "backends-$region-$domain" "$bin/standin_backend" --store "$store" --service crewdesk \
+        --zone "$region-$domain" --count 2 --slots 3 --work-ms 40
+      start_node "$region-$domain" "$region" "$region-$domain" "127.0.$r.$([ "$domain" = a ] && echo 1 || echo 2)"
+    done
   done
-  start link "$bin/standin_link" "${pairs[@]}" --domain-ms "${DOMAIN_MS:-1}" --region-ms "${REGION_MS:-55}"
-  r=0
-  for region in "$@"; do
-    r=$((r + 1))
-    start_node "$region-1" "$region" "$region-a" "127.0.$r.1" ${NODE_FLAGS:-}
-    start_node "$region-2" "$region" "$region-b" "127.0.$r.2" ${NODE_FLAGS:-}
-    start_node "$region-3" "$region" "$region-a" "127.0.$r.3" ${NODE_FLAGS:-}
+  for r in 1 2 3; do
+    wait_for 20 is_ready "127.0.$r.1"
+    wait_for 20 is_ready "127.0.$r.2"
   done
-  for name in "${!caller_of[@]}"; do wait_for 20 curl -sf "http://${caller_of[$name]}/readyz"; done
-  wait_for 20 all_held
+  wait_for 20 all_known
 }
 
-all_held() {  # every upstream and every bucket has a holder
-  [ "$(ctl --output json status | jq '[.[].upstreams | length] | add')" -eq 36 ] &&
-    [ "$(ctl --output json status | jq '[.[].buckets | length] | add')" -eq 18 ]
+all_known() {  # every node knows 12 backend servers and 6 nodes
+  [ "$(ctl --output json status | jq '[.[] | select(.backends == 12 and (.nodes_alive | length) == 6)] | length')" -eq 6 ]
 }
 
+backend_ports() { sed -n 's/^listening //p' "$work"/backends-*.log; }
+
 backend_sum() {  # backend_sum FIELD: over all backend servers
   local port
-  for port in $(seq 9101 9124) $(seq 9201 9212); do curl -s "http://127.0.0.1:$port/counts"; echo; done |
-    jq -s "map(.$1) | add"
+  for port in $(backend_ports); do curl -s "http://127.0.0.1:$port/counts"; echo; done | jq -s "map(.$1) | add"
 }
--- a/standins/standin_backend.cpp
+++ b/standins/standin_backend.cpp
@@ -160,7 +160,7 @@
           +[](backend* self) { return self->running < self->options.slots; }, this));
       ++this->running;
       ++this->runs;
-      ++this->runs_of[request_id];
+      this->runs_of[request_id] += request.method == "POST" ? 1 : 0;
       work_ms = this->recall(object) ? this->options.work_ms / warm_part : this->options.work_ms;
     }
     const bool finished = this->pass_time(request, work_ms);
--- a/standins/standin_caller.cpp
+++ b/standins/standin_caller.cpp
@@ -4,6 +4,7 @@
 //          --path /slots/ --threads 8 --seconds 10
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
+#include <unistd.h>
 
 #include <boost/program_options.hpp>
 #include <chrono>
@@ -81,7 +82,7 @@
       std::this_thread::sleep_for(std::chrono::milliseconds{100});
       continue;
     }
-    const auto id = absl::StrCat("c", thread, "-", number, "-", random());
+    const auto id = absl::StrCat("c", getpid(), "-", thread, "-", number);
     zinnia::http_call call;
     call.method = options.method;
     call.url = absl::StrCat("http://", addresses[random() % addresses.size()], options.path, number);
