Let one kind probe a lost store, and refresh all when it answers

Change: while the store is away only the configuration's watch asks; its success refreshes every kind at once; pauses are 700 ms at most. A contract test that failed before.

--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -31,6 +31,9 @@
 /// Changes of servers come in bursts; one call brings all of this time, far below any bound on acting on
 /// them.
 constexpr duration settle_pause{200};
+/// Longest pause between calls to a store that fails: with the time to connect it stays well below the shortest
+/// `stableWindowMs` (3 s), within which a node must be up to date again.
+constexpr duration longest_pause{700};
 /// Pause between writes of this node's own entry; longer than the store's answer and its change event.
 constexpr duration write_pause{1500};
 /// How often silent nodes are looked for.
@@ -83,6 +86,7 @@
   feed_timing timing;
   timing.watch_wait = wait;
   timing.settle_pause = settle;
+  timing.longest_pause = longest_pause;
   return {timing, stable_hash(self.str() + kind)};
 }
 
@@ -154,7 +158,12 @@
 }
 
 void control_thread::issue_calls(time_point now) {
+  // While the store is away, one kind asks for all.
+  const bool is_lost = this->configuration_watch().feed.is_failing();
   for (auto& watched : this->watches) {
+    if (is_lost && &watched != &this->configuration_watch()) {
+      continue;
+    }
     if (const auto call = watched.feed.next(now)) {
       this->start_call(watched, *call);
     }
@@ -205,7 +214,8 @@
       .field("cause", answer.failure)
       .field("age_ms", (this->clock.now() - watched.feed.last_answer()).ms);
   if (!is_lost && &watched == &this->configuration_watch()) {
-    // The other watches may hang on connections that will never answer.
+    // The other watches may hang on connections that will never answer, or sit out a pause.
+    this->renewed_at = {};
     this->renew_watches(watched);
   }
 }
@@ -236,11 +246,14 @@
   }
   this->renewed_at = now;
   for (auto& watched : this->watches) {
-    if (&watched != &except && watched.call_active) {
+    if (&watched == &except) {
+      continue;
+    }
+    if (watched.call_active) {
       this->calls.cancel(watched.call);
       watched.call_active = false;
-      watched.feed.restart();
     }
+    watched.feed.restart();
   }
 }
 
--- a/packages/node/tests/control_contract_test.cpp
+++ b/packages/node/tests/control_contract_test.cpp
@@ -166,6 +166,28 @@
   EXPECT_FALSE(this->went_back);
 }
 
+/// While the store is away one kind asks for all; when it answers again every kind is asked at once, so that no
+/// kind sits out a pause of its own with old news.
+TEST_F(control_contract, one_kind_probes_a_lost_store_and_its_return_refreshes_all) {
+  ASSERT_TRUE(this->serves("/one/"));
+  this->store.set_faults({.refuse_status = 503});
+  const auto failed_calls = [this] { return this->counts.value(counter::store_failures); };
+  while (failed_calls() < 8) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+  const auto before = this->store.calls_for("servers") + this->store.calls_for("evacuations");
+  while (failed_calls() < 14) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+  EXPECT_EQ(this->store.calls_for("servers") + this->store.calls_for("evacuations"), before);
+  this->store.put("servers", "i-1", make_server("draining"));
+  this->store.put("evacuations", "near-a", nlohmann::json::object());
+  this->store.set_faults({});
+  EXPECT_TRUE(this->becomes([](const routing_snapshot& seen) {
+    return seen.evacuated.size() == 1 && seen.backends.at(backend_id{"i-1"}).mode == backend_mode::draining;
+  }));
+}
+
 TEST_F(control_contract, a_history_that_is_gone_hides_no_change) {
   ASSERT_TRUE(this->serves("/one/"));
   this->store.set_faults({.deaf_watches = true});
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -93,11 +93,24 @@
   return found != this->kinds.end() && found->second.contains(name);
 }
 
+std::int64_t platform_store::calls_for(const std::string& kind) const {
+  const absl::MutexLock lock{&this->mutex};
+  const auto found = this->calls_by_kind.find(kind);
+  return found == this->calls_by_kind.end() ? 0 : found->second;
+}
+
 server_answer platform_store::handle(const server_request& request) {
+  const std::string base{impl::base_path};
+  const bool is_object_call = request.path.starts_with(base);
+  const auto rest = is_object_call ? request.path.substr(base.size()) : std::string{};
+  const auto slash = rest.find('/');
+  const auto kind = rest.substr(0, slash);
+  const auto name = slash == std::string::npos ? std::string{} : rest.substr(slash + 1);
   store_faults now;
   {
     const absl::MutexLock lock{&this->mutex};
     ++this->call_count;
+    ++this->calls_by_kind[kind];
     now = this->faults;
   }
   std::this_thread::sleep_for(std::chrono::milliseconds{now.silent_ms});
@@ -107,14 +120,9 @@
   if (now.refuse_status != 0) {
     return {static_cast<unsigned>(now.refuse_status), {}, {}, false};
   }
-  const std::string base{impl::base_path};
-  if (!request.path.starts_with(base)) {
+  if (!is_object_call) {
     return {impl::status_not_found, {}, {}, false};
   }
-  const auto rest = request.path.substr(base.size());
-  const auto slash = rest.find('/');
-  const auto kind = rest.substr(0, slash);
-  const auto name = slash == std::string::npos ? std::string{} : rest.substr(slash + 1);
   if (request.method != "GET") {
     return this->write(kind, name, request);
   }
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -47,6 +47,8 @@
   /// \brief Drops the history; watches from before it get 410.
   void forget_history();
   [[nodiscard]] std::int64_t calls() const;
+  /// \brief Calls so far that concern a kind.
+  [[nodiscard]] std::int64_t calls_for(const std::string& kind) const;
   [[nodiscard]] bool contains(const std::string& kind, const std::string& name) const;
 
  private:
@@ -81,6 +83,7 @@
   std::int64_t revision{1};
   std::int64_t oldest_watch{0};
   std::int64_t call_count{0};
+  std::map<std::string, std::int64_t> calls_by_kind;
   store_faults faults;
 };
 
