Do not repeat a watch at once that returned early for nothing

Cause: (found with the stand-in, which misread the wait) a store that answers watches at once was asked 30,000 times a second.

--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -122,6 +122,7 @@
   bool under_way{false};
   int failures_in_a_row{0};
   time_point not_before;
+  time_point asked_at;
   time_point answered_at;
 };
 
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -14,6 +14,7 @@
     return std::nullopt;
   }
   this->under_way = true;
+  this->asked_at = now;
   feed_call call;
   if (this->listing) {
     call.after = this->list_after;
@@ -75,7 +76,10 @@
       }
     }
     this->watch_from = std::max(this->watch_from, reply.newest);
-    this->not_before = reply.changes.empty() ? time_point{} : now + this->timing.settle_pause;
+    const bool is_early = reply.changes.empty() && now - this->asked_at < duration{this->timing.watch_wait.ms / 2};
+    this->not_before = !reply.changes.empty() ? now + this->timing.settle_pause
+                       : is_early             ? now + this->timing.first_pause
+                                              : time_point{};
     return;
   }
   if (!this->list_version) {
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -23,6 +23,7 @@
   return {status, {{"Content-Type", "application/json"}}, std::move(body), false};
 }
 
+/// \param name In lower case, as the server gives names.
 [[nodiscard]] std::int64_t number_of(const server_request& request, const std::string& name) {
   const auto found = request.query.find(name);
   return found == request.query.end() ? 0 : std::strtoll(found->second.c_str(), nullptr, 10);
@@ -152,7 +153,7 @@
 
 server_answer platform_store::watch(const std::string& kind, const server_request& request) {
   const auto since = impl::number_of(request, "watch");
-  const auto deadline = absl::Now() + absl::Milliseconds(impl::number_of(request, "waitMs"));
+  const auto deadline = absl::Now() + absl::Milliseconds(impl::number_of(request, "waitms"));
   while (true) {
     {
       const absl::MutexLock lock{&this->mutex};
