--- a/apps/zinniactl/commands.cpp
+++ b/apps/zinniactl/commands.cpp
@@ -175,7 +175,8 @@
     this->complain(tree.last_error().describe());
     return exit_code::bad_input;
   }
-  const auto written = this->store.write(own_kinds::settings, own_kinds::settings_name, encode(changed), base.version);
+  const auto written =
+      this->store.write(own_kinds::settings, own_kinds::settings_name, encode(changed), base.version);
   switch (written.status) {
     case write_status::ok:
       break;
@@ -191,8 +192,9 @@
       return exit_code::failed;
   }
   if (this->options.as_json) {
-    std::cout << nlohmann::json{{"accepted_version", written.version.count()}, {"edit", changed.edit_id}}.dump()
-              << '\n';
+    std::cout
+        << nlohmann::json{{"accepted_version", written.version.count()}, {"edit", changed.edit_id}}.dump()
+        << '\n';
   } else {
     std::cout << "accepted as version " << written.version.count() << '\n';
   }
@@ -286,7 +288,7 @@
   const auto code = this->write(*base, changed);
   if (code == exit_code::ok && !this->options.as_json) {
     std::cout << "shift " << shift.id << '\n';
-    }
+  }
   return code;
 }
 
@@ -378,8 +380,8 @@
       continue;
     }
     std::cout << "  configuration " << node["config_version"] << "  backend servers " << node["backends"]
-              << "  nodes alive " << node["nodes_alive"].size() << "  under way " << node["requests_under_way"]
-              << '\n';
+              << "  nodes alive " << node["nodes_alive"].size() << "  under way "
+              << node["requests_under_way"] << '\n';
     for (const auto& shift : node["shifts"]) {
       std::cout << "  shift " << shift["id"].get<std::string>() << "  " << shift["percent"] << "%"
                 << (shift["complete"].get<bool>() ? "  complete" : "  waits for ")
@@ -418,7 +420,8 @@
               << "service   " << record["service"].get<std::string>() << "  route "
               << record["route"].get<std::string>() << '\n'
               << "ended     status " << record["status"] << ", " << record["verdict"].get<std::string>()
-              << ", reason " << record["reason"].get<std::string>() << ", after " << record["took_ms"] << " ms\n"
+              << ", reason " << record["reason"].get<std::string>() << ", after " << record["took_ms"]
+              << " ms\n"
               << "attempts  " << record["attempts"].get<std::string>() << '\n'
               << "placed    on '" << record["placed_on"].get<std::string>() << "' of " << record["candidates"]
               << " candidates, load " << record["load_percent"] << "%, expected " << record["expected_ms"]
--- a/apps/zinniactl/store_session.cpp
+++ b/apps/zinniactl/store_session.cpp
@@ -34,8 +34,8 @@
   return stored_object{};
 }
 
-write_result store_session::write(const std::string& kind, const std::string& name, const std::string& document,
-                                  object_version expected) const {
+write_result store_session::write(const std::string& kind, const std::string& name,
+                                  const std::string& document, object_version expected) const {
   const auto call = expected.count() == 0 ? this->protocol.create(kind, name, document)
                                           : this->protocol.replace(kind, name, document, expected);
   write_result result;
--- a/apps/zinniactl/store_session.hpp
+++ b/apps/zinniactl/store_session.hpp
@@ -28,8 +28,8 @@
   /// \brief   Writes if the object is at the version expected; version 0 means that it must not exist.
   /// \details When the answer is lost, reads back whether the document took effect; the document must differ
   ///          from any other writer's. `unknown` only if that fails too.
-  [[nodiscard]] write_result write(const std::string& kind, const std::string& name, const std::string& document,
-                                   object_version expected) const;
+  [[nodiscard]] write_result write(const std::string& kind, const std::string& name,
+                                   const std::string& document, object_version expected) const;
 
  private:
   [[nodiscard]] std::optional<stored_object> find(const std::string& kind, const std::string& name) const;
--- a/apps/zinniad/daemon_options.cpp
+++ b/apps/zinniad/daemon_options.cpp
@@ -34,8 +34,8 @@
      [](node_settings& s, std::int64_t v) { s.peer_port = static_cast<std::uint16_t>(v); }},
     {"stop-limit-ms", "6000", 3000, 3'600'000, "longest graceful stop", true,
      [](node_settings& s, std::int64_t v) { s.stop_limit = {v}; }},
-    {"drain-limit-ms", "2500", 0, 3'600'000, "time within which a leaving backend server gets nothing more", true,
-     [](node_settings& s, std::int64_t v) { s.drain_limit = {v}; }},
+    {"drain-limit-ms", "2500", 0, 3'600'000, "time within which a leaving backend server gets nothing more",
+     true, [](node_settings& s, std::int64_t v) { s.drain_limit = {v}; }},
     {"retry-percent", "20", 0, 100, "repeats of all nodes for each hundred requests", true,
      [](node_settings& s, std::int64_t v) { s.retry_budget.ratio = static_cast<double>(v) / 100; }},
     {"max-descriptors", "1024", 300, 1'000'000, "file descriptors of the process", true,
@@ -54,7 +54,8 @@
 constexpr std::array<address_option, 5> address_options{{
     {"listen-callers", "127.0.0.1:7300", "ip:port for callers", &node_settings::callers},
     {"listen-ready", "127.0.0.1:7301", "ip:port for readiness checks", &node_settings::readiness},
-    {"listen-directory", "127.0.0.1:7302", "ip:port for questions where to connect", &node_settings::directory},
+    {"listen-directory", "127.0.0.1:7302", "ip:port for questions where to connect",
+     &node_settings::directory},
     {"listen-operators", "127.0.0.1:7303", "ip:port for metrics and operators", &node_settings::operators},
     {"store", "", "platform's store, ip:port; required", &node_settings::store},
 }};
@@ -67,7 +68,8 @@
   auto add = all.add_options();
   add("help", "print this text");
   add("version", "print the version");
-  add("tree", po::value<std::string>()->default_value(""), "file of the settings tree until the store has one");
+  add("tree", po::value<std::string>()->default_value(""),
+      "file of the settings tree until the store has one");
   add("log-level", po::value<std::string>()->default_value("info"), "debug, info, warn or error");
   add("node", po::value<std::string>()->default_value(""), "name of this entry VM; required");
   add("region", po::value<std::string>()->default_value(""), "region of this VM; required");
@@ -176,7 +178,8 @@
 }
 
 /// ZINNIA_STORE names the option store; other variables are none of ours.
-[[nodiscard]] std::string option_of_variable(const po::options_description& all, const std::string& variable) {
+[[nodiscard]] std::string option_of_variable(const po::options_description& all,
+                                             const std::string& variable) {
   if (!variable.starts_with(environment_prefix)) {
     return {};
   }
--- a/examples/place_request.cpp
+++ b/examples/place_request.cpp
@@ -46,7 +46,8 @@
     decision = table.choose(request, now);
   }
   std::cout << "first request:  " << (chosen.empty() ? "?" : "home") << '\n'
-            << "home is full:   " << (chosen.size() > 1 && chosen[1] != chosen[0] ? "second home" : "?") << '\n'
+            << "home is full:   " << (chosen.size() > 1 && chosen[1] != chosen[0] ? "second home" : "?")
+            << '\n'
             << "both are full:  " << (decision.why == reason::wait_exceeds_deadline ? "refused" : "?")
             << ", come back after " << decision.retry_after.ms << " ms\n";
   return 0;
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -165,7 +165,8 @@
   call.id_field = dialect.request_id;
   call.id = this->id;
   const auto target = std::string_view{head.target}.substr(this->rule.hidden_prefix);
-  absl::StrAppend(&call.bytes, head.method, " ", absl::string_view{target.data(), target.size()}, " HTTP/1.1\r\n");
+  absl::StrAppend(&call.bytes, head.method, " ", absl::string_view{target.data(), target.size()},
+                  " HTTP/1.1\r\n");
   append_fields(call.bytes, end_to_end_fields(head.fields, {dialect.time_left_ms, dialect.expected_backend}));
   const auto left = std::max<std::int64_t>((this->deadline - this->owner.clock.now()).ms, 1);
   absl::StrAppend(&call.bytes, dialect.time_left_ms, ": ", left, "\r\n");
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -46,9 +46,9 @@
     options.dialect = dialect;
     options.retry_budget = {0.2, 100, duration{10'000}};
     this->traffic.emplace(this->context, this->clock, this->counts, options);
-    this->listener.emplace(this->context, this->clock, 100, [this](const std::shared_ptr<caller_exchange>& exchange) {
-      this->traffic->handle(exchange);
-    });
+    this->listener.emplace(
+        this->context, this->clock, 100,
+        [this](const std::shared_ptr<caller_exchange>& exchange) { this->traffic->handle(exchange); });
     this->port = *this->listener->listen({boost::asio::ip::address_v4::loopback(), 0});
     this->snapshot.services[service_id{"desk"}] = {service_id{"desk"}, "/health", 100, {}, 0};
   }
@@ -122,8 +122,11 @@
       {"safe: encoded", request_kind::safe, answer(200, "Stamp: s\r\nContent-Encoding: gzip\r\n"), "200", 2},
       {"safe: other instance", request_kind::safe, answer(421, ""), "200", 2},
       {"safe: refusal that may have run", request_kind::safe, answer(503, "Stamp: s\r\n"), "200", 2},
-      {"download: cut", request_kind::download,
-       {"HTTP/1.1 200 X\r\nRequest-Id: r1\r\nStamp: s\r\nContent-Length: 10\r\n\r\nabc"}, "200", 2},
+      {"download: cut",
+       request_kind::download,
+       {"HTTP/1.1 200 X\r\nRequest-Id: r1\r\nStamp: s\r\nContent-Length: 10\r\n\r\nabc"},
+       "200",
+       2},
       {"unsafe: shed", request_kind::unsafe, shed, "200", 2},
       {"unsafe: other instance", request_kind::unsafe, answer(421, ""), "200", 2},
       {"unsafe: reset", request_kind::unsafe, reset, "502", 1},
@@ -153,7 +156,8 @@
     });
     applied.get_future().wait();
     const auto seen = this->ask();
-    EXPECT_TRUE(seen.starts_with("HTTP/1.1 " + row.expected_status)) << row.name << ": " << seen.substr(0, 40);
+    EXPECT_TRUE(seen.starts_with("HTTP/1.1 " + row.expected_status))
+        << row.name << ": " << seen.substr(0, 40);
     EXPECT_EQ(sends, row.sends) << row.name;
   }
 }
@@ -201,7 +205,8 @@
 TEST_F(gateway_contract, an_answer_cut_midway_does_not_look_complete) {
   const std::string part(200'000, 'x');
   const raw_server a{[&](int) {
-    return raw_script{"HTTP/1.1 200 X\r\nRequest-Id: r1\r\nStamp: s\r\nContent-Length: 400000\r\n\r\n" + part};
+    return raw_script{"HTTP/1.1 200 X\r\nRequest-Id: r1\r\nStamp: s\r\nContent-Length: 400000\r\n\r\n" +
+                      part};
   }};
   this->route_with(request_kind::unsafe);
   this->add("a", a.port());
--- a/packages/http/tests/caller_contract_test.cpp
+++ b/packages/http/tests/caller_contract_test.cpp
@@ -22,8 +22,9 @@
 
   void listen(handler handle_in, const caller_limits& limits = {}) {
     this->handle = std::move(handle_in);
-    this->listener.emplace(this->context, this->clock, 100,
-                           [this](const std::shared_ptr<caller_exchange>& exchange) { this->handle(exchange); });
+    this->listener.emplace(
+        this->context, this->clock, 100,
+        [this](const std::shared_ptr<caller_exchange>& exchange) { this->handle(exchange); });
     this->listener->set_limits(limits);
     const auto started = this->listener->listen({boost::asio::ip::address_v4::loopback(), 0});
     ASSERT_TRUE(started);
@@ -89,7 +90,10 @@
     held[0]->respond(200, {}, "");
     return 0;
   });
-  EXPECT_TRUE(first);
+  // True once the first answer is written out; a failing test hangs and is ended by its runner.
+  while (!first) {
+    std::this_thread::yield();
+  }
 }
 
 struct refusal_case {
@@ -106,12 +110,13 @@
   this->listen(answer_path(), limits);
   const std::vector<refusal_case> table{
       {"not HTTP", "hello\r\n\r\n", "HTTP/1.1 400"},
-      {"smuggled length", "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-       "HTTP/1.1 400"},
+      {"smuggled length",
+       "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400"},
       {"long head", "GET / HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n", "HTTP/1.1 431"},
       {"long body", "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", "HTTP/1.1 413"},
-      {"long body in chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
-           std::string(101, 'a') + "\r\n", "HTTP/1.1 413"},
+      {"long body in chunks",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'a') + "\r\n",
+       "HTTP/1.1 413"},
       {"slow head", "GET / HTT", "HTTP/1.1 408"},
       {"slow body", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", "HTTP/1.1 408"},
   };
@@ -169,9 +174,8 @@
 }
 
 TEST_F(caller_contract, takes_a_body_that_waits_for_leave) {
-  this->listen([](const std::shared_ptr<caller_exchange>& exchange) {
-    exchange->respond(200, {}, exchange->body());
-  });
+  this->listen(
+      [](const std::shared_ptr<caller_exchange>& exchange) { exchange->respond(200, {}, exchange->body()); });
   raw_client client{this->port};
   client.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
   EXPECT_TRUE(client.read_until("100 Continue").starts_with("HTTP/1.1 100"));
--- a/packages/http/tests/parser_test.cpp
+++ b/packages/http/tests/parser_test.cpp
@@ -17,16 +17,18 @@
 TEST(request_parser, table) {
   const std::vector<request_case> table{
       {"no body", "GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n", parse_progress::complete, ""},
-      {"body by length", "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello", parse_progress::complete,
-       "hello"},
-      {"body in chunks", "POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+      {"body by length", "POST /a/ HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+       parse_progress::complete, "hello"},
+      {"body in chunks",
+       "POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
        parse_progress::complete, "abcde"},
       {"trailers are not fields",
        "POST /a/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Late: 1\r\n\r\n",
        parse_progress::complete, "a"},
       {"half a body", "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel", parse_progress::needs_more, "hel"},
       {"half a head", "GET /a/ HTTP/1.1\r\nHos", parse_progress::needs_more, ""},
-      {"length and chunks", "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      {"length and chunks",
+       "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
        parse_progress::malformed, ""},
       {"two lengths", "POST /a/ HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
        parse_progress::malformed, ""},
@@ -47,7 +49,8 @@
 }
 
 TEST(request_parser, takes_a_request_byte_by_byte_and_leaves_the_next_one) {
-  const std::string bytes = "POST /a/?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b/ HTTP/1.1\r\n";
+  const std::string bytes =
+      "POST /a/?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b/ HTTP/1.1\r\n";
   request_parser parser{16 << 10};
   std::string input;
   std::size_t fed = 0;
@@ -76,8 +79,9 @@
 }
 
 TEST(message, passes_on_only_end_to_end_fields) {
-  const header_fields fields{{"Host", "h"},           {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"},
-                             {"Transfer-Encoding", "chunked"}, {"X-Kept", "2"},            {"X-Replaced", "3"}};
+  const header_fields fields{{"Host", "h"},   {"Connection", "keep-alive, X-Hop"},
+                             {"X-Hop", "1"},  {"Transfer-Encoding", "chunked"},
+                             {"X-Kept", "2"}, {"X-Replaced", "3"}};
   const auto kept = end_to_end_fields(fields, {"x-replaced"});
   ASSERT_EQ(kept.size(), 2U);
   EXPECT_EQ(kept[0].name, "Host");
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -6,8 +6,8 @@
 namespace zinnia {
 
 std::string encode_member(const member& self) {
-  return nlohmann::json{{"domain", self.where.domain.str()},   {"region", self.where.region.str()},
-                        {"callers", self.caller_address},      {"peers", self.peer_address},
+  return nlohmann::json{{"domain", self.where.domain.str()},  {"region", self.where.region.str()},
+                        {"callers", self.caller_address},     {"peers", self.peer_address},
                         {"operators", self.operator_address}, {"incarnation", self.incarnation.str()}}
       .dump();
 }
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -80,7 +80,8 @@
   this->hear({"peer", "other", "far"});
   this->now = this->now + duration{16'000};
   this->hear({"peer", "other"});
-  EXPECT_EQ(this->table.to_forget(this->now), (std::vector<node_id>{node_id{"far"}})) << "me comes first by name";
+  EXPECT_EQ(this->table.to_forget(this->now), (std::vector<node_id>{node_id{"far"}}))
+      << "me comes first by name";
   member_table second{node_id{"peer"}};
   second.add(make_member("me", near_a), time_point{0});
   second.add(make_member("peer", near_a), time_point{0});
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -21,11 +21,11 @@
 
 /// \brief What the control thread hands to the traffic thread; called on the control thread.
 struct control_events {
-  std::function<void(std::shared_ptr<const routing_snapshot>)> on_snapshot;
-  std::function<void(caller_limits)> on_limits;
-  std::function<void(live_members)> on_members;
+  std::function<void(const std::shared_ptr<const routing_snapshot>&)> on_snapshot;
+  std::function<void(const caller_limits&)> on_limits;
+  std::function<void(const live_members&)> on_members;
   /// Drains and moves, as lines for operators.
-  std::function<void(std::vector<shift_progress>)> on_progress;
+  std::function<void(const std::vector<shift_progress>&)> on_progress;
 };
 
 /// \brief   Runs from construction to destruction.
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -19,8 +19,8 @@
 namespace impl {
 namespace {
 
-/// Part of the store's history for which a watch may wait; a call is priced, so long ones are cheap, but one that
-/// waits past the history ends with a list.
+/// Part of the store's history for which a watch may wait; a call is priced, so long ones are cheap, but one
+/// that waits past the history ends with a list.
 constexpr std::int64_t watch_history_percent = 70;
 constexpr std::int64_t percent = 100;
 /// A lost history renews all watches; within this time the others' own loss does not do so again.
@@ -31,8 +31,8 @@
 /// Changes of servers come in bursts; one call brings all of this time, far below any bound on acting on
 /// them.
 constexpr duration settle_pause{200};
-/// Longest pause between calls to a store that fails: with the time to connect it stays well below the shortest
-/// `stableWindowMs` (3 s), within which a node must be up to date again.
+/// Longest pause between calls to a store that fails: with the time to connect it stays well below the
+/// shortest `stableWindowMs` (3 s), within which a node must be up to date again.
 constexpr duration longest_pause{700};
 /// Pause between writes of this node's own entry; longer than the store's answer and its change event.
 constexpr duration write_pause{1500};
@@ -101,11 +101,25 @@
       self{std::move(self_in)},
       counts{counts_in},
       events{std::move(events_in)},
-      watches{{{outside_in.configuration_kind(), impl::make_feed(outside_in.configuration_kind(), impl::short_watch, duration{0}, this->self.id), 0, false, false, &control_thread::apply_config},
-               {outside_in.backend_kind(), impl::make_feed(outside_in.backend_kind(), impl::long_watch(settings_in), impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_server},
-               {outside_in.evacuation_kind(), impl::make_feed(outside_in.evacuation_kind(), impl::long_watch(settings_in), impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_evacuation},
-               {own_kinds::settings, impl::make_feed(own_kinds::settings, impl::long_watch(settings_in), duration{0}, this->self.id), 0, false, false, &control_thread::apply_tree},
-               {own_kinds::nodes, impl::make_feed(own_kinds::nodes, impl::long_watch(settings_in), impl::settle_pause, this->self.id), 0, false, false, &control_thread::apply_node}}},
+      watches{
+          {{outside_in.configuration_kind(),
+            impl::make_feed(outside_in.configuration_kind(), impl::short_watch, duration{0}, this->self.id),
+            0, false, false, &control_thread::apply_config},
+           {outside_in.backend_kind(),
+            impl::make_feed(outside_in.backend_kind(), impl::long_watch(settings_in), impl::settle_pause,
+                            this->self.id),
+            0, false, false, &control_thread::apply_server},
+           {outside_in.evacuation_kind(),
+            impl::make_feed(outside_in.evacuation_kind(), impl::long_watch(settings_in), impl::settle_pause,
+                            this->self.id),
+            0, false, false, &control_thread::apply_evacuation},
+           {own_kinds::settings,
+            impl::make_feed(own_kinds::settings, impl::long_watch(settings_in), duration{0}, this->self.id),
+            0, false, false, &control_thread::apply_tree},
+           {own_kinds::nodes,
+            impl::make_feed(own_kinds::nodes, impl::long_watch(settings_in), impl::settle_pause,
+                            this->self.id),
+            0, false, false, &control_thread::apply_node}}},
       builder{std::clamp(settings_in.drain_limit - impl::drain_margin, duration{0}, impl::lapse_grace),
               settings_in.regions},
       members{this->self.id},
@@ -356,9 +370,10 @@
 void control_thread::publish(time_point now) {
   const auto unix_now = unix_time_ms();
   this->builder.settle(now, unix_now);
-  const bool is_complete = std::all_of(
-      this->watches.begin(), this->watches.end(),
-      [](const watched_kind& watched) { return watched.kind == own_kinds::nodes || watched.feed.is_complete(); });
+  const bool is_complete =
+      std::all_of(this->watches.begin(), this->watches.end(), [](const watched_kind& watched) {
+        return watched.kind == own_kinds::nodes || watched.feed.is_complete();
+      });
   if (is_complete && this->builder.has_routes()) {
     if (const auto snapshot = this->builder.publish()) {
       this->drained = snapshot->shifts.drained_nodes.contains(this->self.id);
@@ -375,7 +390,7 @@
   if (alive != this->last_alive) {
     this->last_alive = alive;
     log_line{log_level::info, "nodes_alive"}.field("count", static_cast<std::int64_t>(alive.size()));
-    this->events.on_members(std::move(alive));
+    this->events.on_members(alive);
   }
 }
 
@@ -389,8 +404,8 @@
   if (this->leaving) {
     if (is_present && !this->removal_sent) {
       this->removal_sent = true;
-      this->write(this->outside.store().remove(own_kinds::nodes, this->self.id.str(), own->second.version), "leave",
-                  this->self.id.str());
+      this->write(this->outside.store().remove(own_kinds::nodes, this->self.id.str(), own->second.version),
+                  "leave", this->self.id.str());
     }
     return;
   }
@@ -402,8 +417,9 @@
   }
   const auto known = decode_member(own->first, own->second.document);
   if (!known || known->incarnation != this->self.incarnation) {
-    this->write(this->outside.store().replace(own_kinds::nodes, this->self.id.str(), document, own->second.version),
-                "register", this->self.id.str());
+    this->write(
+        this->outside.store().replace(own_kinds::nodes, this->self.id.str(), document, own->second.version),
+        "register", this->self.id.str());
   }
 }
 
@@ -415,8 +431,8 @@
   const auto& objects = this->node_watch().feed.objects();
   for (const auto& silent : this->members.to_forget(now)) {
     if (const auto entry = objects.find(silent.str()); entry != objects.end()) {
-      this->write(this->outside.store().remove(own_kinds::nodes, silent.str(), entry->second.version), "forget",
-                  silent.str());
+      this->write(this->outside.store().remove(own_kinds::nodes, silent.str(), entry->second.version),
+                  "forget", silent.str());
       return;
     }
   }
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -19,9 +19,9 @@
 
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
-#include "zinnia/observe/log.hpp"
 #include "zinnia/node/control_thread.hpp"
 #include "zinnia/node/operator_interface.hpp"
+#include "zinnia/observe/log.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -62,7 +62,8 @@
 /// Everything of one process, in the order of construction.
 class node {
  public:
-  node(const deployment& outside_in, const node_settings& settings_in, std::shared_ptr<const settings_tree> tree_in);
+  node(const deployment& outside_in, const node_settings& settings_in,
+       std::shared_ptr<const settings_tree> tree_in);
   [[nodiscard]] int run();
 
  private:
@@ -143,14 +144,14 @@
 
 control_events node::events() {
   control_events handlers;
-  handlers.on_snapshot = [this](std::shared_ptr<const routing_snapshot> snapshot) {
+  handlers.on_snapshot = [this](const std::shared_ptr<const routing_snapshot>& snapshot) {
     boost::asio::post(this->context, [this, snapshot] { this->traffic.apply(snapshot); });
   };
-  handlers.on_limits = [this](caller_limits limits) {
+  handlers.on_limits = [this](const caller_limits& limits) {
     boost::asio::post(this->context, [this, limits] { this->callers.set_limits(limits); });
   };
-  handlers.on_members = [this](live_members members) {
-    boost::asio::post(this->context, [this, members = std::move(members)] {
+  handlers.on_members = [this](const live_members& members) {
+    boost::asio::post(this->context, [this, members] {
       this->alive = members;
       std::map<node_id, place> places;
       for (const auto& [id, known] : this->alive) {
@@ -160,10 +161,8 @@
       this->traffic.set_alive(places);
     });
   };
-  handlers.on_progress = [this](std::vector<shift_progress> shifts) {
-    boost::asio::post(this->context, [this, shifts = std::move(shifts)]() mutable {
-      this->progress = std::move(shifts);
-    });
+  handlers.on_progress = [this](const std::vector<shift_progress>& shifts) {
+    boost::asio::post(this->context, [this, shifts] { this->progress = shifts; });
   };
   return handlers;
 }
@@ -177,8 +176,7 @@
     return static_cast<bool>(started);
   };
   return start(this->callers, this->settings.callers) && start(this->readiness, this->settings.readiness) &&
-         start(this->directory, this->settings.directory) &&
-         start(this->operators, this->settings.operators);
+         start(this->directory, this->settings.directory) && start(this->operators, this->settings.operators);
 }
 
 int node::run() {
@@ -187,7 +185,8 @@
     return exit_no_port;
   }
   this->wait_for_signal();
-  this->control = std::make_unique<control_thread>(this->outside, this->settings, this->tree, this->self(), this->counts, this->events());
+  this->control = std::make_unique<control_thread>(this->outside, this->settings, this->tree, this->self(),
+                                                   this->counts, this->events());
   log_line{log_level::info, "started"}
       .field("callers", this->settings.callers.str())
       .field("domain", this->settings.here.domain.str())
@@ -225,7 +224,8 @@
 duration node::answer_life() const {
   const auto* const snapshot = this->traffic.snapshot();
   const auto& tree_now = snapshot != nullptr && snapshot->tree != nullptr ? *snapshot->tree : *this->tree;
-  return {tree_now.effective({}, this->settings.here.region, this->settings.here.domain).values.lookup_lifetime_ms};
+  return {tree_now.effective({}, this->settings.here.region, this->settings.here.domain)
+              .values.lookup_lifetime_ms};
 }
 
 void node::wait_for_signal() {
--- a/packages/node/tests/control_contract_test.cpp
+++ b/packages/node/tests/control_contract_test.cpp
@@ -53,22 +53,22 @@
   }
   void begin() {
     control_events events;
-    events.on_snapshot = [this](std::shared_ptr<const routing_snapshot> snapshot) {
+    events.on_snapshot = [this](const std::shared_ptr<const routing_snapshot>& snapshot) {
       const absl::MutexLock lock{&this->mutex};
       if (this->latest != nullptr) {
         this->went_back = this->went_back || snapshot->version < this->latest->version;
       }
-      this->latest = std::move(snapshot);
+      this->latest = snapshot;
     };
-    events.on_limits = [](caller_limits) {};
-    events.on_members = [](live_members) {};
-    events.on_progress = [](std::vector<shift_progress>) {};
+    events.on_limits = [](const caller_limits&) {};
+    events.on_members = [](const live_members&) {};
+    events.on_progress = [](const std::vector<shift_progress>&) {};
     member self;
     self.id = this->settings.node;
     self.where = this->settings.here;
     self.incarnation = incarnation_id{"run"};
-    this->control.emplace(*this->outside, this->settings, std::make_shared<const settings_tree>(), self, this->counts,
-                          std::move(events));
+    this->control.emplace(*this->outside, this->settings, std::make_shared<const settings_tree>(), self,
+                          this->counts, std::move(events));
   }
   [[nodiscard]] std::shared_ptr<const routing_snapshot> snapshot() {
     const absl::MutexLock lock{&this->mutex};
@@ -166,8 +166,8 @@
   EXPECT_FALSE(this->went_back);
 }
 
-/// While the store is away one kind asks for all; when it answers again every kind is asked at once, so that no
-/// kind sits out a pause of its own with old news.
+/// While the store is away one kind asks for all; when it answers again every kind is asked at once, so that
+/// no kind sits out a pause of its own with old news.
 TEST_F(control_contract, one_kind_probes_a_lost_store_and_its_return_refreshes_all) {
   ASSERT_TRUE(this->serves("/one/"));
   this->store.set_faults({.refuse_status = 503});
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -133,7 +133,8 @@
                                      double kib) const;
   [[nodiscard]] placement_decision refuse(reason why, duration retry_after, int candidates) const;
   /// Leaves only the region to which a move sends this request, if servers there can take it.
-  void follow_moves(const placement_request& request, std::vector<std::shared_ptr<backend_state>>& among) const;
+  void follow_moves(const placement_request& request,
+                    std::vector<std::shared_ptr<backend_state>>& among) const;
   [[nodiscard]] region_id region_of(const failure_domain_id& domain) const;
 
   place here;
--- a/packages/routing/include/zinnia/routing/shift_plan.hpp
+++ b/packages/routing/include/zinnia/routing/shift_plan.hpp
@@ -45,7 +45,8 @@
                                                const service_id& service, const region_id& from);
 
 /// \brief Progress of every declared shift.
-[[nodiscard]] std::vector<shift_progress> progress_of(const settings_tree& tree, const shift_inventory& inventory,
+[[nodiscard]] std::vector<shift_progress> progress_of(const settings_tree& tree,
+                                                      const shift_inventory& inventory,
                                                       std::int64_t now_unix_ms);
 
 }  // namespace zinnia
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -55,7 +55,8 @@
     auto& group = next[id];
     group.declaration = declaration;
     if (snapshot.tree != nullptr) {
-      group.settings = to_placement_settings(snapshot.tree->effective(id, this->here.region, this->here.domain).values);
+      group.settings =
+          to_placement_settings(snapshot.tree->effective(id, this->here.region, this->here.domain).values);
     }
     if (const auto known = this->services.find(id); known != this->services.end()) {
       group.mean_work_ms = known->second.mean_work_ms;
@@ -139,8 +140,7 @@
 bool backend_table::may_receive(const backend_state& backend, time_point now) const {
   const auto& declared = backend.declared();
   if (backend.is_suspended() || declared.mode != backend_mode::ready ||
-      this->evacuated.contains(declared.domain) ||
-      this->shifts.closed.contains(declared.id)) {
+      this->evacuated.contains(declared.domain) || this->shifts.closed.contains(declared.id)) {
     return false;
   }
   if (!backend.is_cold(now)) {
@@ -182,9 +182,8 @@
       continue;
     }
     std::vector<std::shared_ptr<backend_state>> there;
-    std::copy_if(among.begin(), among.end(), std::back_inserter(there), [&](const auto& backend) {
-      return this->region_of(backend->declared().domain) == part.to;
-    });
+    std::copy_if(among.begin(), among.end(), std::back_inserter(there),
+                 [&](const auto& backend) { return this->region_of(backend->declared().domain) == part.to; });
     if (!there.empty()) {
       among = std::move(there);
     }
--- a/packages/routing/src/shift_plan.cpp
+++ b/packages/routing/src/shift_plan.cpp
@@ -51,7 +51,8 @@
   }
   for (const auto& [service, backends] : targets) {
     const auto region = region_of(inventory, *backends.front());
-    auto percent = shift_percent(shift, tree.effective(service, region, backends.front()->domain).values, now_unix_ms);
+    auto percent =
+        shift_percent(shift, tree.effective(service, region, backends.front()->domain).values, now_unix_ms);
     if (shift.kind == shift_kind::drain_region) {
       percent = std::min(percent, replaceable_percent(tree, inventory, service, region));
     }
@@ -76,7 +77,8 @@
 }  // namespace
 }  // namespace impl
 
-std::int64_t shift_percent(const shift_intent& shift, const service_settings& values, std::int64_t now_unix_ms) {
+std::int64_t shift_percent(const shift_intent& shift, const service_settings& values,
+                           std::int64_t now_unix_ms) {
   if (now_unix_ms < shift.start_unix_ms) {
     return 0;
   }
@@ -109,7 +111,8 @@
   return std::min(impl::all_percent, replaced * impl::all_percent / slots);
 }
 
-shift_state shifts_in_force(const settings_tree& tree, const shift_inventory& inventory, std::int64_t now_unix_ms) {
+shift_state shifts_in_force(const settings_tree& tree, const shift_inventory& inventory,
+                            std::int64_t now_unix_ms) {
   shift_state state;
   for (const auto& shift : tree.shifts()) {
     if (now_unix_ms < shift.start_unix_ms) {
--- a/packages/routing/src/snapshot_builder.cpp
+++ b/packages/routing/src/snapshot_builder.cpp
@@ -73,7 +73,8 @@
 }
 
 void snapshot_builder::settle(time_point now, std::int64_t now_unix_ms) {
-  if (this->state.tree != nullptr && (!this->state.tree->shifts().empty() || !(this->state.shifts == shift_state{}))) {
+  if (this->state.tree != nullptr &&
+      (!this->state.tree->shifts().empty() || !(this->state.shifts == shift_state{}))) {
     auto shifts = shifts_in_force(*this->state.tree, {&this->state.backends, &this->regions}, now_unix_ms);
     this->changed = this->changed || !(shifts == this->state.shifts);
     this->state.shifts = std::move(shifts);
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -35,7 +35,8 @@
     ++this->snapshot.sequence;
     this->table.apply(this->snapshot, this->now);
   }
-  [[nodiscard]] placement_request request(std::optional<std::uint64_t> object, std::int64_t deadline_ms = 1000) const {
+  [[nodiscard]] placement_request request(std::optional<std::uint64_t> object,
+                                          std::int64_t deadline_ms = 1000) const {
     placement_request made;
     made.rule = &this->rule;
     made.service = desk;
@@ -184,8 +185,12 @@
 
 TEST_F(placement, large_answers_stay_near) {
   auto tree = settings_tree::parse(
-      {"e", "t", "settings: {own_domain_weight: 4, own_region_weight: 4, domain_transfer_us_per_kib: 8000}\n"
-                 "places: {near: {domains: {near-a: {}, near-b: {}}}}\n", {}}, "t");
+      {"e",
+       "t",
+       "settings: {own_domain_weight: 4, own_region_weight: 4, domain_transfer_us_per_kib: 8000}\n"
+       "places: {near: {domains: {near-a: {}, near-b: {}}}}\n",
+       {}},
+      "t");
   ASSERT_TRUE(tree) << tree.last_error().describe();
   this->snapshot.tree = std::make_shared<const settings_tree>(std::move(tree).value());
   for (int i = 0; i < 4; ++i) {
@@ -243,14 +248,15 @@
   auto& cold = this->add("cold", near_a);
   cold.cold_until = this->now + duration{3000};
   this->apply();
-  const std::map<node_id, place> nodes{{node_id{"n1"}, {near_a, near}}, {node_id{"n2"}, {near_a, near}},
-                                       {node_id{"n3"}, {far_a, far}}};
+  const std::map<node_id, place> nodes{
+      {node_id{"n1"}, {near_a, near}}, {node_id{"n2"}, {near_a, near}}, {node_id{"n3"}, {far_a, far}}};
   int owners = 0;
   for (const auto& [node, where] : nodes) {
     this->table.assign_warming(nodes, node);
     owners += this->table.find(backend_id{"cold"})->is_warmed_here ? 1 : 0;
     if (node == node_id{"n3"}) {
-      EXPECT_FALSE(this->table.find(backend_id{"cold"})->is_warmed_here) << "a node of its failure domain does";
+      EXPECT_FALSE(this->table.find(backend_id{"cold"})->is_warmed_here)
+          << "a node of its failure domain does";
     }
   }
   EXPECT_EQ(owners, 1);
--- a/packages/routing/tests/shift_plan_test.cpp
+++ b/packages/routing/tests/shift_plan_test.cpp
@@ -24,8 +24,8 @@
         "settings: {ramp_step_percent: 25, ramp_interval_ms: 1000, typical_service_ms: 20}\n"
         "places: {near: {domains: {near-a: {}}}, far: {domains: {far-a: {}}}}\n"
         "services: {desk: {}}\n"
-        "links: [{from: near, to: far, delay_ms: 10, capacity: " + std::to_string(cap) + ", caps: {desk: " +
-        std::to_string(cap) + "}}]\n";
+        "links: [{from: near, to: far, delay_ms: 10, capacity: " +
+        std::to_string(cap) + ", caps: {desk: " + std::to_string(cap) + "}}]\n";
     auto tree = settings_tree::parse({"e", "t", text, {shift}}, "t");
     EXPECT_TRUE(tree) << tree.last_error().describe();
     return std::move(tree).value();
@@ -60,7 +60,8 @@
 }
 
 TEST_F(shifts, move_grows_to_its_percentage) {
-  const auto tree = tree_with({"m", shift_kind::move, "near", service_id{"desk"}, region_id{"far"}, 60, 10'000}, 12);
+  const auto tree =
+      tree_with({"m", shift_kind::move, "near", service_id{"desk"}, region_id{"far"}, 60, 10'000}, 12);
   const auto at = [&](std::int64_t now) {
     const auto moves = this->state(tree, now).moves;
     const auto found = moves.find({service_id{"desk"}, region_id{"near"}});
--- a/packages/routing/tests/tables_test.cpp
+++ b/packages/routing/tests/tables_test.cpp
@@ -142,7 +142,8 @@
                            [&](std::int64_t at) { return at >= start && at < start + budget.window.ms; });
     };
     EXPECT_LE(static_cast<double>(count(repeats)),
-              budget.ratio * static_cast<double>(count(requests)) + budget.extra) << start;
+              budget.ratio * static_cast<double>(count(requests)) + budget.extra)
+        << start;
   }
   EXPECT_GT(repeats.size(), requests.size() / 10) << "the budget is there to be used";
 }
--- a/packages/settings/src/shift_checks.cpp
+++ b/packages/settings/src/shift_checks.cpp
@@ -61,8 +61,8 @@
                 "percent: " + std::to_string(shift.percent) + " is out of range; allowed: 1 to 100",
                 position};
   }
-  // Entries are VMs and not part of the tree; nor are upstreams and services that are declared elsewhere. Their
-  // names cannot be checked here.
+  // Entries are VMs and not part of the tree; nor are upstreams and services that are declared elsewhere.
+  // Their names cannot be checked here.
   const bool upstreams_elsewhere = this->tree.upstream_list.empty();
   const bool is_unknowable = shift.kind == shift_kind::drain_entry ||
                              (shift.kind == shift_kind::drain_upstream && upstreams_elsewhere);
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -76,7 +76,8 @@
       }
     }
     this->watch_from = std::max(this->watch_from, reply.newest);
-    const bool is_early = reply.changes.empty() && now - this->asked_at < duration{this->timing.watch_wait.ms / 2};
+    const bool is_early =
+        reply.changes.empty() && now - this->asked_at < duration{this->timing.watch_wait.ms / 2};
     this->not_before = !reply.changes.empty() ? now + this->timing.settle_pause
                        : is_early             ? now + this->timing.first_pause
                                               : time_point{};
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -33,9 +33,9 @@
 }  // namespace impl
 
 std::string platform_store::to_text(const std::string& name, const object& value) {
-  return absl::StrCat(R"({"metadata":{"name":)", nlohmann::json(name).dump(), R"(,"revision":)", value.revision,
-                      R"(,"created":)", value.created, R"(,"finalizers":[],"deleting":false},"spec":)", value.spec,
-                      R"(,"status":null})");
+  return absl::StrCat(R"({"metadata":{"name":)", nlohmann::json(name).dump(), R"(,"revision":)",
+                      value.revision, R"(,"created":)", value.created,
+                      R"(,"finalizers":[],"deleting":false},"spec":)", value.spec, R"(,"status":null})");
 }
 
 void platform_store::store(const std::string& kind, const std::string& name, const std::string& spec) {
@@ -146,9 +146,9 @@
     }
     absl::StrAppend(&items, count++ == 0 ? "" : ",", to_text(name, value));
   }
-  return impl::json_answer(impl::status_ok, absl::StrCat(R"({"items":[)", items, R"(],"hasMore":)",
-                                                         has_more ? "true" : "false", R"(,"currentRev":)",
-                                                         this->revision, "}"));
+  return impl::json_answer(
+      impl::status_ok, absl::StrCat(R"({"items":[)", items, R"(],"hasMore":)", has_more ? "true" : "false",
+                                    R"(,"currentRev":)", this->revision, "}"));
 }
 
 server_answer platform_store::watch(const std::string& kind, const server_request& request) {
@@ -163,8 +163,9 @@
       std::string events;
       for (const auto& entry : this->history) {
         if (entry.kind == kind && entry.revision > since && !this->faults.deaf_watches) {
-          absl::StrAppend(&events, events.empty() ? "" : ",", R"({"deleted":)", entry.deleted ? "true" : "false",
-                          R"(,"object":)", to_text(entry.name, entry.value), "}");
+          absl::StrAppend(&events, events.empty() ? "" : ",", R"({"deleted":)",
+                          entry.deleted ? "true" : "false", R"(,"object":)", to_text(entry.name, entry.value),
+                          "}");
         }
       }
       if (!events.empty() || absl::Now() >= deadline) {
--- a/standins/raw_client.cpp
+++ b/standins/raw_client.cpp
@@ -17,7 +17,8 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  this->closed = ::connect(this->descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0;
+  this->closed =
+      ::connect(this->descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0;
 }
 
 raw_client::~raw_client() {
@@ -45,8 +46,8 @@
 std::string raw_client::read_until(const std::string& text, int limit_ms) {
   const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds{limit_ms};
   while (text.empty() || this->received.find(text) == std::string::npos) {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        deadline - std::chrono::steady_clock::now());
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
     pollfd entry{this->descriptor, POLLIN, 0};
     if (left.count() <= 0 || ::poll(&entry, 1, static_cast<int>(left.count())) <= 0) {
       break;
--- a/standins/standin_backend.cpp
+++ b/standins/standin_backend.cpp
@@ -1,4 +1,5 @@
-// Stand-in for the backend servers of one service: slots, memory for objects, cold start, draining, registration.
+// Stand-in for the backend servers of one service: slots, memory for objects, cold start, draining,
+// registration.
 //
 // Usage: standin_backend --store 127.0.0.1:7080 --service crewdesk --zone klang-a --count 4 --work-ms 40
 //   curl -X POST 'http://127.0.0.1:PORT/control?state=draining'   reports that it leaves
@@ -107,8 +108,8 @@
   [[nodiscard]] server_answer counts() {
     const absl::MutexLock lock{&this->mutex};
     int twice = 0;
-    for (const auto& [request, runs] : this->runs_of) {
-      twice += runs > 1 ? 1 : 0;
+    for (const auto& [request, times] : this->runs_of) {
+      twice += times > 1 ? 1 : 0;
     }
     const nlohmann::json body{{"id", this->id},
                               {"runs", this->runs},
@@ -121,7 +122,10 @@
   }
 
   [[nodiscard]] server_answer refuse(unsigned status, const std::string& request_id) const {
-    return {status, {{"Not-Executed", "1"}, {"Request-Id", request_id}, {"Server-Load", this->load()}}, {}, false};
+    return {status,
+            {{"Not-Executed", "1"}, {"Request-Id", request_id}, {"Server-Load", this->load()}},
+            {},
+            false};
   }
 
   [[nodiscard]] server_answer serve(const server_request& request) {
@@ -236,7 +240,8 @@
   add("service", po::value(&given.service), "service");
   add("zone", po::value(&given.zone), "failure domain");
   add("slots", po::value(&given.slots)->default_value(3), "requests at once");
-  add("work-ms", po::value(&given.work_ms)->default_value(40), "work of a request whose object is not remembered");
+  add("work-ms", po::value(&given.work_ms)->default_value(40),
+      "work of a request whose object is not remembered");
   add("count", po::value(&count)->default_value(1), "servers in this process, each with a port of its own");
   add("port", po::value(&port)->default_value(0), "first port; 0 lets the kernel choose");
   po::variables_map parsed;
--- a/standins/standin_caller.cpp
+++ b/standins/standin_caller.cpp
@@ -1,4 +1,5 @@
-// Stand-in for callers: asks the directory, sends requests, checks every answer, and prints what became of them.
+// Stand-in for callers: asks the directory, sends requests, checks every answer, and prints what became of
+// them.
 //
 // Usage: standin_caller --directory 127.0.0.1:7302 --zone klang-a --region klang --host demo.example
 //          --path /slots/ --threads 8 --seconds 10
@@ -70,7 +71,8 @@
   return body["addresses"].get<std::vector<std::string>>();
 }
 
-void call_until(const caller_options& options, tally& counts, std::chrono::steady_clock::time_point end, int thread) {
+void call_until(const caller_options& options, tally& counts, std::chrono::steady_clock::time_point end,
+                int thread) {
   std::mt19937 random{static_cast<unsigned>(thread)};
   auto addresses = resolve(options);
   for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
@@ -94,7 +96,8 @@
     const auto start = std::chrono::steady_clock::now();
     const auto answer = zinnia::perform(call);
     const auto took =
-        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start).count();
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start)
+            .count();
     const bool mixed_up = answer.status == status_ok && answer.body.find(id) == std::string::npos;
     counts.count(std::to_string(answer.status), mixed_up, took);
     if (answer.status == status_unavailable) {
--- a/standins/standin_store.cpp
+++ b/standins/standin_store.cpp
@@ -56,7 +56,8 @@
   po::notify(given);
   block_stop_signals();
   platform_store store;
-  const http_server server{port, [&store](const server_request& request) { return impl::handle(store, request); }};
+  const http_server server{port,
+                           [&store](const server_request& request) { return impl::handle(store, request); }};
   if (!server.running()) {
     std::cerr << "standin_store: cannot listen on port " << port << '\n';
     return 1;
