--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -68,6 +68,8 @@
   void renew_if_silent(object_version newest);
   void renew_watches(const watched_kind& except);
   void apply_server(const object_change& change);
+  /// How long a server stays in use after its entry disappeared.
+  [[nodiscard]] duration removal_grace() const;
   void apply_config(const object_change& change);
   void apply_evacuation(const object_change& change);
   void apply_node(const object_change& change);
@@ -106,6 +108,8 @@
   object_version unexplained;
   object_version renewed_for;
   time_point renewed_at;
+  // When the store last answered again after it had not.
+  time_point regained_at;
   bool write_active{false};
   bool removal_sent{false};
   std::atomic<bool> ready{false};
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -44,6 +44,9 @@
 constexpr duration log_period{200};
 /// Entries of backend servers may lapse while the store is away and are back within 2 s of its return.
 constexpr duration lapse_grace{1800};
+/// After this node could not reach the store: the entry may have been missing for long, and the store's return was
+/// noticed up to a second late.
+constexpr duration grace_after_outage{1000};
 /// Kept between the grace and the time within which a leaving server must get nothing more.
 constexpr duration drain_margin{700};
 constexpr std::size_t largest_datagram = 2048;
@@ -120,8 +123,7 @@
             impl::make_feed(own_kinds::nodes, impl::long_watch(settings_in), impl::settle_pause,
                             this->self.id),
             0, false, false, &control_thread::apply_node}}},
-      builder{std::clamp(settings_in.drain_limit - impl::drain_margin, duration{0}, impl::lapse_grace),
-              settings_in.regions},
+      builder{settings_in.regions},
       members{this->self.id},
       beat_socket{impl::open_beat_socket(settings_in)},
       settings_stamp{outside_in.settings_stamp()} {
@@ -228,6 +230,7 @@
       .field("cause", answer.failure)
       .field("age_ms", (this->clock.now() - watched.feed.last_answer()).ms);
   if (!is_lost && &watched == &this->configuration_watch()) {
+    this->regained_at = this->clock.now();
     // The other watches may hang on connections that will never answer, or sit out a pause.
     this->renewed_at = {};
     this->renew_watches(watched);
@@ -271,13 +274,19 @@
   }
 }
 
+duration control_thread::removal_grace() const {
+  const bool was_away = this->clock.now() - this->regained_at < impl::lapse_grace;
+  const auto grace = was_away ? impl::grace_after_outage : impl::lapse_grace;
+  return std::clamp(this->settings.drain_limit - impl::drain_margin, duration{0}, grace);
+}
+
 void control_thread::apply_server(const object_change& change) {
   const auto& object = change.object;
   if (change.deleted) {
     log_line{log_level::info, "backend_removed"}
         .field("backend", object.name)
         .field("version", object.version.count());
-    this->builder.remove_backend(backend_id{object.name}, this->clock.now());
+    this->builder.remove_backend(backend_id{object.name}, this->clock.now(), this->removal_grace());
     return;
   }
   const auto decoded = this->outside.decode_backend(object, this->clock.now());
@@ -288,7 +297,7 @@
         .field("version", object.version.count())
         .field("cause",
                decoded ? "unknown failure domain " + decoded->domain.str() : decoded.last_error().describe());
-    this->builder.remove_backend(backend_id{object.name}, this->clock.now());
+    this->builder.remove_backend(backend_id{object.name}, this->clock.now(), this->removal_grace());
     return;
   }
   log_line{log_level::info, "backend_declared"}
--- a/packages/routing/include/zinnia/routing/snapshot_builder.hpp
+++ b/packages/routing/include/zinnia/routing/snapshot_builder.hpp
@@ -29,15 +29,14 @@
 ///          back; one that said that it was draining goes at once.
 class snapshot_builder {
  public:
-  /// \param removal_grace_in How long a ready server stays after its entry disappeared.
-  snapshot_builder(duration removal_grace_in, std::map<failure_domain_id, region_id> regions_in)
-      : removal_grace{removal_grace_in}, regions{std::move(regions_in)} {}
+  explicit snapshot_builder(std::map<failure_domain_id, region_id> regions_in) : regions{std::move(regions_in)} {}
 
   /// \brief  Takes a configuration.
   /// \return Whether it is newer than the one in force.
   bool set_configuration(const routing_declaration& declaration);
   void set_backend(const backend_declaration& declaration);
-  void remove_backend(const backend_id& id, time_point now);
+  /// \param grace How long the server stays if it was ready.
+  void remove_backend(const backend_id& id, time_point now, duration grace);
   void set_evacuated(const failure_domain_id& domain, bool is_evacuated);
   /// \brief Takes a settings tree; routes and servers that it declares itself come into force with it.
   void set_tree(std::shared_ptr<const settings_tree> tree);
@@ -59,7 +58,6 @@
  private:
   void rebuild_routes();
 
-  duration removal_grace;
   std::map<failure_domain_id, region_id> regions;
   routing_declaration configured;
   tree_declarations from_tree;
--- a/packages/routing/src/snapshot_builder.cpp
+++ b/packages/routing/src/snapshot_builder.cpp
@@ -46,7 +46,7 @@
   this->changed = true;
 }
 
-void snapshot_builder::remove_backend(const backend_id& id, time_point now) {
+void snapshot_builder::remove_backend(const backend_id& id, time_point now, duration grace) {
   const auto found = this->state.backends.find(id);
   if (found == this->state.backends.end()) {
     return;
@@ -55,7 +55,7 @@
     this->state.backends.erase(found);
     this->changed = true;
   } else {
-    this->removals.try_emplace(id, now + this->removal_grace);
+    this->removals.try_emplace(id, now + grace);
   }
 }
 
--- a/packages/routing/tests/tables_test.cpp
+++ b/packages/routing/tests/tables_test.cpp
@@ -171,7 +171,7 @@
 }
 
 TEST(snapshot_builder, never_goes_back_to_an_older_configuration) {
-  snapshot_builder builder{duration{1000}, {}};
+  snapshot_builder builder{{}};
   EXPECT_TRUE(builder.set_configuration({config_version{12}, {make_route("a", "/new/")}, {}}));
   EXPECT_FALSE(builder.set_configuration({config_version{11}, {make_route("a", "/old/")}, {}}));
   EXPECT_FALSE(builder.set_configuration({config_version{12}, {make_route("a", "/old/")}, {}}));
@@ -182,13 +182,13 @@
 }
 
 TEST(snapshot_builder, entries_that_lapse_stay_for_a_grace_and_draining_ones_go_at_once) {
-  snapshot_builder builder{duration{1000}, {}};
+  snapshot_builder builder{{}};
   builder.set_backend(make_backend("lapsed", backend_mode::ready));
   builder.set_backend(make_backend("gone", backend_mode::ready));
   builder.set_backend(make_backend("leaving", backend_mode::draining));
-  builder.remove_backend(backend_id{"lapsed"}, time_point{0});
-  builder.remove_backend(backend_id{"gone"}, time_point{0});
-  builder.remove_backend(backend_id{"leaving"}, time_point{0});
+  builder.remove_backend(backend_id{"lapsed"}, time_point{0}, duration{1000});
+  builder.remove_backend(backend_id{"gone"}, time_point{0}, duration{1000});
+  builder.remove_backend(backend_id{"leaving"}, time_point{0}, duration{1000});
   EXPECT_EQ(builder.publish()->backends.size(), 2U);
   builder.set_backend(make_backend("lapsed", backend_mode::ready));
   EXPECT_EQ(builder.next_removal(), time_point{1000});
@@ -204,7 +204,7 @@
       "services: {desk: {regions: {near: {domains: {near-a: {upstreams: ['127.0.0.1:9101']}}}}}}\n";
   const auto tree = settings_tree::parse({"e", "t", text, {}}, "t");
   ASSERT_TRUE(tree);
-  snapshot_builder builder{duration{0}, {}};
+  snapshot_builder builder{{}};
   builder.set_tree(std::make_shared<const settings_tree>(*tree));
   const auto snapshot = builder.publish();
   const auto* const rule = snapshot->routes->find("any.example", "/v1/services/desk/bookings");
--- a/packages/store/src/http_multi.cpp
+++ b/packages/store/src/http_multi.cpp
@@ -15,8 +15,8 @@
 namespace impl {
 namespace {
 
-/// Time to connect; the store answers in milliseconds, the longest link takes 110 ms there and back.
-constexpr long connect_limit_ms = 800;
+/// Time to connect: the longest link takes 110 ms there and back; a lost packet's resend is not waited for.
+constexpr long connect_limit_ms = 300;
 /// Idle time before and between keep-alive probes, and the time for which sent data may stay unacknowledged.
 constexpr long keep_alive_seconds = 1;
 constexpr int unacknowledged_limit_ms = 1500;
