Learn what a home is worth and how long slots are held

Change: whether a home not yet seen is warm is learned from its answers; waits use the time for which slots were held; warm and cold work are learned only from certain cases.

--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -349,8 +349,10 @@
       auto& estimate = table.estimate(this->rules.at(made->kind->name), made->kind->service);
       estimate.note_answer(made->kind->answer_kib);
       if (made->decision.load < this->what.slots) {
-        const auto work = took - table.round_trip(*backend);
-        estimate.note_work(made->decision.warm, static_cast<double>(std::max<std::int64_t>(work.ms, 1)));
+        const auto work =
+            static_cast<double>(std::max<std::int64_t>((took - table.round_trip(*backend)).ms, 1));
+        estimate.note_work(made->decision.expects, work);
+        table.note_service_time(made->kind->service, work);
       }
       backend->objects.touch(made->object, table.settings_of(made->kind->service).remembered_objects);
     }
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -303,8 +303,9 @@
   constexpr double bytes_per_kib = 1024;
   estimate.note_answer(static_cast<double>(this->answer_bytes) / bytes_per_kib);
   if (this->decision.load < target.declared().slots && !target.is_cold(now)) {
-    const auto work = took - table.round_trip(target);
-    estimate.note_work(this->decision.warm, static_cast<double>(std::max<std::int64_t>(work.ms, 1)));
+    const auto work = static_cast<double>(std::max<std::int64_t>((took - table.round_trip(target)).ms, 1));
+    estimate.note_work(this->decision.expects, work);
+    table.note_service_time(this->service, work);
   }
   if (this->object) {
     this->decision.target->objects.touch(*this->object, table.settings_of(this->service).remembered_objects);
@@ -490,7 +491,7 @@
       .field("waited_ms", this->waited.ms)
       .field("time_left_ms", (this->deadline - this->arrived - took).ms)
       .field("placed_on", this->decision.target ? this->decision.target->declared().id.str() : "")
-      .field("warm", this->decision.warm ? 1 : 0)
+      .field("warmth", static_cast<std::int64_t>(this->decision.expects))
       .field("load_percent", static_cast<std::int64_t>(this->decision.load * percent))
       .field("expected_ms", this->decision.expected.ms)
       .field("candidates", this->decision.candidates)
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -50,8 +50,8 @@
   /// For a refusal: when there is likely to be room.
   duration retry_after{0};
   std::shared_ptr<backend_state> target;
-  /// Whether the target is expected to hold the object.
-  bool warm{false};
+  /// What is known of whether the target holds the object.
+  warmth expects{warmth::none};
   /// From sending to the answer, without the wait for a slot.
   duration work{0};
   /// From sending to the answer as expected with the present load.
@@ -84,6 +84,8 @@
   /// \{
   void note_round_trip(const backend_state& backend, duration took);
   [[nodiscard]] work_estimate& estimate(const route& rule, const service_id& service);
+  /// \brief Notes the time for which a request that found a free slot held it.
+  void note_service_time(const service_id& service, double took_ms);
   [[nodiscard]] duration round_trip(const backend_state& backend) const;
   /// \}
 
@@ -102,12 +104,12 @@
     service_declaration declaration;
     placement_settings settings;
     std::vector<std::shared_ptr<backend_state>> members;
-    // Average work of a request, in ms; turns queue lengths into waits.
+    // Average time for which a request holds a slot, in ms; turns queue lengths into waits.
     double mean_work_ms{80};
   };
   struct candidate {
     std::shared_ptr<backend_state> backend;
-    bool warm{false};
+    warmth expects{warmth::none};
     double round_trip_ms{0};
     double work_ms{0};
     double wait_ms{0};
--- a/packages/routing/include/zinnia/routing/work_estimate.hpp
+++ b/packages/routing/include/zinnia/routing/work_estimate.hpp
@@ -5,12 +5,23 @@
 
 namespace zinnia {
 
+/// \brief What this node knows of whether a server holds an object.
+enum class warmth : unsigned char {
+  /// The server has answered for the object lately, through this node.
+  known,
+  /// The server is the object's first home, so that other nodes' requests may have warmed it.
+  presumed,
+  none,
+};
+
 /// \brief   Running averages for one route at one service.
 /// \details Two times are kept, as a backend server that holds the object answers several times faster.
 class work_estimate {
  public:
   /// \brief Notes the time of a request that found a free slot.
-  void note_work(bool was_warm, double took_ms) noexcept;
+  void note_work(warmth expected, double took_ms) noexcept;
+  /// \brief What a request is expected to take.
+  [[nodiscard]] double expected_ms(warmth expected) const noexcept;
   void note_answer(double kib) noexcept;
 
   [[nodiscard]] double warm_ms() const noexcept { return this->warm.value; }
@@ -29,6 +40,8 @@
   // Starting values for the first requests; typical work of a small look-up.
   average warm{60};
   average cold{200};
+  // Part of the presumed ones that were warm; at first nobody has warmed anything.
+  average presumed_warm{0};
   average answer{4};
 };
 
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -137,6 +137,12 @@
   return this->estimates[service.str() + rule.prefix];
 }
 
+void backend_table::note_service_time(const service_id& service, double took_ms) {
+  if (const auto found = this->services.find(service); found != this->services.end()) {
+    found->second.mean_work_ms += (took_ms - found->second.mean_work_ms) * impl::newest_work_weight;
+  }
+}
+
 bool backend_table::may_receive(const backend_state& backend, time_point now) const {
   const auto& declared = backend.declared();
   if (backend.is_suspended() || declared.mode != backend_mode::ready ||
@@ -250,12 +256,14 @@
   const double slowness = backend->slowness(now) * (backend->is_cold(now) ? impl::cold_slowness : 1);
   candidate weighed;
   weighed.backend = backend;
-  weighed.warm = !request.object || backend.get() == home || backend->objects.contains(*request.object);
+  weighed.expects = !request.object || backend->objects.contains(*request.object) ? warmth::known
+                    : backend.get() == home                                       ? warmth::presumed
+                                                                                  : warmth::none;
   weighed.round_trip_ms = static_cast<double>(this->round_trip(*backend).ms);
-  weighed.work_ms = (weighed.warm ? estimate.warm_ms() : estimate.cold_ms()) * slowness;
+  weighed.work_ms = estimate.expected_ms(weighed.expects) * slowness;
   const double ahead = backend->load(now) + backend->queue.count_ahead(request.rule->priority) + 1 - slots;
   weighed.wait_ms = std::max(ahead, 0.0) * group.mean_work_ms * slowness / slots;
-  const double miss = weighed.warm ? 0 : (estimate.cold_ms() - estimate.warm_ms()) * slowness;
+  const double miss = weighed.expects == warmth::none ? (estimate.cold_ms() - estimate.warm_ms()) * slowness : 0;
   const double failure = request.repeatable ? impl::repeatable_failure_ms : impl::final_failure_ms;
   weighed.cost_ms = weighed.total_ms() + miss * group.settings.miss_penalty * std::min(utilisation, 1.0) +
                     backend->failure_ratio(now) * failure +
@@ -314,10 +322,9 @@
   if (!best) {
     return this->refuse(reason::wait_exceeds_deadline, impl::to_duration(soonest - left), candidates);
   }
-  group.mean_work_ms += (best->work_ms - group.mean_work_ms) * impl::newest_work_weight;
   placement_decision decision;
   decision.target = best->backend;
-  decision.warm = best->warm;
+  decision.expects = best->expects;
   decision.work = impl::to_duration(best->round_trip_ms + best->work_ms);
   decision.expected = impl::to_duration(best->total_ms());
   decision.load = best->backend->load(now);
--- a/packages/routing/src/work_estimate.cpp
+++ b/packages/routing/src/work_estimate.cpp
@@ -18,8 +18,30 @@
   this->value += (sample - this->value) / (this->count + 1);
 }
 
-void work_estimate::note_work(bool was_warm, double took_ms) noexcept {
-  (was_warm ? this->warm : this->cold).note(took_ms);
+void work_estimate::note_work(warmth expected, double took_ms) noexcept {
+  switch (expected) {
+    case warmth::known:
+      this->warm.note(took_ms);
+      break;
+    case warmth::none:
+      this->cold.note(took_ms);
+      break;
+    case warmth::presumed:
+      this->presumed_warm.note(took_ms < (this->warm_ms() + this->cold_ms()) / 2 ? 1 : 0);
+      break;
+  }
+}
+
+double work_estimate::expected_ms(warmth expected) const noexcept {
+  switch (expected) {
+    case warmth::known:
+      return this->warm_ms();
+    case warmth::none:
+      return this->cold_ms();
+    case warmth::presumed:
+      break;
+  }
+  return this->cold_ms() - this->presumed_warm.value * (this->cold_ms() - this->warm_ms());
 }
 
 void work_estimate::note_answer(double kib) noexcept {
--- a/packages/routing/tests/tables_test.cpp
+++ b/packages/routing/tests/tables_test.cpp
@@ -109,11 +109,17 @@
 TEST(work_estimate, keeps_warm_and_cold_work_apart) {
   work_estimate estimate;
   for (int i = 0; i < 100; ++i) {
-    estimate.note_work(true, 70);
-    estimate.note_work(false, 250);
+    estimate.note_work(warmth::known, 70);
+    estimate.note_work(warmth::none, 250);
   }
   EXPECT_NEAR(estimate.warm_ms(), 70, 2);
   EXPECT_NEAR(estimate.cold_ms(), 250, 2);
+  EXPECT_NEAR(estimate.expected_ms(warmth::presumed), 250, 2) << "nobody has warmed anything yet";
+  for (int i = 0; i < 100; ++i) {
+    estimate.note_work(warmth::presumed, i % 4 == 0 ? 240 : 75);
+  }
+  EXPECT_NEAR(estimate.expected_ms(warmth::presumed), 250 - 0.75 * 180, 20);
+  EXPECT_NEAR(estimate.warm_ms(), 70, 2) << "what was only presumed says nothing of warm work";
 }
 
 /// Plays a day on which everything fails: each request asks for a repeat at once.
