--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -58,6 +58,12 @@
     this->fail(now);
     return;
   }
+  const auto known_version = std::max(this->watch_from, this->list_version.value_or(object_version{}));
+  if (reply.status == feed_status::ok && this->listing && reply.newest < known_version) {
+    // A page older than what is known: it may name objects that are gone, or lack new ones.
+    this->fail(now);
+    return;
+  }
   this->failures_in_a_row = 0;
   this->answered_at = now;
   if (reply.status == feed_status::history_gone) {
--- /dev/null
+++ b/scripts/mutations.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Breaks the decisions on purpose, one line at a time in a copy of the sources, and checks that a test notices.
+# Usage: scripts/mutations.sh   Prints a line a mutation; exit code 1 if one survives.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+copy="$(mktemp -d)"
+trap 'rm -rf "$copy"' EXIT
+git ls-files | tar cf - -T - | tar xf - -C "$copy"
+cmake -G Ninja -S "$copy" -B "$copy/build" >/dev/null || exit 1
+survivors=0
+
+mutate() {  # mutate TEST FILE SED WHAT
+  local test="$1" file="$copy/$2" expression="$3" what="$4"
+  cp "$file" "$file.kept"
+  sed -i "$expression" "$file"
+  if cmp -s "$file" "$file.kept"; then
+    echo "STALE    | $what | the line is gone"; survivors=$((survivors + 1))
+  elif ! cmake --build "$copy/build" --target "$test" >/dev/null 2>&1; then
+    echo "BUILD    | $what | does not compile"; survivors=$((survivors + 1))
+  elif (cd "$copy" && timeout 120 "build/$test" >/dev/null 2>&1); then
+    echo "SURVIVED | $what"; survivors=$((survivors + 1))
+  else
+    echo "caught   | $what"
+  fi
+  cp "$file.kept" "$file"
+}
+
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/if (this->known != verdict::did_not_run \&\& !this->repeatable)/if (false)/' "an unsafe request is repeated after it may have run"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/  if (impl::is_promise(status)) {/  if (false) {/' "a refusal that promises nothing is passed on"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/!find_field(this->answer.fields, dialect.answer_stamp) ||/false ||/' "a success without a stamp is passed on"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/this->exchange->abort();/this->exchange->finish();/' "a cut answer is ended as if it were whole"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/this->sends < this->rule.most_attempts/this->sends < 1/' "nothing is ever repeated"
+mutate test_http packages/http/src/backend_connection.cpp \
+  's/if (id \&\& \*id != this->current.id) {/if (false) {/' "another request's answer is taken"
+mutate test_http packages/http/src/backend_connection.cpp \
+  's/this->input.empty() \&\& !this->parser/!this->parser/' "a connection with leftover bytes is kept"
+mutate test_http packages/http/src/caller_connection.cpp \
+  's/const bool closes = is_last \&\&/const bool closes = false \&\&/' "a drained connection is not closed"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/present.version >= object.version/false/' "an object goes back to an older version"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/found->second.version > at/false/' "a stale list removes a newer object"
+mutate test_routing packages/routing/src/snapshot_builder.cpp \
+  's/declaration.version <= this->state.version/false/' "an older configuration comes into force"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/declared.mode != backend_mode::ready/false/' "a draining server gets requests"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/this->evacuated.contains(declared.domain)/false/' "an emptied failure domain gets requests"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/return backend.is_warmed_here \&\&/return true \&\&/' "every node warms a cold server"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/utilisation < impl::spare_utilisation/true/' "objects leave their homes under overload"
+mutate test_routing packages/routing/src/backend_state.cpp \
+  's/recent) + 1 <= rate/recent) <= rate + 5/' "a cold server gets more than its rate"
+mutate test_routing packages/routing/src/retry_allowance.cpp \
+  's/this->tokens = std::min(this->tokens, most);//' "the retry bucket has no bound"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/ \&\& now - known.heard_at < heartbeat_silence//' "silent nodes are named to callers"
+mutate test_node packages/node/src/control_thread.cpp \
+  's/if (is_lost \&\& \&watched != \&this->configuration_watch()) {/if (false) {/' "every kind probes a lost store"
+echo "$survivors survived, stale or broken"
+[ "$survivors" -eq 0 ]
