--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -1,8 +1,8 @@
 // Plays a scenario under every policy and prints what callers got.
 //
 // Usage: experiment --scenario bench/scenarios/kapur-jaya.yaml --seeds 5 --plot credit.svg
-#include <boost/program_options.hpp>
 #include <algorithm>
+#include <boost/program_options.hpp>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -40,21 +40,25 @@
 
 void print_table(const scenario& what, const std::vector<row>& rows, std::uint64_t seeds) {
   std::cout << what.name << ", " << what.length_s << " s, means of " << seeds << " seeds\n\n"
-            << "| policy | credit | worst kind | worst domain | in aim | late | refused | failed | p50 ms | p99 ms | warm | "
+            << "| policy | credit | worst kind | worst domain | in aim | late | refused | failed | p50 ms | "
+               "p99 ms | warm | "
                "largest shift | free slots |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const auto& row : rows) {
     const auto part = [&](int outcome::*member) {
-      return row.mean([member](const outcome& run) { return static_cast<double>(run.*member) / std::max(run.asked, 1); });
+      return row.mean(
+          [member](const outcome& run) { return static_cast<double>(run.*member) / std::max(run.asked, 1); });
     };
     std::cout << std::fixed << std::setprecision(3) << "| " << to_word(row.which) << " | "
               << row.mean([](const outcome& run) { return run.share(); }) << " | "
               << row.mean([](const outcome& run) { return least(run.by_class); }) << " | "
-              << row.mean([](const outcome& run) { return least(run.by_domain); }) << " | " << part(&outcome::in_aim)
-              << " | " << part(&outcome::late) << " | " << part(&outcome::refused) << " | " << part(&outcome::failed)
-              << " | " << std::setprecision(0) << row.mean([](const outcome& run) { return run.percentile(0.5); })
-              << " | " << row.mean([](const outcome& run) { return run.percentile(0.99); }) << " | "
-              << std::setprecision(3)
-              << row.mean([](const outcome& run) { return run.runs > 0 ? static_cast<double>(run.warm_runs) / run.runs : 1; })
+              << row.mean([](const outcome& run) { return least(run.by_domain); }) << " | "
+              << part(&outcome::in_aim) << " | " << part(&outcome::late) << " | " << part(&outcome::refused)
+              << " | " << part(&outcome::failed) << " | " << std::setprecision(0)
+              << row.mean([](const outcome& run) { return run.percentile(0.5); }) << " | "
+              << row.mean([](const outcome& run) { return run.percentile(0.99); }) << " | "
+              << std::setprecision(3) << row.mean([](const outcome& run) {
+                   return run.runs > 0 ? static_cast<double>(run.warm_runs) / run.runs : 1;
+                 })
               << " | " << row.mean([](const outcome& run) { return run.largest_shift; }) << " | "
               << row.mean([](const outcome& run) { return run.headroom; }) << " |\n";
   }
@@ -64,13 +68,15 @@
 void plot(const std::string& file, const scenario& what, const std::vector<row>& rows) {
   std::ofstream data{file + ".dat"};
   for (const auto& row : rows) {
-    data << '"' << to_word(row.which) << "\" " << row.mean([](const outcome& run) { return run.share(); }) << ' '
-         << row.mean([](const outcome& run) { return least(run.by_domain); }) << '\n';
+    data << '"' << to_word(row.which) << "\" " << row.mean([](const outcome& run) { return run.share(); })
+         << ' ' << row.mean([](const outcome& run) { return least(run.by_domain); }) << '\n';
   }
   std::ofstream script{file + ".gnuplot"};
   script << "set terminal svg size 800,400\nset output '" << file << "'\nset title '" << what.name
-         << "'\nset style data histograms\nset style fill solid 0.6\nset yrange [0:1]\nset ylabel 'part of the credit owed'\n"
-         << "plot '" << file << ".dat' using 2:xtic(1) title 'all callers', '' using 3 title 'worst failure domain'\n";
+         << "'\nset style data histograms\nset style fill solid 0.6\nset yrange [0:1]\nset ylabel 'part of "
+            "the credit owed'\n"
+         << "plot '" << file
+         << ".dat' using 2:xtic(1) title 'all callers', '' using 3 title 'worst failure domain'\n";
   script.close();
   std::cerr << "plot with: gnuplot " << file << ".gnuplot\n";
 }
@@ -88,7 +94,8 @@
   add("help", "prints this text");
   add("scenario", po::value(&file)->required(), "scenario in YAML, as in bench/scenarios/");
   add("seeds", po::value(&seeds)->default_value(3), "runs with seeds 1 to N");
-  add("policy", po::value(&only), "only this one: random, least load, two choices, one home, ours, pooled bound");
+  add("policy", po::value(&only),
+      "only this one: random, least load, two choices, one home, ours, pooled bound");
   add("plot", po::value(&picture), "SVG to draw with gnuplot");
   po::variables_map given;
   try {
@@ -112,8 +119,8 @@
     return exit_bad_input;
   }
   std::vector<row> rows;
-  for (const auto which : {policy::random, policy::least_load, policy::two_choices, policy::one_home, policy::ours,
-                           policy::pooled}) {
+  for (const auto which : {policy::random, policy::least_load, policy::two_choices, policy::one_home,
+                           policy::ours, policy::pooled}) {
     if (!only.empty() && only != to_word(which)) {
       continue;
     }
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -22,8 +22,9 @@
   }
   double value = 0;
   if (!YAML::convert<double>::decode(map[field], value) || value < lowest || value > highest) {
-    fail(map[field], std::string{field} + ": '" + map[field].as<std::string>("") + "' is not allowed; allowed: " +
-                         std::to_string(lowest) + " to " + std::to_string(highest));
+    fail(map[field], std::string{field} + ": '" + map[field].as<std::string>("") +
+                         "' is not allowed; allowed: " + std::to_string(lowest) + " to " +
+                         std::to_string(highest));
   }
   into = value;
 }
--- a/bench/tests/world_test.cpp
+++ b/bench/tests/world_test.cpp
@@ -50,8 +50,8 @@
 INSTANTIATE_TEST_SUITE_P(table, under_load,
                          testing::Values(load_case{"kapur-jaya", 0.9}, load_case{"brekke", 0.9},
                                          load_case{"kapur-jaya-heavy", 0.8}, load_case{"brekke-heavy", 0.8}),
-                         [](const auto& info) {
-                           std::string name = info.param.scenario;
+                         [](const auto& tested) {
+                           std::string name = tested.param.scenario;
                            std::replace(name.begin(), name.end(), '-', '_');
                            return name;
                          });
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -143,7 +143,8 @@
     if (a == b) {
       return 0.2;
     }
-    return this->regions.at(a) == this->regions.at(b) ? this->what.domain_delay_ms : this->what.region_delay_ms;
+    return this->regions.at(a) == this->regions.at(b) ? this->what.domain_delay_ms
+                                                      : this->what.region_delay_ms;
   }
 
   void apply(const scenario_event& event, bool begins) {
@@ -247,7 +248,9 @@
     if (usable.empty()) {
       return decision;
     }
-    const auto any = [&] { return usable[static_cast<std::size_t>(this->uniform() * static_cast<double>(usable.size()))]; };
+    const auto any = [&] {
+      return usable[static_cast<std::size_t>(this->uniform() * static_cast<double>(usable.size()))];
+    };
     const auto load = [&](const auto& backend) { return backend->load(this->clock()); };
     decision.action = placement_action::send;
     decision.target = any();
@@ -277,9 +280,9 @@
         return;
       case placement_action::wait:
         this->tickets[made->id] = made;
-        made->decision.target->queue.push(
-            {made->id, made->kind->priority, this->clock(),
-             this->clock() + (made->decision.expected - made->decision.work) + duration{static_cast<std::int64_t>(review_ms)}});
+        made->decision.target->queue.push({made->id, made->kind->priority, this->clock(),
+                                           this->clock() + (made->decision.expected - made->decision.work) +
+                                               duration{static_cast<std::int64_t>(review_ms)}});
         return;
       case placement_action::refuse:
         this->refuse(made);
@@ -290,7 +293,8 @@
     const double left_ms = static_cast<double>(made->deadline - this->now) / us_per_ms;
     const double wait_ms = std::min(static_cast<double>(made->decision.retry_after.ms), left_ms * 0.3);
     if (made->tries < 2 && left_ms > 0) {
-      this->at(this->now + from_ms(wait_ms + 2 * this->what.caller_delay_ms), [this, made] { this->ask(made); });
+      this->at(this->now + from_ms(wait_ms + 2 * this->what.caller_delay_ms),
+               [this, made] { this->ask(made); });
       return;
     }
     ++this->result.refused;
@@ -324,7 +328,8 @@
     ++this->result.runs;
     this->result.warm_runs += warm ? 1 : 0;
     const double noise = std::max(0.3, 1 + work_spread * std::normal_distribution<>{}(this->random));
-    const double work = made->kind->work_ms * noise * (warm ? 1 - made->kind->warm_gain : 1) * target.slowness;
+    const double work =
+        made->kind->work_ms * noise * (warm ? 1 - made->kind->warm_gain : 1) * target.slowness;
     this->at(this->now + from_ms(work), [this, made, &target] {
       --target.running;
       while (!target.waiting.empty() && target.running < this->what.slots) {
@@ -343,8 +348,10 @@
     auto& table = *this->entries[made->entry].table;
     const auto backend = made->decision.target;
     const duration took{(this->now - made->sent) / 1000};
-    backend->on_report({target.running, static_cast<int>(target.waiting.size()), this->what.slots}, this->clock());
-    backend->on_ended(served ? backend_outcome::answered : backend_outcome::shed, took, made->decision.expected, this->clock());
+    backend->on_report({target.running, static_cast<int>(target.waiting.size()), this->what.slots},
+                       this->clock());
+    backend->on_ended(served ? backend_outcome::answered : backend_outcome::shed, took,
+                      made->decision.expected, this->clock());
     if (served) {
       auto& estimate = table.estimate(this->rules.at(made->kind->name), made->kind->service);
       estimate.note_answer(made->kind->answer_kib);
@@ -476,7 +483,8 @@
     }
   }
 
-  [[nodiscard]] static double moved_part_of(const std::map<std::string, int>& a, const std::map<std::string, int>& b) {
+  [[nodiscard]] static double moved_part_of(const std::map<std::string, int>& a,
+                                            const std::map<std::string, int>& b) {
     constexpr int least_requests = 50;
     const auto total = [](const auto& counts) {
       int sum = 0;
@@ -531,7 +539,8 @@
   if (this->latencies_ms.empty()) {
     return 0;
   }
-  return this->latencies_ms[static_cast<std::size_t>(part * static_cast<double>(this->latencies_ms.size() - 1))];
+  return this
+      ->latencies_ms[static_cast<std::size_t>(part * static_cast<double>(this->latencies_ms.size() - 1))];
 }
 
 outcome play(const scenario& what, policy which, std::uint64_t seed) {
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -44,8 +44,8 @@
 constexpr duration log_period{200};
 /// Entries of backend servers may lapse while the store is away and are back within 2 s of its return.
 constexpr duration lapse_grace{1800};
-/// After this node could not reach the store: the entry may have been missing for long, and the store's return was
-/// noticed up to a second late.
+/// After this node could not reach the store: the entry may have been missing for long, and the store's
+/// return was noticed up to a second late.
 constexpr duration grace_after_outage{1000};
 /// Kept between the grace and the time within which a leaving server must get nothing more.
 constexpr duration drain_margin{700};
--- a/packages/routing/include/zinnia/routing/snapshot_builder.hpp
+++ b/packages/routing/include/zinnia/routing/snapshot_builder.hpp
@@ -29,7 +29,8 @@
 ///          back; one that said that it was draining goes at once.
 class snapshot_builder {
  public:
-  explicit snapshot_builder(std::map<failure_domain_id, region_id> regions_in) : regions{std::move(regions_in)} {}
+  explicit snapshot_builder(std::map<failure_domain_id, region_id> regions_in)
+      : regions{std::move(regions_in)} {}
 
   /// \brief  Takes a configuration.
   /// \return Whether it is newer than the one in force.
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -263,7 +263,8 @@
   weighed.work_ms = estimate.expected_ms(weighed.expects) * slowness;
   const double ahead = backend->load(now) + backend->queue.count_ahead(request.rule->priority) + 1 - slots;
   weighed.wait_ms = std::max(ahead, 0.0) * group.mean_work_ms * slowness / slots;
-  const double miss = weighed.expects == warmth::none ? (estimate.cold_ms() - estimate.warm_ms()) * slowness : 0;
+  const double miss =
+      weighed.expects == warmth::none ? (estimate.cold_ms() - estimate.warm_ms()) * slowness : 0;
   const double failure = request.repeatable ? impl::repeatable_failure_ms : impl::final_failure_ms;
   weighed.cost_ms = weighed.total_ms() + miss * group.settings.miss_penalty * std::min(utilisation, 1.0) +
                     backend->failure_ratio(now) * failure +
--- a/packages/store/tests/feed_walk_test.cpp
+++ b/packages/store/tests/feed_walk_test.cpp
@@ -1,4 +1,5 @@
-// A random walk of a feed and a store that fails in every way: lost and late answers, lost history, stale lists.
+// A random walk of a feed and a store that fails in every way: lost and late answers, lost history, stale
+// lists.
 #include <gtest/gtest.h>
 
 #include <map>
@@ -48,7 +49,8 @@
     }
     auto at = this->version;
     if (stale && !this->past.empty()) {
-      at = std::next(this->past.begin(), static_cast<std::ptrdiff_t>(this->random() % this->past.size()))->first;
+      at = std::next(this->past.begin(), static_cast<std::ptrdiff_t>(this->random() % this->past.size()))
+               ->first;
     }
     const auto& seen = this->past.contains(at) ? this->past[at] : this->objects;
     constexpr std::size_t page = 2;
