Judge silent nodes from near, and assign the warming of new servers at once

Found on the way: the warming of a server that came later was assigned only with the next change of living nodes, and a node far away could assign it to itself.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "zinnia/core/clock.hpp"
@@ -53,8 +54,8 @@
 
   /// \brief Puts a newer snapshot in force; requests under way keep theirs.
   void apply(std::shared_ptr<const routing_snapshot> snapshot_in);
-  /// \brief Tells which nodes are alive, this one included.
-  void set_alive(const std::map<node_id, place>& alive);
+  /// \brief Tells which nodes are alive, this one included, and which regions have nodes at all.
+  void set_alive(const std::map<node_id, place>& alive_in, const std::set<region_id>& staffed_in);
   /// \brief Takes a caller's request; its answer goes to the exchange.
   void handle(const std::shared_ptr<caller_exchange>& exchange);
 
@@ -99,6 +100,8 @@
   recent_records records;
   std::size_t body_bytes{0};
   int alive_nodes{1};
+  std::map<node_id, place> alive;
+  std::set<region_id> staffed;
   boost::asio::steady_timer timer;
   time_point trimmed_at;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -51,6 +51,7 @@
   const auto now = this->clock.now();
   const auto before = this->table.all();
   this->table.apply(*this->current, now);
+  this->table.assign_warming(this->alive, this->staffed, this->options.self);
   for (const auto& backend : before) {
     if (!this->table.may_receive(*backend, now) || this->table.find(backend->declared().id) == nullptr) {
       this->place_again(backend);
@@ -58,9 +59,11 @@
   }
 }
 
-void gateway::set_alive(const std::map<node_id, place>& alive) {
-  this->alive_nodes = std::max(static_cast<int>(alive.size()), 1);
-  this->table.assign_warming(alive, this->options.self);
+void gateway::set_alive(const std::map<node_id, place>& alive_in, const std::set<region_id>& staffed_in) {
+  this->alive = alive_in;
+  this->staffed = staffed_in;
+  this->alive_nodes = std::max(static_cast<int>(this->alive.size()), 1);
+  this->table.assign_warming(this->alive, this->staffed, this->options.self);
 }
 
 void gateway::handle(const std::shared_ptr<caller_exchange>& exchange) {
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -216,6 +216,21 @@
   EXPECT_LT(seen.size(), 400'000U);
 }
 
+TEST_F(gateway_contract, a_chunked_answer_cut_midway_has_no_last_chunk) {
+  const std::string part(200'000, 'x');
+  const raw_server a{[&](int) {
+    return raw_script{
+        "HTTP/1.1 200 X\r\nRequest-Id: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n61a80\r\n" + part};
+  }};
+  this->route_with(request_kind::unsafe);
+  this->add("a", a.port());
+  this->start();
+  const auto seen = this->ask("POST");
+  EXPECT_NE(seen.find("Transfer-Encoding: chunked"), std::string::npos);
+  EXPECT_GT(seen.size(), 100'000U);
+  EXPECT_EQ(seen.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 TEST_F(gateway_contract, sends_what_is_left_of_the_time_and_names_the_instance) {
   std::promise<std::string> request;
   const raw_server a{[](int) { return good; }};
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,9 +59,12 @@
   [[nodiscard]] live_members alive(time_point now) const;
   /// \brief Nodes to which heartbeats go, nearest first.
   [[nodiscard]] std::vector<member> peers() const;
-  /// \brief   Registered nodes that have been silent so long that their entry should go.
-  /// \details Only the alive node that comes first by name answers with any, so that one node does it.
+  /// \brief   Registered nodes whose entry this node should remove, as they have been silent for long.
+  /// \details That is for the nearest living node, the first of those by name. A node that this one does not
+  ///          listen to is never judged silent by it.
   [[nodiscard]] std::vector<node_id> to_forget(time_point now) const;
+  /// \brief Regions in which nodes are registered, alive or not.
+  [[nodiscard]] std::set<region_id> staffed_regions() const;
   /// \brief The newest configuration that any node has in force.
   [[nodiscard]] config_version newest_version() const noexcept { return this->newest; }
   [[nodiscard]] bool contains(const node_id& id) const { return this->members.contains(id); }
@@ -74,6 +78,8 @@
     bool leaving{false};
     bool heard{false};
   };
+  [[nodiscard]] bool is_nearest_to(const member& silent, const live_members& living) const;
+  [[nodiscard]] failure_domain_id own_domain() const;
   [[nodiscard]] bool takes_requests(const node_id& id, const record& known, time_point now) const;
 
   node_id self;
@@ -93,6 +99,9 @@
 inline constexpr duration heartbeat_silence{1000};
 /// \brief Silence after which a node's entry is removed; longer than any restart.
 inline constexpr duration forget_after{15'000};
+/// \brief The same for a node that was never heard at all, which may also be one that sends its heartbeats
+/// elsewhere.
+inline constexpr duration forget_unheard_after{60'000};
 /// \brief Most nodes that one node sends heartbeats to.
 inline constexpr std::size_t most_heartbeat_peers = 24;
 /// \brief Most addresses that one answer to a caller names.
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -2,6 +2,7 @@
 #include "zinnia/membership/member_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnia {
 
@@ -87,19 +88,41 @@
   return others;
 }
 
+bool member_table::is_nearest_to(const member& silent, const live_members& living) const {
+  const auto distance = [&](const member& other) {
+    return other.where.domain == silent.where.domain ? 0 : other.where.region == silent.where.region ? 1 : 2;
+  };
+  const auto nearest = std::min_element(living.begin(), living.end(), [&](const auto& a, const auto& b) {
+    return std::pair{distance(a.second), a.first} < std::pair{distance(b.second), b.first};
+  });
+  return nearest != living.end() && nearest->first == this->self;
+}
+
 std::vector<node_id> member_table::to_forget(time_point now) const {
   const auto living = this->alive(now);
   std::vector<node_id> silent;
-  if (living.empty() || living.begin()->first != this->self) {
-    return silent;
-  }
   for (const auto& [id, known] : this->members) {
-    const auto last = known.heard ? known.heard_at : known.registered_at;
-    if (id != this->self && now - last > forget_after) {
+    const bool is_silent = known.heard ? now - known.heard_at > forget_after
+                                       : now - known.registered_at > forget_unheard_after &&
+                                             known.registered.where.domain == this->own_domain();
+    if (id != this->self && is_silent && this->is_nearest_to(known.registered, living)) {
       silent.push_back(id);
     }
   }
   return silent;
 }
 
+failure_domain_id member_table::own_domain() const {
+  const auto own = this->members.find(this->self);
+  return own == this->members.end() ? failure_domain_id{} : own->second.registered.where.domain;
+}
+
+std::set<region_id> member_table::staffed_regions() const {
+  std::set<region_id> regions;
+  for (const auto& [id, known] : this->members) {
+    regions.insert(known.registered.where.region);
+  }
+  return regions;
+}
+
 }  // namespace zinnia
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -23,7 +24,7 @@
 struct control_events {
   std::function<void(const std::shared_ptr<const routing_snapshot>&)> on_snapshot;
   std::function<void(const caller_limits&)> on_limits;
-  std::function<void(const live_members&)> on_members;
+  std::function<void(const live_members&, const std::set<region_id>&)> on_members;
   /// Drains and moves, as lines for operators.
   std::function<void(const std::vector<shift_progress>&)> on_progress;
 };
@@ -97,6 +98,7 @@
   snapshot_builder builder;
   member_table members;
   live_members last_alive;
+  std::set<region_id> last_staffed;
   int beat_socket{-1};
   time_point next_beat;
   time_point write_not_before;
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -31,6 +31,8 @@
 /// Changes of servers come in bursts; one call brings all of this time, far below any bound on acting on
 /// them.
 constexpr duration settle_pause{200};
+/// The same for nodes, which register and leave together and are judged by their heartbeats in any case.
+constexpr duration node_settle_pause{1000};
 /// Longest pause between calls to a store that fails: with the time to connect it stays well below the
 /// shortest `stableWindowMs` (3 s), within which a node must be up to date again.
 constexpr duration longest_pause{700};
@@ -120,7 +122,7 @@
             impl::make_feed(own_kinds::settings, impl::long_watch(settings_in), duration{0}, this->self.id),
             0, false, false, &control_thread::apply_tree},
            {own_kinds::nodes,
-            impl::make_feed(own_kinds::nodes, impl::long_watch(settings_in), impl::settle_pause,
+            impl::make_feed(own_kinds::nodes, impl::long_watch(settings_in), impl::node_settle_pause,
                             this->self.id),
             0, false, false, &control_thread::apply_node}}},
       builder{settings_in.regions},
@@ -396,10 +398,12 @@
   }
   this->members.set_self(this->ready, this->is_leaving());
   auto alive = this->members.alive(now);
-  if (alive != this->last_alive) {
+  auto staffed = this->members.staffed_regions();
+  if (alive != this->last_alive || staffed != this->last_staffed) {
     this->last_alive = alive;
+    this->last_staffed = staffed;
     log_line{log_level::info, "nodes_alive"}.field("count", static_cast<std::int64_t>(alive.size()));
-    this->events.on_members(alive);
+    this->events.on_members(alive, staffed);
   }
 }
 
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -150,15 +150,15 @@
   handlers.on_limits = [this](const caller_limits& limits) {
     boost::asio::post(this->context, [this, limits] { this->callers.set_limits(limits); });
   };
-  handlers.on_members = [this](const live_members& members) {
-    boost::asio::post(this->context, [this, members] {
+  handlers.on_members = [this](const live_members& members, const std::set<region_id>& staffed) {
+    boost::asio::post(this->context, [this, members, staffed] {
       this->alive = members;
       std::map<node_id, place> places;
       for (const auto& [id, known] : this->alive) {
         places.emplace(id, known.where);
       }
       places.emplace(this->settings.node, this->settings.here);
-      this->traffic.set_alive(places);
+      this->traffic.set_alive(places, staffed);
     });
   };
   handlers.on_progress = [this](const std::vector<shift_progress>& shifts) {
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -75,8 +75,11 @@
 
   /// \brief Takes over what a snapshot declares; state of servers that stay is kept.
   void apply(const routing_snapshot& snapshot, time_point now);
-  /// \brief Decides which cold servers this node warms, from the nodes alive (this one included).
-  void assign_warming(const std::map<node_id, place>& alive, const node_id& self);
+  /// \brief Decides which cold servers this node warms.
+  /// \param alive Nodes heard of, this one included.
+  /// \param staffed Regions with nodes of their own, heard of or not; their servers are theirs to warm.
+  void assign_warming(const std::map<node_id, place>& alive, const std::set<region_id>& staffed,
+                      const node_id& self);
 
   [[nodiscard]] placement_decision choose(const placement_request& request, time_point now);
 
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -91,7 +91,8 @@
   this->backends = std::move(kept);
 }
 
-void backend_table::assign_warming(const std::map<node_id, place>& alive, const node_id& self) {
+void backend_table::assign_warming(const std::map<node_id, place>& alive, const std::set<region_id>& staffed,
+                                   const node_id& self) {
   for (const auto& [id, backend] : this->backends) {
     const place where{backend->declared().domain, this->region_of(backend->declared().domain)};
     int nearest = -1;
@@ -106,7 +107,8 @@
         owner = &node;
       }
     }
-    backend->is_warmed_here = owner != nullptr && *owner == self;
+    const bool is_theirs = where.region != this->here.region && staffed.contains(where.region);
+    backend->is_warmed_here = !is_theirs && owner != nullptr && *owner == self;
   }
 }
 
--- a/packages/routing/tests/tables_test.cpp
+++ b/packages/routing/tests/tables_test.cpp
@@ -154,6 +154,23 @@
   EXPECT_GT(repeats.size(), requests.size() / 10) << "the budget is there to be used";
 }
 
+/// Half a minute without a failure must not save up repeats for the moment at which everything fails.
+TEST(retry_allowance, saves_up_no_more_than_its_share) {
+  const retry_budget_settings budget{0.2, 58, duration{10'000}};
+  constexpr int nodes = 9;
+  retry_allowance allowance;
+  std::int64_t now = 0;
+  static_cast<void>(allowance.try_spend(budget, nodes, time_point{now}));
+  for (; now < 30'000; now += 10) {
+    allowance.on_request(budget);
+  }
+  int spent = 0;
+  while (allowance.try_spend(budget, nodes, time_point{now})) {
+    ++spent;
+  }
+  EXPECT_LE(spent, budget.extra / nodes);
+}
+
 TEST(weighted_split, any_stretch_is_divided_exactly) {
   auto rule = make_route("a", "/x/");
   rule.parts = {{service_id{"big"}, 90}, {service_id{"small"}, 10}};
