--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -162,8 +162,10 @@
   const auto& head = this->exchange->head();
   backend_call call;
   call.is_head_request = head.method == "HEAD";
-  call.id_field = dialect.request_id;
-  call.id = this->id;
+  if (!this->id.empty()) {
+    call.id_field = dialect.request_id;
+    call.id = this->id;
+  }
   const auto target = std::string_view{head.target}.substr(this->rule.hidden_prefix);
   absl::StrAppend(&call.bytes, head.method, " ", absl::string_view{target.data(), target.size()},
                   " HTTP/1.1\r\n");
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -274,6 +274,16 @@
   EXPECT_TRUE(this->ask().starts_with("HTTP/1.1 404"));
 }
 
+TEST_F(gateway_contract, a_request_without_an_id_is_answered) {
+  const raw_server a{[](int) { return good; }};
+  this->route_with(request_kind::safe);
+  this->add("a", a.port());
+  this->start();
+  raw_client client{this->port};
+  client.send("GET /x/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_TRUE(client.read_all().starts_with("HTTP/1.1 200"));
+}
+
 TEST_F(gateway_contract, remembers_what_became_of_a_request) {
   const raw_server a{[](int) { return good; }};
   this->route_with(request_kind::safe);
