--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -476,37 +476,13 @@
       const std::map<std::string, int>* before = nullptr;
       for (const auto& [window, counts] : windows) {
         if (before != nullptr) {
-          this->result.largest_shift = std::max(this->result.largest_shift, moved_part_of(*before, counts));
+          this->result.largest_shift = std::max(this->result.largest_shift, moved_part(*before, counts));
         }
         before = &counts;
       }
     }
   }
 
-  [[nodiscard]] static double moved_part_of(const std::map<std::string, int>& a,
-                                            const std::map<std::string, int>& b) {
-    constexpr int least_requests = 50;
-    const auto total = [](const auto& counts) {
-      int sum = 0;
-      for (const auto& [region, count] : counts) {
-        sum += count;
-      }
-      return sum;
-    };
-    const int all_a = total(a);
-    const int all_b = total(b);
-    if (all_a < least_requests || all_b < least_requests) {
-      return 0;
-    }
-    double moved = 0;
-    for (const auto& [region, count] : b) {
-      const auto found = a.find(region);
-      const double earlier = found == a.end() ? 0 : static_cast<double>(found->second) / all_a;
-      moved += std::max(0.0, static_cast<double>(count) / all_b - earlier);
-    }
-    return moved;
-  }
-
   const scenario& what;
   policy which;
   std::mt19937_64 random;
@@ -529,20 +505,6 @@
 }  // namespace
 }  // namespace impl
 
-const char* to_word(policy which) noexcept {
-  constexpr std::array<const char*, 6> words{"random",   "least load", "two choices",
-                                             "one home", "ours",       "pooled bound"};
-  return words.at(static_cast<std::size_t>(which));
-}
-
-double outcome::percentile(double part) const {
-  if (this->latencies_ms.empty()) {
-    return 0;
-  }
-  return this
-      ->latencies_ms[static_cast<std::size_t>(part * static_cast<double>(this->latencies_ms.size() - 1))];
-}
-
 outcome play(const scenario& what, policy which, std::uint64_t seed) {
   return impl::world{what, which, seed}.run();
 }
--- a/bench/world.hpp
+++ b/bench/world.hpp
@@ -42,6 +42,11 @@
   [[nodiscard]] double percentile(double part) const;
 };
 
+/// \brief   Part of the requests that run in another region than in the window before.
+/// \details Requests by the region where they run; 0 if either window has too few to tell.
+[[nodiscard]] double moved_part(const std::map<std::string, int>& before,
+                                const std::map<std::string, int>& after);
+
 /// \brief Plays a scenario once; the same seed gives the same run.
 [[nodiscard]] outcome play(const scenario& what, policy which, std::uint64_t seed);
 
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -27,25 +27,9 @@
 /// Part of the time left that a caller is asked to wait at most; callers ignore longer waits.
 constexpr double retry_after_part = 0.3;
 
-constexpr int status_misdirected = 421;
-constexpr int status_too_many = 429;
-constexpr int status_request_timeout = 408;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
-constexpr int first_server_error = 500;
-
-[[nodiscard]] bool is_success(int status) noexcept {
-  constexpr int first = 200;
-  constexpr int last = 299;
-  return status >= first && status <= last;
-}
-
-/// Statuses that promise that the request has not run.
-[[nodiscard]] bool is_promise(int status) noexcept {
-  return status == status_unavailable || status == status_too_many || status == status_request_timeout ||
-         status == status_misdirected;
-}
 
 [[nodiscard]] std::optional<load_report> parse_load(std::string_view text) {
   const std::vector<absl::string_view> parts =
@@ -216,7 +200,8 @@
     this->exchange->write(piece);
   } else {
     this->answer_body += piece;
-    if (this->answer_body.size() > impl::held_answer_bytes && this->judge_head().passable) {
+    if (this->answer_body.size() > impl::held_answer_bytes &&
+        judge_answer(this->answer, this->owner.options.dialect).passable) {
       this->commit();
     }
   }
@@ -255,44 +240,6 @@
   this->exchange->finish();
 }
 
-request_flow::judgement request_flow::judge_head() const {
-  const auto& dialect = this->owner.options.dialect;
-  judgement judged;
-  const int status = this->answer.status;
-  const bool says_not_run = find_field(this->answer.fields, dialect.did_not_run).has_value();
-  if (status == impl::status_misdirected) {
-    return {backend_outcome::replaced, verdict::did_not_run, reason::backend_replaced, false, true};
-  }
-  if (says_not_run && !impl::is_success(status)) {
-    return {backend_outcome::shed, verdict::did_not_run, reason::backend_shed, false, true};
-  }
-  const bool unsound = impl::is_success(status) && (!find_field(this->answer.fields, dialect.answer_stamp) ||
-                                                    find_field(this->answer.fields, "Content-Encoding"));
-  if (unsound) {
-    return {backend_outcome::faulty, verdict::may_have_run, reason::answer_unsound, false, true};
-  }
-  if (impl::is_promise(status)) {
-    // Passed on it would promise what the server did not say.
-    return {backend_outcome::faulty, verdict::may_have_run, reason::backend_error, false, true};
-  }
-  if (status >= impl::first_server_error) {
-    return {backend_outcome::faulty, verdict::ran, reason::backend_error, true, true};
-  }
-  return judged;
-}
-
-request_flow::judgement request_flow::judge(const backend_call_end& end) const {
-  if (end.complete) {
-    return this->judge_head();
-  }
-  if (end.outcome == verdict::did_not_run) {
-    const bool unreachable = end.why == reason::connect_failed;
-    return {unreachable ? backend_outcome::unreachable : backend_outcome::lost, verdict::did_not_run, end.why,
-            false, true};
-  }
-  return {backend_outcome::lost, end.outcome, end.why, false, true};
-}
-
 void request_flow::learn(const judgement& judged, duration took) {
   auto& table = this->owner.table;
   const auto& target = *this->decision.target;
@@ -318,7 +265,7 @@
   // The connection's own reference may be the last one besides this.
   const auto self = this->shared_from_this();
   const auto target = this->decision.target;
-  const auto judged = this->judge(end);
+  const auto judged = judge_call(end, this->answer, this->owner.options.dialect);
   const auto took = this->owner.clock.now() - this->sent_at;
   if (const auto connected = this->connection->connect_time()) {
     this->owner.table.note_round_trip(*target, *connected);
@@ -470,7 +417,7 @@
   }
   this->owner.counts.ended(this->known);
   const auto record = this->make_record(status, why, took).str();
-  const bool served = impl::is_success(status) && why == reason::none;
+  const bool served = is_success(status) && why == reason::none;
   log_line{served ? log_level::info : log_level::warn, "request_ended"}.merge(record);
   this->owner.records.add(this->id, record);
   this->owner.body_bytes -= this->exchange->body().size();
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "judgement.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/backend_connection.hpp"
 #include "zinnia/observe/json_object.hpp"
@@ -30,21 +31,9 @@
   void on_end(const backend_call_end& end) override;
 
  private:
-  struct judgement {
-    backend_outcome outcome{backend_outcome::answered};
-    verdict ran{verdict::ran};
-    reason why{reason::none};
-    /// The answer may go to the caller as it is.
-    bool passable{true};
-    /// Another backend server might do better.
-    bool worth_repeating{false};
-  };
-
   void place();
   void send();
   [[nodiscard]] backend_call build_call() const;
-  [[nodiscard]] judgement judge_head() const;
-  [[nodiscard]] judgement judge(const backend_call_end& end) const;
   [[nodiscard]] bool try_repeat(const judgement& judged);
   void commit();
   void pass_on();
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -99,7 +99,7 @@
   member_table members;
   live_members last_alive;
   std::set<region_id> last_staffed;
-  int beat_socket{-1};
+  std::unique_ptr<class beat_link> beats;
   time_point next_beat;
   time_point write_not_before;
   time_point forget_not_before;
--- /dev/null
+++ b/packages/node/src/beat_link.cpp
@@ -0,0 +1,91 @@
+// Datagrams.
+#include "beat_link.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+#include <cstring>
+#include <optional>
+
+#include "zinnia/membership/beat_codec.hpp"
+#include "zinnia/observe/log.hpp"
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+constexpr std::size_t largest_datagram = 2048;
+
+[[nodiscard]] sockaddr_in to_sockaddr(const std::string& ip, std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  return address;
+}
+
+[[nodiscard]] std::optional<sockaddr_in> parse_peer(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto port = std::strtol(text.c_str() + colon + 1, nullptr, 10);
+  return to_sockaddr(text.substr(0, colon), static_cast<std::uint16_t>(port));
+}
+
+}  // namespace
+}  // namespace impl
+
+beat_link::beat_link(const std::string& ip, std::uint16_t port)
+    : socket_descriptor{socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)} {
+  const auto address = impl::to_sockaddr(ip, port);
+  const bool is_bound =
+      this->socket_descriptor >= 0 &&
+      bind(this->socket_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+  if (!is_bound) {
+    log_line{log_level::error, "heartbeats_unavailable"}
+        .field("address", ip)
+        .field("port", port)
+        .field("cause", std::strerror(errno));
+  }
+}
+
+beat_link::~beat_link() {
+  if (this->socket_descriptor >= 0) {
+    close(this->socket_descriptor);
+  }
+}
+
+void beat_link::send(const member_beat& beat, const std::vector<member>& peers) const {
+  const auto datagram = encode_beat(beat);
+  for (const auto& peer : peers) {
+    if (const auto address = impl::parse_peer(peer.peer_address)) {
+      // A lost datagram is made up for by the next one.
+      static_cast<void>(sendto(this->socket_descriptor, datagram.data(), datagram.size(), 0,
+                               reinterpret_cast<const sockaddr*>(&*address), sizeof *address));
+    }
+  }
+}
+
+int beat_link::receive(const std::function<void(const member_beat&)>& on_beat) const {
+  std::array<char, impl::largest_datagram> buffer{};
+  int malformed = 0;
+  while (true) {
+    const auto bytes = recv(this->socket_descriptor, buffer.data(), buffer.size(), 0);
+    if (bytes <= 0) {
+      return malformed;
+    }
+    const auto beat = decode_beat({buffer.data(), static_cast<std::size_t>(bytes)});
+    if (beat) {
+      on_beat(*beat);
+    } else {
+      ++malformed;
+    }
+  }
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/node/src/beat_link.hpp
@@ -0,0 +1,35 @@
+// The UDP socket over which nodes hear of each other.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "zinnia/membership/member_table.hpp"
+
+namespace zinnia {
+
+/// \brief Sends and receives heartbeats without blocking.
+class beat_link {
+ public:
+  /// \brief Binds to an address; if that fails it is logged and nobody is heard.
+  beat_link(const std::string& ip, std::uint16_t port);
+  ~beat_link();
+  beat_link(const beat_link&) = delete;
+  beat_link& operator=(const beat_link&) = delete;
+  beat_link(beat_link&&) = delete;
+  beat_link& operator=(beat_link&&) = delete;
+
+  void send(const member_beat& beat, const std::vector<member>& peers) const;
+  /// \brief  Takes all that has arrived.
+  /// \return Datagrams that were no heartbeats.
+  int receive(const std::function<void(const member_beat&)>& on_beat) const;
+  /// \brief For waiting; -1 if there is no socket.
+  [[nodiscard]] int descriptor() const noexcept { return this->socket_descriptor; }
+
+ private:
+  int socket_descriptor{-1};
+};
+
+}  // namespace zinnia
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -1,17 +1,11 @@
 // Watches, registration, heartbeats and publication.
 #include "zinnia/node/control_thread.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
+#include "beat_link.hpp"
 #include "zinnia/core/rendezvous.hpp"
-#include "zinnia/membership/beat_codec.hpp"
 #include "zinnia/membership/member_codec.hpp"
 #include "zinnia/observe/log.hpp"
 
@@ -51,36 +45,6 @@
 constexpr duration grace_after_outage{1000};
 /// Kept between the grace and the time within which a leaving server must get nothing more.
 constexpr duration drain_margin{700};
-constexpr std::size_t largest_datagram = 2048;
-
-[[nodiscard]] sockaddr_in to_sockaddr(const std::string& ip, std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-  return address;
-}
-
-[[nodiscard]] std::optional<sockaddr_in> parse_peer(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  const auto port = std::strtol(text.c_str() + colon + 1, nullptr, 10);
-  return to_sockaddr(text.substr(0, colon), static_cast<std::uint16_t>(port));
-}
-
-[[nodiscard]] int open_beat_socket(const node_settings& settings) {
-  const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const auto address = to_sockaddr(settings.ip, settings.peer_port);
-  if (descriptor < 0 || bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
-    log_line{log_level::error, "heartbeats_unavailable"}
-        .field("address", settings.ip)
-        .field("port", settings.peer_port)
-        .field("cause", std::strerror(errno));
-  }
-  return descriptor;
-}
 
 [[nodiscard]] duration long_watch(const node_settings& settings) {
   return {settings.store_history.ms * watch_history_percent / percent};
@@ -127,7 +91,7 @@
             0, false, false, &control_thread::apply_node}}},
       builder{settings_in.regions},
       members{this->self.id},
-      beat_socket{impl::open_beat_socket(settings_in)},
+      beats{std::make_unique<beat_link>(settings_in.ip, settings_in.peer_port)},
       settings_stamp{outside_in.settings_stamp()} {
   this->builder.set_tree(std::move(tree));
   this->thread = std::thread{[this] { this->run(); }};
@@ -137,9 +101,6 @@
   this->stopping = true;
   this->calls.wake();
   this->thread.join();
-  if (this->beat_socket >= 0) {
-    close(this->beat_socket);
-  }
 }
 
 void control_thread::begin_leaving() {
@@ -162,7 +123,7 @@
     this->check_settings_file(now);
     this->publish(now);
     flush_log();
-    this->calls.wait(this->time_to_next(now), this->beat_socket);
+    this->calls.wait(this->time_to_next(now), this->beats->descriptor());
     this->receive_beats(this->clock.now());
   }
 }
@@ -478,29 +439,14 @@
   beat.ready = this->ready;
   beat.leaving = this->is_leaving();
   beat.version = this->builder.version();
-  const auto datagram = encode_beat(beat);
-  for (const auto& peer : this->members.peers()) {
-    if (const auto address = impl::parse_peer(peer.peer_address)) {
-      // A lost datagram is made up for by the next one.
-      static_cast<void>(sendto(this->beat_socket, datagram.data(), datagram.size(), 0,
-                               reinterpret_cast<const sockaddr*>(&*address), sizeof *address));
-    }
-  }
+  this->beats->send(beat, this->members.peers());
 }
 
 void control_thread::receive_beats(time_point now) {
-  std::array<char, impl::largest_datagram> buffer{};
-  while (true) {
-    const auto bytes = recv(this->beat_socket, buffer.data(), buffer.size(), 0);
-    if (bytes <= 0) {
-      return;
-    }
-    const auto beat = decode_beat({buffer.data(), static_cast<std::size_t>(bytes)});
-    if (!beat) {
-      this->counts.add(counter::malformed_frames);
-      continue;
-    }
-    this->members.on_beat(*beat, now);
+  const int malformed =
+      this->beats->receive([&](const member_beat& beat) { this->members.on_beat(beat, now); });
+  for (int i = 0; i < malformed; ++i) {
+    this->counts.add(counter::malformed_frames);
   }
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -27,10 +27,10 @@
 
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/if (this->known != verdict::did_not_run \&\& !this->repeatable)/if (false)/' "an unsafe request is repeated after it may have run"
-mutate test_gateway packages/gateway/src/request_flow.cpp \
-  's/  if (impl::is_promise(status)) {/  if (false) {/' "a refusal that promises nothing is passed on"
-mutate test_gateway packages/gateway/src/request_flow.cpp \
-  's/!find_field(this->answer.fields, dialect.answer_stamp) ||/false ||/' "a success without a stamp is passed on"
+mutate test_gateway packages/gateway/src/judgement.cpp \
+  's/  if (impl::is_promise(answer.status)) {/  if (false) {/' "a refusal that promises nothing is passed on"
+mutate test_gateway packages/gateway/src/judgement.cpp \
+  's/!find_field(answer.fields, dialect.answer_stamp) ||/false ||/' "a success without a stamp is passed on"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/this->exchange->abort();/this->exchange->finish();/' "a cut answer is ended as if it were whole"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
