--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -111,7 +111,7 @@
     snapshot.sequence = 1;
     snapshot.tree = std::make_shared<const settings_tree>(this->what.tree);
     for (const auto& group : this->what.servers) {
-      snapshot.services[group.service] = {group.service, "/health", 1000, {}, 0};
+      snapshot.services[group.service] = {group.service, "/health", 1000, 0};
       for (int i = 0; i < group.count; ++i) {
         backend_declaration backend;
         backend.id = backend_id{group.service.str() + "-" + group.domain.str() + "-" + std::to_string(i)};
--- a/examples/place_request.cpp
+++ b/examples/place_request.cpp
@@ -15,7 +15,7 @@
 
   routing_snapshot snapshot;
   snapshot.sequence = 1;
-  snapshot.services[desk] = {desk, "/health", 100, {}, 0};
+  snapshot.services[desk] = {desk, "/health", 100, 0};
   for (const auto* const name : {"a", "b", "c", "d"}) {
     backend_declaration backend;
     backend.id = backend_id{name};
--- a/packages/core/include/zinnia/core/clock.hpp
+++ b/packages/core/include/zinnia/core/clock.hpp
@@ -30,7 +30,6 @@
 inline constexpr time_point end_of_time{INT64_MAX / 2};
 
 /// \brief   Where time comes from.
-/// \details Replaced by `manual_clock` in tests.
 class clock_source {
  public:
   clock_source() = default;
@@ -48,16 +47,6 @@
   [[nodiscard]] time_point now() const noexcept override;
 };
 
-/// \brief A clock that moves only when told to.
-class manual_clock final : public clock_source {
- public:
-  [[nodiscard]] time_point now() const noexcept override { return this->current; }
-  void advance(duration by) noexcept { this->current = this->current + by; }
-
- private:
-  time_point current{1'000'000};
-};
-
 /// \brief Milliseconds since the Unix epoch; only for records read by people and planned start times.
 [[nodiscard]] std::int64_t unix_time_ms() noexcept;
 
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -42,7 +42,6 @@
   [[nodiscard]] time_point received_at() const noexcept { return this->received; }
   /// \brief Whether an answer can still reach the caller.
   [[nodiscard]] bool is_open() const noexcept { return this->connection != nullptr && !this->finished; }
-  [[nodiscard]] bool has_begun() const noexcept { return this->begun; }
 
   /// \name Answering
   /// \{
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -37,8 +37,6 @@
   bool ready{false};
   /// It is about to stop.
   bool leaving{false};
-  /// The configuration that it has in force.
-  config_version version;
 };
 
 /// \brief Nodes that are alive and take requests.
@@ -65,9 +63,6 @@
   [[nodiscard]] std::vector<node_id> to_forget(time_point now) const;
   /// \brief Regions in which nodes are registered, alive or not.
   [[nodiscard]] std::set<region_id> staffed_regions() const;
-  /// \brief The newest configuration that any node has in force.
-  [[nodiscard]] config_version newest_version() const noexcept { return this->newest; }
-  [[nodiscard]] bool contains(const node_id& id) const { return this->members.contains(id); }
 
  private:
   struct record {
@@ -84,7 +79,6 @@
 
   node_id self;
   std::map<node_id, record> members;
-  config_version newest;
   bool self_ready{false};
   bool self_leaving{false};
 };
--- a/packages/membership/src/beat_codec.cpp
+++ b/packages/membership/src/beat_codec.cpp
@@ -9,8 +9,7 @@
   flatbuffers::FlatBufferBuilder builder;
   const auto node = builder.CreateString(beat.id.str());
   const auto incarnation = builder.CreateString(beat.incarnation.str());
-  builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, beat.ready, beat.leaving,
-                                             beat.version.count()));
+  builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, beat.ready, beat.leaving));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -27,7 +26,6 @@
   beat.incarnation = incarnation_id{table->incarnation()->str()};
   beat.ready = table->ready();
   beat.leaving = table->leaving();
-  beat.version = config_version{table->config_version()};
   return beat;
 }
 
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -28,7 +28,6 @@
   found->second.heard_at = now;
   found->second.ready = beat.ready;
   found->second.leaving = beat.leaving;
-  this->newest = std::max(this->newest, beat.version);
 }
 
 void member_table::set_self(bool ready, bool leaving) noexcept {
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -438,7 +438,6 @@
   beat.incarnation = this->self.incarnation;
   beat.ready = this->ready;
   beat.leaving = this->is_leaving();
-  beat.version = this->builder.version();
   this->beats->send(beat, this->members.peers());
 }
 
--- a/packages/routing/include/zinnia/routing/declarations.hpp
+++ b/packages/routing/include/zinnia/routing/declarations.hpp
@@ -77,8 +77,6 @@
   std::string health_path;
   /// Connections that a backend server accepts from all nodes together.
   int most_connections{100};
-  /// How long a backend server stays cold after its start.
-  duration cold_start{0};
   /// Requests a second that a cold backend server bears.
   double cold_rate{0};
 };
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -2,5 +2,4 @@
 # Regenerates the committed FlatBuffers code; needs the package flatbuffers-compiler.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-flatc --cpp -o packages/wire/src/generated packages/wire/frames.fbs
 flatc --cpp -o packages/membership/src/generated packages/membership/beat.fbs
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,8 +4,8 @@
 packages=(
   g++ cmake ninja-build clang-format clang-tidy git curl jq
   libabsl-dev libflatbuffers-dev libboost-dev libboost-program-options-dev libmicrohttpd-dev
-  libcurl4-openssl-dev liblog4cplus-dev libyaml-cpp-dev nlohmann-json3-dev libxxhash-dev 
- libgtest-dev libgmock-dev libbenchmark-dev libtomlplusplus-dev
+  libcurl4-openssl-dev liblog4cplus-dev libyaml-cpp-dev nlohmann-json3-dev libxxhash-dev
+  libtomlplusplus-dev libgtest-dev
 )
 missing=()
 for package in "${packages[@]}"; do
