Read ip:port in one place and hold socket limits once

Change: core has parse_endpoint and socket_limits.hpp; heartbeats, backend declarations, both settings readers and the tree use them. A tree that names an upstream as host:port is refused with its line. No decision changed.

--- a/apps/zinniad/daemon_options.cpp
+++ b/apps/zinniad/daemon_options.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/address_v4.hpp>
 #include <boost/program_options.hpp>
 #include <charconv>
 #include <sstream>
@@ -48,7 +47,7 @@
   const char* name;
   const char* initial;
   const char* help;
-  endpoint_setting node_settings::*member;
+  ip_endpoint node_settings::*member;
 };
 
 constexpr std::array<address_option, 5> address_options{{
@@ -105,22 +104,13 @@
   return text;
 }
 
-[[nodiscard]] endpoint_setting read_address(const po::variables_map& given, const char* name) {
+[[nodiscard]] ip_endpoint read_address(const po::variables_map& given, const char* name) {
   const auto text = given[name].as<std::string>();
-  const auto colon = text.rfind(':');
-  endpoint_setting parsed;
-  parsed.ip = text.substr(0, colon);
-  boost::system::error_code problem;
-  static_cast<void>(boost::asio::ip::make_address_v4(parsed.ip, problem));
-  std::int64_t port = -1;
-  if (colon != std::string::npos) {
-    std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-  }
-  if (problem || port < 0 || port > highest_port) {
+  const auto parsed = parse_endpoint(text);
+  if (!parsed) {
     throw bad(name, text, "ip:port with a port of 0 to 65535");
   }
-  parsed.port = static_cast<std::uint16_t>(port);
-  return parsed;
+  return *parsed;
 }
 
 void read_number(const po::variables_map& given, const number_option& option, node_settings& settings) {
--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -78,7 +78,7 @@
     table.add({node_id{name},
                {domain_of(i), region_id{"r"}},
                "10.0.0.1:80",
-               "10.0.0.1:81",
+               {"10.0.0.1", 81},
                "10.0.0.1:82",
                incarnation_id{"run"}},
               time_point{0});
--- /dev/null
+++ b/packages/core/src/endpoint.cpp
@@ -0,0 +1,33 @@
+// Parsing by inet_pton and from_chars.
+#include "zinnia/core/endpoint.hpp"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace zinnia {
+
+result<ip_endpoint> parse_endpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  const auto bad = [&] {
+    return error{reason::invalid_setting,
+                 "'" + std::string{text} +
+                     "'; allowed: an IPv4 address and a port of 0 to 65535, as in "
+                     "10.1.0.35:8144",
+                 ""};
+  };
+  if (colon == std::string_view::npos) {
+    return bad();
+  }
+  ip_endpoint parsed;
+  parsed.ip = std::string{text.substr(0, colon)};
+  in_addr binary{};
+  const char* const end = text.data() + text.size();
+  const auto port = std::from_chars(text.data() + colon + 1, end, parsed.port);
+  if (inet_pton(AF_INET, parsed.ip.c_str(), &binary) != 1 || port.ec != std::errc{} || port.ptr != end) {
+    return bad();
+  }
+  return parsed;
+}
+
+}  // namespace zinnia
--- /dev/null
+++ b/packages/core/tests/endpoint_test.cpp
@@ -0,0 +1,30 @@
+// Addresses with ports: what is read, and what is refused.
+#include <gtest/gtest.h>
+
+#include "zinnia/core/endpoint.hpp"
+
+namespace zinnia {
+namespace {
+
+TEST(endpoint, reads_back_what_it_writes) {
+  const auto parsed = parse_endpoint("10.1.0.35:8144");
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->ip, "10.1.0.35");
+  EXPECT_EQ(parsed->port, 8144);
+  EXPECT_EQ(parsed->str(), "10.1.0.35:8144");
+  EXPECT_EQ(parse_endpoint("127.0.0.1:0")->port, 0);
+  EXPECT_EQ(parse_endpoint("127.0.0.1:65535")->port, 65535);
+}
+
+TEST(endpoint, refuses_all_else) {
+  for (const auto* const text :
+       {"", ":", "10.1.0.35", "10.1.0.35:", ":80", "10.1.0:80", "10.1.0.256:80", "host:80", "10.1.0.35:65536",
+        "10.1.0.35:-1", "10.1.0.35:80x", "10.1.0.35: 80", "[::1]:80"}) {
+    const auto parsed = parse_endpoint(text);
+    EXPECT_FALSE(parsed) << text;
+    EXPECT_EQ(parsed.last_error().code, reason::invalid_setting) << text;
+  }
+}
+
+}  // namespace
+}  // namespace zinnia
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -114,9 +114,9 @@
   auto& pool = this->pools[declared.id];
   if (pool == nullptr) {
     boost::system::error_code problem;
-    const auto address = boost::asio::ip::make_address_v4(declared.ip, problem);
+    const auto address = boost::asio::ip::make_address_v4(declared.address.ip, problem);
     pool = std::make_unique<backend_pool>(
-        this->context, boost::asio::ip::tcp::endpoint{address, declared.port}, this->clock);
+        this->context, boost::asio::ip::tcp::endpoint{address, declared.address.port}, this->clock);
   }
   return *pool;
 }
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -33,7 +33,7 @@
     }
   });
   backend_call call;
-  call.bytes = absl::StrCat("GET ", path, " HTTP/1.1\r\nHost: ", declared.ip, ":", declared.port,
+  call.bytes = absl::StrCat("GET ", path, " HTTP/1.1\r\nHost: ", declared.address.str(),
                             "\r\nConnection: close\r\n\r\n");
   this->connection->start(std::move(call), *this);
 }
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -73,8 +73,7 @@
     backend_declaration backend;
     backend.id = backend_id{id};
     backend.service = service_id{"desk"};
-    backend.ip = "127.0.0.1";
-    backend.port = backend_port;
+    backend.address = {"127.0.0.1", backend_port};
     backend.domain = failure_domain_id{"d"};
     backend.slots = 3;
     this->snapshot.backends[backend.id] = backend;
--- a/packages/http/src/socket_options.cpp
+++ b/packages/http/src/socket_options.cpp
@@ -1,9 +1,12 @@
 // Socket options by setsockopt, as Asio has no names for most of them.
 #include "zinnia/http/socket_options.hpp"
 
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "zinnia/core/socket_limits.hpp"
+
 namespace zinnia {
 namespace impl {
 namespace {
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/routing/backend_table.hpp"
 
@@ -18,8 +19,8 @@
   place where;
   /// Where callers connect, as "ip:port".
   std::string caller_address;
-  /// Where heartbeats are sent, as "ip:port".
-  std::string peer_address;
+  /// Where heartbeats are sent.
+  ip_endpoint peer_address;
   /// Where operators ask, as "ip:port".
   std::string operator_address;
   incarnation_id incarnation;
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -7,7 +7,7 @@
 
 std::string encode_member(const member& self) {
   return nlohmann::json{{"domain", self.where.domain.str()},  {"region", self.where.region.str()},
-                        {"callers", self.caller_address},     {"peers", self.peer_address},
+                        {"callers", self.caller_address},     {"peers", self.peer_address.str()},
                         {"operators", self.operator_address}, {"incarnation", self.incarnation.str()}}
       .dump();
 }
@@ -20,7 +20,11 @@
     decoded.id = node_id{name};
     decoded.where = {failure_domain_id{text("domain")}, region_id{text("region")}};
     decoded.caller_address = text("callers");
-    decoded.peer_address = text("peers");
+    const auto peers = parse_endpoint(text("peers"));
+    if (!peers) {
+      return error{reason::invalid_setting, "peers: " + peers.last_error().message, "entry of node " + name};
+    }
+    decoded.peer_address = *peers;
     decoded.operator_address = text("operators");
     decoded.incarnation = incarnation_id{text("incarnation")};
     return decoded;
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -15,7 +15,7 @@
 const place far_a{failure_domain_id{"far-a"}, region_id{"far"}};
 
 [[nodiscard]] member make_member(const std::string& id, const place& where, const std::string& run = "1") {
-  return {node_id{id}, where, id + ":80", id + ":70", id + ":90", incarnation_id{run}};
+  return {node_id{id}, where, id + ":80", ip_endpoint{"127.0.0.1", 70}, id + ":90", incarnation_id{run}};
 }
 
 [[nodiscard]] member_beat make_beat(const std::string& id, const std::string& run = "1") {
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -6,20 +6,13 @@
 #include <string>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/routing/backend_table.hpp"
 #include "zinnia/routing/retry_allowance.hpp"
 
 namespace zinnia {
 
-/// \brief An address to listen on or to call; port 0 lets the kernel choose.
-struct endpoint_setting {
-  std::string ip;
-  std::uint16_t port{0};
-
-  [[nodiscard]] std::string str() const { return this->ip + ':' + std::to_string(this->port); }
-};
-
 /// \brief Checked settings of one node.
 struct node_settings {
   node_id node;
@@ -28,12 +21,12 @@
   /// The region of each failure domain.
   std::map<failure_domain_id, region_id> regions;
 
-  endpoint_setting callers;
-  endpoint_setting readiness;
-  endpoint_setting directory;
+  ip_endpoint callers;
+  ip_endpoint readiness;
+  ip_endpoint directory;
   /// Metrics, and the operators' interface.
-  endpoint_setting operators;
-  endpoint_setting store;
+  ip_endpoint operators;
+  ip_endpoint store;
   /// How long the store keeps changes for watches.
   duration store_history{20'000};
   /// Port for heartbeats between nodes.
--- a/packages/node/src/beat_link.cpp
+++ b/packages/node/src/beat_link.cpp
@@ -7,9 +7,7 @@
 #include <unistd.h>
 
 #include <array>
-#include <cstdlib>
 #include <cstring>
-#include <optional>
 
 #include "zinnia/membership/beat_codec.hpp"
 #include "zinnia/observe/log.hpp"
@@ -20,36 +18,26 @@
 
 constexpr std::size_t largest_datagram = 2048;
 
-[[nodiscard]] sockaddr_in to_sockaddr(const std::string& ip, std::uint16_t port) {
+[[nodiscard]] sockaddr_in to_sockaddr(const ip_endpoint& endpoint) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.ip.c_str(), &address.sin_addr);
   return address;
 }
 
-[[nodiscard]] std::optional<sockaddr_in> parse_peer(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  const auto port = std::strtol(text.c_str() + colon + 1, nullptr, 10);
-  return to_sockaddr(text.substr(0, colon), static_cast<std::uint16_t>(port));
-}
-
 }  // namespace
 }  // namespace impl
 
-beat_link::beat_link(const std::string& ip, std::uint16_t port)
+beat_link::beat_link(const ip_endpoint& endpoint)
     : socket_descriptor{socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)} {
-  const auto address = impl::to_sockaddr(ip, port);
+  const auto address = impl::to_sockaddr(endpoint);
   const bool is_bound =
       this->socket_descriptor >= 0 &&
       bind(this->socket_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
   if (!is_bound) {
     log_line{log_level::error, "heartbeats_unavailable"}
-        .field("address", ip)
-        .field("port", port)
+        .field("address", endpoint.str())
         .field("cause", std::strerror(errno));
   }
 }
@@ -63,11 +51,10 @@
 void beat_link::send(const member_beat& beat, const std::vector<member>& peers) const {
   const auto datagram = encode_beat(beat);
   for (const auto& peer : peers) {
-    if (const auto address = impl::parse_peer(peer.peer_address)) {
-      // A lost datagram is made up for by the next one.
-      static_cast<void>(sendto(this->socket_descriptor, datagram.data(), datagram.size(), 0,
-                               reinterpret_cast<const sockaddr*>(&*address), sizeof *address));
-    }
+    const auto address = impl::to_sockaddr(peer.peer_address);
+    // A lost datagram is made up for by the next one.
+    static_cast<void>(sendto(this->socket_descriptor, datagram.data(), datagram.size(), 0,
+                             reinterpret_cast<const sockaddr*>(&address), sizeof address));
   }
 }
 
--- a/packages/node/src/beat_link.hpp
+++ b/packages/node/src/beat_link.hpp
@@ -1,11 +1,10 @@
 // The UDP socket over which nodes hear of each other.
 #pragma once
 
-#include <cstdint>
 #include <functional>
-#include <string>
 #include <vector>
 
+#include "zinnia/core/endpoint.hpp"
 #include "zinnia/membership/member_table.hpp"
 
 namespace zinnia {
@@ -14,7 +13,7 @@
 class beat_link {
  public:
   /// \brief Binds to an address; if that fails it is logged and nobody is heard.
-  beat_link(const std::string& ip, std::uint16_t port);
+  explicit beat_link(const ip_endpoint& endpoint);
   ~beat_link();
   beat_link(const beat_link&) = delete;
   beat_link& operator=(const beat_link&) = delete;
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -91,7 +91,7 @@
             0, false, false, &control_thread::apply_node}}},
       builder{settings_in.regions},
       members{this->self.id},
-      beats{std::make_unique<beat_link>(settings_in.ip, settings_in.peer_port)},
+      beats{std::make_unique<beat_link>(ip_endpoint{settings_in.ip, settings_in.peer_port})},
       settings_stamp{outside_in.settings_stamp()} {
   this->builder.set_tree(std::move(tree));
   this->thread = std::thread{[this] { this->run(); }};
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -46,7 +46,7 @@
 constexpr duration least_stop_time{2600};
 constexpr std::chrono::milliseconds stop_poll{50};
 
-[[nodiscard]] boost::asio::ip::tcp::endpoint to_endpoint(const endpoint_setting& address) {
+[[nodiscard]] boost::asio::ip::tcp::endpoint to_endpoint(const ip_endpoint& address) {
   return {boost::asio::ip::make_address_v4(address.ip), address.port};
 }
 
@@ -137,7 +137,7 @@
   own.where = this->settings.here;
   own.caller_address = this->settings.callers.str();
   own.operator_address = this->settings.operators.str();
-  own.peer_address = absl::StrCat(this->settings.ip, ":", this->settings.peer_port);
+  own.peer_address = {this->settings.ip, this->settings.peer_port};
   own.incarnation = make_incarnation();
   return own;
 }
@@ -168,7 +168,7 @@
 }
 
 bool node::listen() {
-  const auto start = [](http_listener& listener, const endpoint_setting& address) {
+  const auto start = [](http_listener& listener, const ip_endpoint& address) {
     const auto started = listener.listen(to_endpoint(address));
     if (!started) {
       std::cerr << "zinniad: " << started.last_error().describe() << '\n';
--- a/packages/routing/include/zinnia/routing/declarations.hpp
+++ b/packages/routing/include/zinnia/routing/declarations.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/core/units.hpp"
 #include "zinnia/routing/shift_state.hpp"
@@ -87,8 +88,7 @@
 struct backend_declaration {
   backend_id id;
   service_id service;
-  std::string ip;
-  std::uint16_t port{0};
+  ip_endpoint address;
   failure_domain_id domain;
   int slots{1};
   backend_mode mode{backend_mode::ready};
--- a/packages/routing/src/tree_declarations.cpp
+++ b/packages/routing/src/tree_declarations.cpp
@@ -37,13 +37,14 @@
     found.services.push_back(std::move(declared));
   }
   for (const auto& upstream : tree.upstreams()) {
-    const auto& address = upstream.id.str();
-    const auto colon = address.rfind(':');
+    const auto address = parse_endpoint(upstream.id.str());
+    if (!address) {
+      continue;  // The tree's parser has refused such names.
+    }
     backend_declaration backend;
-    backend.id = backend_id{address};
+    backend.id = backend_id{upstream.id.str()};
     backend.service = upstream.service;
-    backend.ip = address.substr(0, colon);
-    backend.port = static_cast<std::uint16_t>(std::strtol(address.c_str() + colon + 1, nullptr, 10));
+    backend.address = *address;
     backend.domain = upstream.domain;
     backend.slots = static_cast<int>(
         tree.effective(upstream.service, upstream.region, upstream.domain).values.slots_per_upstream);
--- a/packages/routing/tests/tables_test.cpp
+++ b/packages/routing/tests/tables_test.cpp
@@ -235,7 +235,7 @@
   EXPECT_EQ(rule->hidden_prefix, std::string{"/v1/services/desk"}.size());
   EXPECT_TRUE(may_repeat(rule->kind, "GET"));
   EXPECT_FALSE(may_repeat(rule->kind, "POST"));
-  EXPECT_EQ(snapshot->backends.at(backend_id{"127.0.0.1:9101"}).port, 9101);
+  EXPECT_EQ(snapshot->backends.at(backend_id{"127.0.0.1:9101"}).address.port, 9101);
 }
 
 }  // namespace
--- a/packages/settings/src/tree_parser.cpp
+++ b/packages/settings/src/tree_parser.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "zinnia/core/endpoint.hpp"
+
 namespace zinnia {
 namespace impl {
 namespace {
@@ -183,8 +185,8 @@
                                  const domain_declaration& domain) {
   for (const auto& entry : list) {
     const upstream_id id{entry.as<std::string>()};
-    if (id.str().find(':') == std::string::npos) {
-      this->fail(entry, "upstreams: '" + id.str() + "' is not of the form ip:port");
+    if (const auto address = parse_endpoint(id.str()); !address) {
+      this->fail(entry, "upstreams: " + address.last_error().message);
     }
     if (!this->seen_upstreams.emplace(service, id).second) {
       this->fail(entry, "upstreams: '" + id.str() + "' is declared twice for " + service.str());
--- a/packages/store/src/http_multi.cpp
+++ b/packages/store/src/http_multi.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "zinnia/core/socket_limits.hpp"
 #include "zinnia/store/http_upload.hpp"
 
 namespace zinnia {
@@ -17,10 +18,6 @@
 
 /// Time to connect: the longest link takes 110 ms there and back; a lost packet's resend is not waited for.
 constexpr long connect_limit_ms = 300;
-/// Idle time before and between keep-alive probes, and the time for which sent data may stay unacknowledged.
-constexpr long keep_alive_seconds = 1;
-constexpr int unacknowledged_limit_ms = 1500;
-constexpr int keep_alive_probes = 2;
 
 struct list_deleter {
   void operator()(curl_slist* list) const noexcept { curl_slist_free_all(list); }
@@ -43,8 +40,9 @@
 
 int set_socket_options(void* /*context*/, curl_socket_t descriptor, curlsocktype /*purpose*/) {
   // Best effort: without them a dead connection is noticed by the call's own limit.
-  static_cast<void>(setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
-                               sizeof unacknowledged_limit_ms));
+  const auto unacknowledged_ms = static_cast<int>(unacknowledged_limit.ms);
+  static_cast<void>(
+      setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof unacknowledged_ms));
   static_cast<void>(
       setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof keep_alive_probes));
   return CURL_SOCKOPT_OK;
@@ -112,8 +110,8 @@
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, impl::keep_alive_seconds);
-  curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, impl::keep_alive_seconds);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, static_cast<long>(keep_alive_seconds));
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, static_cast<long>(keep_alive_seconds));
   curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, impl::set_socket_options);
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, impl::connect_limit_ms);
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.limit.ms));
