Tell callers of the largest nodes of their failure domain

Ruled out: telling loads between nodes (docs/design/serving-set.md). Change: nodes register what their VM can carry and say in heartbeats what they carry; callers are told of the largest, as few as do the work at half of their capacity, two at least. Limits are divided by registered nodes. Cold servers are warmed by nodes that serve. The list of living nodes is looked at ten times a second, not after each heartbeat.

--- a/apps/zinniad/daemon_options.cpp
+++ b/apps/zinniad/daemon_options.cpp
@@ -28,7 +28,7 @@
   void (*assign)(node_settings&, std::int64_t);
 };
 
-constexpr std::array<number_option, 6> number_options{{
+constexpr std::array<number_option, 8> number_options{{
     {"peer-port", "7100", 1, highest_port, "UDP port for heartbeats between nodes", true,
      [](node_settings& s, std::int64_t v) { s.peer_port = static_cast<std::uint16_t>(v); }},
     {"stop-limit-ms", "6000", 3000, 3'600'000, "longest graceful stop", true,
@@ -39,6 +39,10 @@
      [](node_settings& s, std::int64_t v) { s.retry_budget.ratio = static_cast<double>(v) / 100; }},
     {"max-descriptors", "1024", 300, 1'000'000, "file descriptors of the process", true,
      [](node_settings& s, std::int64_t v) { s.most_descriptors = static_cast<std::size_t>(v); }},
+    {"cpu-milli", "1000", 1, 1'000'000, "processor time of this VM, in thousandths of a core", true,
+     [](node_settings& s, std::int64_t v) { s.capacity.cpu_milli = static_cast<int>(v); }},
+    {"link-kbit", "1000000", 1, 1'000'000'000, "the VM's link, in kbit/s each way", true,
+     [](node_settings& s, std::int64_t v) { s.capacity.link_kbit = static_cast<int>(v); }},
     {"fate-records", "1000", 0, 10'000'000, "finished requests kept in memory for questions", false,
      [](node_settings& s, std::int64_t v) { s.fate_records = static_cast<std::size_t>(v); }},
 }};
--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -80,10 +80,11 @@
                "10.0.0.1:80",
                {"10.0.0.1", 81},
                "10.0.0.1:82",
-               incarnation_id{"run"}},
+               incarnation_id{"run"},
+               {}},
               time_point{0});
   }
-  member_beat beat{node_id{"n1"}, incarnation_id{"run"}, true, false};
+  member_beat beat{node_id{"n1"}, incarnation_id{"run"}, true, false, {}};
   const auto datagram = encode_beat(beat);
   const double hear = time_us(2000, [&](int) { table.on_beat(*decode_beat(datagram), time_point{0}); });
   const double alive = time_us(20, [&](int) { static_cast<void>(table.alive(time_point{0})); });
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -40,6 +40,16 @@
   std::size_t fate_records{1000};
 };
 
+/// \brief The nodes that send to the same backend servers.
+struct gateway_nodes {
+  /// Living nodes that callers are told of.
+  std::map<node_id, place> serving;
+  /// Regions with nodes of their own, heard of or not.
+  std::set<region_id> staffed;
+  /// All nodes that may send; limits that all keep together are divided by it.
+  std::size_t all{1};
+};
+
 /// \brief   Routes requests and keeps what is known of backend servers.
 /// \details All members are called on the thread that runs the context.
 class gateway {
@@ -54,8 +64,7 @@
 
   /// \brief Puts a newer snapshot in force; requests under way keep theirs.
   void apply(std::shared_ptr<const routing_snapshot> snapshot_in);
-  /// \brief Tells which nodes are alive, this one included, and which regions have nodes at all.
-  void set_alive(const std::map<node_id, place>& alive_in, const std::set<region_id>& staffed_in);
+  void set_nodes(gateway_nodes nodes_in);
   /// \brief Takes a caller's request; its answer goes to the exchange.
   void handle(const std::shared_ptr<caller_exchange>& exchange);
 
@@ -99,9 +108,7 @@
   wait_ticket next_ticket{1};
   recent_records records;
   std::size_t body_bytes{0};
-  int alive_nodes{1};
-  std::map<node_id, place> alive;
-  std::set<region_id> staffed;
+  gateway_nodes nodes;
   boost::asio::steady_timer timer;
   time_point trimmed_at;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -51,7 +51,7 @@
   const auto now = this->clock.now();
   const auto before = this->table.all();
   this->table.apply(*this->current, now);
-  this->table.assign_warming(this->alive, this->staffed, this->options.self);
+  this->table.assign_warming(this->nodes.serving, this->nodes.staffed, this->options.self);
   for (const auto& backend : before) {
     if (!this->table.may_receive(*backend, now) || this->table.find(backend->declared().id) == nullptr) {
       this->place_again(backend);
@@ -59,11 +59,9 @@
   }
 }
 
-void gateway::set_alive(const std::map<node_id, place>& alive_in, const std::set<region_id>& staffed_in) {
-  this->alive = alive_in;
-  this->staffed = staffed_in;
-  this->alive_nodes = std::max(static_cast<int>(this->alive.size()), 1);
-  this->table.assign_warming(this->alive, this->staffed, this->options.self);
+void gateway::set_nodes(gateway_nodes nodes_in) {
+  this->nodes = std::move(nodes_in);
+  this->table.assign_warming(this->nodes.serving, this->nodes.staffed, this->options.self);
 }
 
 void gateway::handle(const std::shared_ptr<caller_exchange>& exchange) {
@@ -124,7 +122,7 @@
 std::size_t gateway::connection_limit(const backend_state& backend) const {
   const auto* const service = this->table.service(backend.declared().service);
   const int all = service == nullptr ? 0 : service->most_connections;
-  return std::max(static_cast<std::size_t>(std::max(all, 0) / this->alive_nodes), impl::least_connections);
+  return std::max(static_cast<std::size_t>(std::max(all, 0)) / this->nodes.all, impl::least_connections);
 }
 
 void gateway::pump(const std::shared_ptr<backend_state>& backend) {
@@ -229,7 +227,8 @@
           {"zinnia_requests_waiting", "", waiting},
           {"zinnia_backend_requests", "", in_flight},
           {"zinnia_backends_suspended", "", suspended},
-          {"zinnia_nodes_alive", "", this->alive_nodes},
+          {"zinnia_nodes_registered", "", static_cast<std::int64_t>(this->nodes.all)},
+          {"zinnia_nodes_serving", "", static_cast<std::int64_t>(this->nodes.serving.size())},
           {"zinnia_log_lines_dropped", "", static_cast<std::int64_t>(dropped_log_lines())},
           {"zinnia_config_version", "",
            this->current ? static_cast<std::int64_t>(this->current->version.count()) : 0}};
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -196,6 +196,7 @@
 
 void request_flow::on_body(std::string_view piece) {
   this->answer_bytes += piece.size();
+  this->owner.counts.add(counter::answer_bytes, piece.size());
   if (this->committed) {
     this->exchange->write(piece);
   } else {
@@ -308,7 +309,7 @@
   }
   return this->sends < this->rule.most_attempts && now < this->deadline &&
          this->owner.allowances[this->service].try_spend(this->owner.options.retry_budget,
-                                                         this->owner.alive_nodes, now);
+                                                         static_cast<int>(this->owner.nodes.all), now);
 }
 
 header_fields request_flow::own_fields() const {
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -9,6 +9,7 @@
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
+#include "zinnia/membership/serving_set.hpp"
 #include "zinnia/routing/backend_table.hpp"
 
 namespace zinnia {
@@ -24,9 +25,13 @@
   /// Where operators ask, as "ip:port".
   std::string operator_address;
   incarnation_id incarnation;
+  node_capacity capacity;
+  /// Whether callers of its failure domain are told of it; set by `member_table::alive`.
+  bool serves{false};
 
   friend bool operator==(const member& a, const member& b) noexcept {
-    return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address;
+    return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address &&
+           a.serves == b.serves;
   }
 };
 
@@ -38,6 +43,7 @@
   bool ready{false};
   /// It is about to stop.
   bool leaving{false};
+  node_load load;
 };
 
 /// \brief Nodes that are alive and take requests.
@@ -53,9 +59,10 @@
   void remove(const node_id& id);
   void on_beat(const member_beat& beat, time_point now);
   /// \brief This node's own state, which needs no heartbeat.
-  void set_self(bool ready, bool leaving) noexcept;
+  void set_self(bool ready, bool leaving, const node_load& load) noexcept;
 
-  [[nodiscard]] live_members alive(time_point now) const;
+  /// \brief Nodes that take requests, with those marked that callers should be told of.
+  [[nodiscard]] live_members alive(time_point now);
   /// \brief Nodes to which heartbeats go, nearest first.
   [[nodiscard]] std::vector<member> peers() const;
   /// \brief   Registered nodes whose entry this node should remove, as they have been silent for long.
@@ -64,10 +71,13 @@
   [[nodiscard]] std::vector<node_id> to_forget(time_point now) const;
   /// \brief Regions in which nodes are registered, alive or not.
   [[nodiscard]] std::set<region_id> staffed_regions() const;
+  /// \brief Nodes in the register, heard or not.
+  [[nodiscard]] std::size_t registered_count() const noexcept { return this->members.size(); }
 
  private:
   struct record {
     member registered;
+    node_load load;
     time_point heard_at;
     time_point registered_at;
     bool ready{false};
@@ -76,16 +86,22 @@
   };
   [[nodiscard]] bool is_nearest_to(const member& silent, const live_members& living) const;
   [[nodiscard]] failure_domain_id own_domain() const;
+  [[nodiscard]] live_members listening(time_point now) const;
   [[nodiscard]] bool takes_requests(const node_id& id, const record& known, time_point now) const;
 
   node_id self;
   std::map<node_id, record> members;
   bool self_ready{false};
   bool self_leaving{false};
+  node_load self_load;
+  // Nodes marked by the last call of `alive`.
+  std::map<failure_domain_id, std::set<node_id>> serving;
 };
 
 /// \brief   Caller addresses for callers at a place.
-/// \details Those of its failure domain if there are any, else those of its region, else all.
+/// \details Those of its failure domain if there are any, else those of its region, else all; of these the
+/// ones
+///          that serve.
 [[nodiscard]] std::vector<std::string> addresses_for(const live_members& alive, const place& caller);
 
 /// \brief How often heartbeats are sent; a third of the silence after which a node counts as lost.
--- a/packages/membership/src/beat_codec.cpp
+++ b/packages/membership/src/beat_codec.cpp
@@ -9,7 +9,8 @@
   flatbuffers::FlatBufferBuilder builder;
   const auto node = builder.CreateString(beat.id.str());
   const auto incarnation = builder.CreateString(beat.incarnation.str());
-  builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, beat.ready, beat.leaving));
+  builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, beat.ready, beat.leaving,
+                                             beat.load.cpu_milli, beat.load.link_kbit));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -26,6 +27,7 @@
   beat.incarnation = incarnation_id{table->incarnation()->str()};
   beat.ready = table->ready();
   beat.leaving = table->leaving();
+  beat.load = {table->cpu_milli(), table->link_kbit()};
   return beat;
 }
 
--- a/packages/membership/src/member_codec.cpp
+++ b/packages/membership/src/member_codec.cpp
@@ -6,9 +6,10 @@
 namespace zinnia {
 
 std::string encode_member(const member& self) {
-  return nlohmann::json{{"domain", self.where.domain.str()},  {"region", self.where.region.str()},
-                        {"callers", self.caller_address},     {"peers", self.peer_address.str()},
-                        {"operators", self.operator_address}, {"incarnation", self.incarnation.str()}}
+  return nlohmann::json{{"domain", self.where.domain.str()},    {"region", self.where.region.str()},
+                        {"callers", self.caller_address},       {"peers", self.peer_address.str()},
+                        {"operators", self.operator_address},   {"incarnation", self.incarnation.str()},
+                        {"cpu_milli", self.capacity.cpu_milli}, {"link_kbit", self.capacity.link_kbit}}
       .dump();
 }
 
@@ -27,6 +28,8 @@
     decoded.peer_address = *peers;
     decoded.operator_address = text("operators");
     decoded.incarnation = incarnation_id{text("incarnation")};
+    decoded.capacity.cpu_milli = parsed.value("cpu_milli", decoded.capacity.cpu_milli);
+    decoded.capacity.link_kbit = parsed.value("link_kbit", decoded.capacity.link_kbit);
     return decoded;
   } catch (const nlohmann::json::exception& problem) {
     return error{reason::invalid_setting, problem.what(), "entry of node " + name};
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -28,11 +28,13 @@
   found->second.heard_at = now;
   found->second.ready = beat.ready;
   found->second.leaving = beat.leaving;
+  found->second.load = beat.load;
 }
 
-void member_table::set_self(bool ready, bool leaving) noexcept {
+void member_table::set_self(bool ready, bool leaving, const node_load& load) noexcept {
   this->self_ready = ready;
   this->self_leaving = leaving;
+  this->self_load = load;
 }
 
 bool member_table::takes_requests(const node_id& id, const record& known, time_point now) const {
@@ -42,7 +44,25 @@
   return known.heard && known.ready && !known.leaving && now - known.heard_at < heartbeat_silence;
 }
 
-live_members member_table::alive(time_point now) const {
+live_members member_table::alive(time_point now) {
+  auto found = this->listening(now);
+  std::map<failure_domain_id, std::vector<serving_candidate>> candidates;
+  for (const auto& [id, known] : found) {
+    const auto& load = id == this->self ? this->self_load : this->members.at(id).load;
+    candidates[known.where.domain].push_back({id, known.capacity, load});
+  }
+  std::map<failure_domain_id, std::set<node_id>> chosen;
+  for (auto& [domain, nodes] : candidates) {
+    chosen[domain] = choose_serving(std::move(nodes), this->serving[domain]);
+  }
+  this->serving = std::move(chosen);
+  for (auto& [id, known] : found) {
+    known.serves = this->serving[known.where.domain].contains(id);
+  }
+  return found;
+}
+
+live_members member_table::listening(time_point now) const {
   live_members found;
   for (const auto& [id, known] : this->members) {
     if (this->takes_requests(id, known, now)) {
@@ -57,6 +77,9 @@
   std::vector<std::string> in_region;
   std::vector<std::string> anywhere;
   for (const auto& [id, known] : alive) {
+    if (!known.serves) {
+      continue;
+    }
     auto& list = known.where.domain == caller.domain   ? in_domain
                  : known.where.region == caller.region ? in_region
                                                        : anywhere;
@@ -98,7 +121,7 @@
 }
 
 std::vector<node_id> member_table::to_forget(time_point now) const {
-  const auto living = this->alive(now);
+  const auto living = this->listening(now);
   std::vector<node_id> silent;
   for (const auto& [id, known] : this->members) {
     const bool is_silent = known.heard ? now - known.heard_at > forget_after
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -15,11 +15,11 @@
 const place far_a{failure_domain_id{"far-a"}, region_id{"far"}};
 
 [[nodiscard]] member make_member(const std::string& id, const place& where, const std::string& run = "1") {
-  return {node_id{id}, where, id + ":80", ip_endpoint{"127.0.0.1", 70}, id + ":90", incarnation_id{run}};
+  return {node_id{id}, where, id + ":80", ip_endpoint{"127.0.0.1", 70}, id + ":90", incarnation_id{run}, {}};
 }
 
 [[nodiscard]] member_beat make_beat(const std::string& id, const std::string& run = "1") {
-  return {node_id{id}, incarnation_id{run}, true, false};
+  return {node_id{id}, incarnation_id{run}, true, false, {}};
 }
 
 class members : public testing::Test {
@@ -29,14 +29,14 @@
     this->table.add(make_member("peer", near_a), this->now);
     this->table.add(make_member("other", near_b), this->now);
     this->table.add(make_member("far", far_a), this->now);
-    this->table.set_self(true, false);
+    this->table.set_self(true, false, {});
   }
   void hear(const std::vector<std::string>& names) {
     for (const auto& name : names) {
       this->table.on_beat(make_beat(name), this->now);
     }
   }
-  [[nodiscard]] std::vector<std::string> told(const place& caller) const {
+  [[nodiscard]] std::vector<std::string> told(const place& caller) {
     return addresses_for(this->table.alive(this->now), caller);
   }
 
@@ -62,7 +62,7 @@
   beat.leaving = true;
   this->table.on_beat(beat, this->now);
   EXPECT_EQ(this->told(near_a), (std::vector<std::string>{"me:80"}));
-  this->table.set_self(true, true);
+  this->table.set_self(true, true, {});
   EXPECT_TRUE(this->told(near_a).empty());
 }
 
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -20,11 +20,22 @@
 
 namespace zinnia {
 
+/// \brief The nodes as this one knows them.
+struct known_nodes {
+  live_members alive;
+  /// Regions in which nodes are registered, alive or not.
+  std::set<region_id> staffed;
+  /// Nodes in the register, heard or not.
+  std::size_t registered{1};
+
+  friend bool operator==(const known_nodes&, const known_nodes&) = default;
+};
+
 /// \brief What the control thread hands to the traffic thread; called on the control thread.
 struct control_events {
   std::function<void(const std::shared_ptr<const routing_snapshot>&)> on_snapshot;
   std::function<void(const caller_limits&)> on_limits;
-  std::function<void(const live_members&, const std::set<region_id>&)> on_members;
+  std::function<void(const known_nodes&)> on_nodes;
   /// Drains and moves, as lines for operators.
   std::function<void(const std::vector<shift_progress>&)> on_progress;
 };
@@ -99,10 +110,11 @@
   std::array<watched_kind, 5> watches;
   snapshot_builder builder;
   member_table members;
-  live_members last_alive;
-  std::set<region_id> last_staffed;
+  known_nodes last_nodes;
+  std::unique_ptr<class load_meter> meter;
   std::unique_ptr<class beat_link> beats;
   time_point next_beat;
+  time_point nodes_not_before;
   time_point write_not_before;
   time_point forget_not_before;
   time_point settings_checked_at;
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -8,6 +8,7 @@
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
+#include "zinnia/membership/serving_set.hpp"
 #include "zinnia/routing/backend_table.hpp"
 #include "zinnia/routing/retry_allowance.hpp"
 
@@ -33,6 +34,7 @@
   std::uint16_t peer_port{0};
 
   std::size_t most_descriptors{1024};
+  node_capacity capacity;
   retry_budget_settings retry_budget;
   /// Time from the order to stop until the process is killed.
   duration stop_limit{6000};
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "beat_link.hpp"
+#include "load_meter.hpp"
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/membership/member_codec.hpp"
 #include "zinnia/observe/log.hpp"
@@ -32,6 +33,8 @@
 constexpr duration longest_pause{700};
 /// Pause between writes of this node's own entry; longer than the store's answer and its change event.
 constexpr duration write_pause{1500};
+/// How often the list of living nodes is looked at; a fraction of the silence after which one counts as lost.
+constexpr duration nodes_period{100};
 /// How often silent nodes are looked for.
 constexpr duration forget_period{2000};
 /// How often the settings file is looked at without a signal.
@@ -91,6 +94,7 @@
             0, false, false, &control_thread::apply_node}}},
       builder{settings_in.regions},
       members{this->self.id},
+      meter{std::make_unique<load_meter>()},
       beats{std::make_unique<beat_link>(ip_endpoint{settings_in.ip, settings_in.peer_port})},
       settings_stamp{outside_in.settings_stamp()} {
   this->builder.set_tree(std::move(tree));
@@ -361,14 +365,27 @@
                                                static_cast<std::int64_t>(this->builder.version().count()));
     }
   }
-  this->members.set_self(this->ready, this->is_leaving());
-  auto alive = this->members.alive(now);
-  auto staffed = this->members.staffed_regions();
-  if (alive != this->last_alive || staffed != this->last_staffed) {
-    this->last_alive = alive;
-    this->last_staffed = staffed;
-    log_line{log_level::info, "nodes_alive"}.field("count", static_cast<std::int64_t>(alive.size()));
-    this->events.on_members(alive, staffed);
+  this->meter->sample(now, this->counts.value(counter::requests), this->counts.value(counter::answer_bytes));
+  this->members.set_self(this->ready, this->is_leaving(), this->meter->load());
+  if (now < this->nodes_not_before) {
+    return;
+  }
+  this->nodes_not_before = now + impl::nodes_period;
+  known_nodes nodes{this->members.alive(now), this->members.staffed_regions(),
+                    std::max<std::size_t>(this->members.registered_count(), 1)};
+  if (nodes != this->last_nodes) {
+    const auto serving = std::count_if(nodes.alive.begin(), nodes.alive.end(),
+                                       [](const auto& known) { return known.second.serves; });
+    const auto own = nodes.alive.find(this->self.id);
+    log_line{log_level::info, "nodes_alive"}
+        .field("count", static_cast<std::int64_t>(nodes.alive.size()))
+        .field("serving", static_cast<std::int64_t>(serving))
+        .field("registered", static_cast<std::int64_t>(nodes.registered))
+        .field("self_serves", own != nodes.alive.end() && own->second.serves ? 1 : 0)
+        .field("cpu_milli", this->meter->load().cpu_milli)
+        .field("link_kbit", this->meter->load().link_kbit);
+    this->events.on_nodes(nodes);
+    this->last_nodes = std::move(nodes);
   }
 }
 
@@ -442,6 +459,7 @@
   beat.incarnation = this->self.incarnation;
   beat.ready = this->ready;
   beat.leaving = this->is_leaving();
+  beat.load = this->meter->load();
   this->beats->send(beat, this->members.peers());
 }
 
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -139,6 +139,7 @@
   own.operator_address = this->settings.operators.str();
   own.peer_address = {this->settings.ip, this->settings.peer_port};
   own.incarnation = make_incarnation();
+  own.capacity = this->settings.capacity;
   return own;
 }
 
@@ -150,15 +151,20 @@
   handlers.on_limits = [this](const caller_limits& limits) {
     boost::asio::post(this->context, [this, limits] { this->callers.set_limits(limits); });
   };
-  handlers.on_members = [this](const live_members& members, const std::set<region_id>& staffed) {
-    boost::asio::post(this->context, [this, members, staffed] {
-      this->alive = members;
-      std::map<node_id, place> places;
+  handlers.on_nodes = [this](const known_nodes& nodes) {
+    boost::asio::post(this->context, [this, nodes] {
+      this->alive = nodes.alive;
+      std::map<node_id, place> serving;
       for (const auto& [id, known] : this->alive) {
-        places.emplace(id, known.where);
+        if (known.serves) {
+          serving.emplace(id, known.where);
+        }
       }
-      places.emplace(this->settings.node, this->settings.here);
-      this->traffic.set_alive(places, staffed);
+      if (!this->alive.contains(this->settings.node)) {
+        // Not ready or leaving; what it has read it still serves.
+        serving.emplace(this->settings.node, this->settings.here);
+      }
+      this->traffic.set_nodes({std::move(serving), nodes.staffed, nodes.registered});
     });
   };
   handlers.on_progress = [this](const std::vector<shift_progress>& shifts) {
--- a/packages/node/src/operator_interface.cpp
+++ b/packages/node/src/operator_interface.cpp
@@ -26,12 +26,16 @@
 void answer_status(caller_exchange& exchange, const operator_view& view) {
   json body{{"requests_under_way", view.traffic.requests_under_way()},
             {"nodes_alive", json::array()},
+            {"nodes_serving", json::array()},
             {"shifts", json::array()},
             {"config_version", 0},
             {"backends", 0},
             {"evacuated", json::array()}};
   for (const auto& [id, known] : view.alive) {
     body["nodes_alive"].push_back(id.str());
+    if (known.serves) {
+      body["nodes_serving"].push_back(id.str());
+    }
   }
   for (const auto& shift : view.progress) {
     body["shifts"].push_back({{"id", shift.id},
--- a/packages/node/tests/control_contract_test.cpp
+++ b/packages/node/tests/control_contract_test.cpp
@@ -61,7 +61,7 @@
       this->latest = snapshot;
     };
     events.on_limits = [](const caller_limits&) {};
-    events.on_members = [](const live_members&, const std::set<region_id>&) {};
+    events.on_nodes = [](const known_nodes&) {};
     events.on_progress = [](const std::vector<shift_progress>&) {};
     member self;
     self.id = this->settings.node;
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -25,6 +25,8 @@
   store_calls,
   store_failures,
   settings_rejected,
+  /// Bytes of answers' bodies that backend servers sent.
+  answer_bytes,
   count,
 };
 
@@ -43,7 +45,9 @@
  public:
   metrics();
 
-  void add(counter which) noexcept { this->counters.at(static_cast<std::size_t>(which)).fetch_add(1); }
+  void add(counter which, std::uint64_t amount = 1) noexcept {
+    this->counters.at(static_cast<std::size_t>(which)).fetch_add(amount);
+  }
   void refused(reason why) noexcept { this->refusals.at(static_cast<std::size_t>(why)).fetch_add(1); }
   void retried(reason why) noexcept { this->retries.at(static_cast<std::size_t>(why)).fetch_add(1); }
   void ended(verdict outcome) noexcept { this->verdicts.at(static_cast<std::size_t>(outcome)).fetch_add(1); }
