Let nodes that stand by hear of changes from those that serve

Change: a node that stands by asks a serving node of its failure domain for the changes of all kinds (a long poll between nodes, FlatBuffers) and makes no calls itself. Heartbeats of nodes that watch tell the newest change that they have heard of; who knows less for half a second, or loses its source, watches the store again. Nodes that serve depend on nobody. Found on the way and mended: a node heard only while few others were known was taken for dead 15 s later and its entry removed, though its heartbeats went elsewhere by then (test a_node_heard_only_while_few_were_known_is_not_forgotten); watches were made anew while one of them only paused.

--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
+#include "zinnia/core/units.hpp"
 #include "zinnia/membership/serving_set.hpp"
 #include "zinnia/routing/backend_table.hpp"
 
@@ -44,6 +46,10 @@
   /// It is about to stop.
   bool leaving{false};
   node_load load;
+  /// It hears of changes from the store itself.
+  bool watching{false};
+  /// For each kind of object the version of the newest change heard of; empty unless it watches.
+  std::vector<object_version> changes;
 };
 
 /// \brief Nodes that are alive and take requests.
@@ -71,6 +77,13 @@
   [[nodiscard]] std::vector<node_id> to_forget(time_point now) const;
   /// \brief Regions in which nodes are registered, alive or not.
   [[nodiscard]] std::set<region_id> staffed_regions() const;
+  /// \brief   The node from which this one should hear of changes in the store.
+  /// \details One of its failure domain that serves and watches; nothing if this node serves itself, so that
+  ///          those who carry callers depend on nobody. Looks at the marks of the last call of `alive`.
+  [[nodiscard]] std::optional<member> news_source(time_point now) const;
+  /// \brief Whether a watching node nearby has heard of a change that is not known here.
+  /// \param known For each kind the version up to which everything is known.
+  [[nodiscard]] bool is_behind(const std::vector<object_version>& known, time_point now) const;
   /// \brief Nodes in the register, heard or not.
   [[nodiscard]] std::size_t registered_count() const noexcept { return this->members.size(); }
 
@@ -78,12 +91,16 @@
   struct record {
     member registered;
     node_load load;
+    std::vector<object_version> changes;
+    bool watching{false};
     time_point heard_at;
     time_point registered_at;
     bool ready{false};
     bool leaving{false};
     bool heard{false};
   };
+  /// Whether the other node's heartbeats come here, as it must reckon from the same register.
+  [[nodiscard]] bool hears(const member& other) const;
   [[nodiscard]] bool is_nearest_to(const member& silent, const live_members& living) const;
   [[nodiscard]] failure_domain_id own_domain() const;
   [[nodiscard]] live_members listening(time_point now) const;
--- a/packages/membership/src/beat_codec.cpp
+++ b/packages/membership/src/beat_codec.cpp
@@ -9,8 +9,14 @@
   flatbuffers::FlatBufferBuilder builder;
   const auto node = builder.CreateString(beat.id.str());
   const auto incarnation = builder.CreateString(beat.incarnation.str());
+  std::vector<std::int64_t> versions;
+  for (const auto version : beat.changes) {
+    versions.push_back(version.count());
+  }
+  const auto changes = builder.CreateVector(versions);
   builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, beat.ready, beat.leaving,
-                                             beat.load.cpu_milli, beat.load.link_kbit));
+                                             beat.load.cpu_milli, beat.load.link_kbit, beat.watching,
+                                             changes));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -28,6 +34,12 @@
   beat.ready = table->ready();
   beat.leaving = table->leaving();
   beat.load = {table->cpu_milli(), table->link_kbit()};
+  beat.watching = table->watching();
+  if (table->changes() != nullptr) {
+    for (const auto version : *table->changes()) {
+      beat.changes.emplace_back(version);
+    }
+  }
   return beat;
 }
 
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -4,7 +4,19 @@
 #include <algorithm>
 #include <utility>
 
+#include "zinnia/core/rendezvous.hpp"
+
 namespace zinnia {
+namespace impl {
+namespace {
+
+/// 0 within a failure domain, 1 within a region, 2 beyond.
+[[nodiscard]] int distance(const place& a, const place& b) {
+  return a.domain == b.domain ? 0 : a.region == b.region ? 1 : 2;
+}
+
+}  // namespace
+}  // namespace impl
 
 void member_table::add(const member& registered, time_point now) {
   auto& known = this->members[registered.id];
@@ -29,6 +41,8 @@
   found->second.ready = beat.ready;
   found->second.leaving = beat.leaving;
   found->second.load = beat.load;
+  found->second.watching = beat.watching;
+  found->second.changes = beat.changes;
 }
 
 void member_table::set_self(bool ready, bool leaving, const node_load& load) noexcept {
@@ -99,23 +113,32 @@
       others.push_back(known.registered);
     }
   }
-  const auto distance = [&](const member& other) {
-    return other.where.domain == here.domain ? 0 : other.where.region == here.region ? 1 : 2;
-  };
-  std::stable_sort(others.begin(), others.end(),
-                   [&](const member& a, const member& b) { return distance(a) < distance(b); });
+  std::stable_sort(others.begin(), others.end(), [&](const member& a, const member& b) {
+    return impl::distance(a.where, here) < impl::distance(b.where, here);
+  });
   if (others.size() > most_heartbeat_peers) {
     others.resize(most_heartbeat_peers);
   }
   return others;
 }
 
+bool member_table::hears(const member& other) const {
+  const auto own = this->members.find(this->self);
+  if (own == this->members.end()) {
+    return false;
+  }
+  const std::pair here{impl::distance(own->second.registered.where, other.where), this->self};
+  const auto nearer = std::count_if(this->members.begin(), this->members.end(), [&](const auto& one) {
+    return one.first != other.id &&
+           std::pair{impl::distance(one.second.registered.where, other.where), one.first} < here;
+  });
+  return static_cast<std::size_t>(nearer) < most_heartbeat_peers;
+}
+
 bool member_table::is_nearest_to(const member& silent, const live_members& living) const {
-  const auto distance = [&](const member& other) {
-    return other.where.domain == silent.where.domain ? 0 : other.where.region == silent.where.region ? 1 : 2;
-  };
   const auto nearest = std::min_element(living.begin(), living.end(), [&](const auto& a, const auto& b) {
-    return std::pair{distance(a.second), a.first} < std::pair{distance(b.second), b.first};
+    return std::pair{impl::distance(a.second.where, silent.where), a.first} <
+           std::pair{impl::distance(b.second.where, silent.where), b.first};
   });
   return nearest != living.end() && nearest->first == this->self;
 }
@@ -124,10 +147,10 @@
   const auto living = this->listening(now);
   std::vector<node_id> silent;
   for (const auto& [id, known] : this->members) {
-    const bool is_silent = known.heard ? now - known.heard_at > forget_after
-                                       : now - known.registered_at > forget_unheard_after &&
-                                             known.registered.where.domain == this->own_domain();
-    if (id != this->self && is_silent && this->is_nearest_to(known.registered, living)) {
+    const bool is_silent =
+        known.heard ? now - known.heard_at > forget_after : now - known.registered_at > forget_unheard_after;
+    if (id != this->self && is_silent && this->hears(known.registered) &&
+        this->is_nearest_to(known.registered, living)) {
       silent.push_back(id);
     }
   }
@@ -139,6 +162,45 @@
   return own == this->members.end() ? failure_domain_id{} : own->second.registered.where.domain;
 }
 
+std::optional<member> member_table::news_source(time_point now) const {
+  const auto chosen = this->serving.find(this->own_domain());
+  if (chosen == this->serving.end() || chosen->second.contains(this->self)) {
+    return std::nullopt;
+  }
+  std::optional<member> source;
+  std::uint64_t best = 0;
+  for (const auto& id : chosen->second) {
+    const auto found = this->members.find(id);
+    if (found == this->members.end() || !found->second.watching ||
+        !this->takes_requests(id, found->second, now)) {
+      continue;
+    }
+    // Spreads the nodes that stand by over their sources.
+    const auto weight = rendezvous_weight(id.str(), this->self.str());
+    if (!source || weight > best) {
+      source = found->second.registered;
+      best = weight;
+    }
+  }
+  return source;
+}
+
+bool member_table::is_behind(const std::vector<object_version>& known, time_point now) const {
+  return std::any_of(this->members.begin(), this->members.end(), [&](const auto& one) {
+    const auto& other = one.second;
+    if (!other.watching || other.changes.size() != known.size() ||
+        now - other.heard_at >= heartbeat_silence) {
+      return false;
+    }
+    for (std::size_t i = 0; i < known.size(); ++i) {
+      if (other.changes[i] > known[i]) {
+        return true;
+      }
+    }
+    return false;
+  });
+}
+
 std::set<region_id> member_table::staffed_regions() const {
   std::set<region_id> regions;
   for (const auto& [id, known] : this->members) {
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -19,7 +19,7 @@
 }
 
 [[nodiscard]] member_beat make_beat(const std::string& id, const std::string& run = "1") {
-  return {node_id{id}, incarnation_id{run}, true, false, {}};
+  return {node_id{id}, incarnation_id{run}, true, false, {}, false, {}};
 }
 
 class members : public testing::Test {
@@ -106,6 +106,18 @@
   EXPECT_TRUE(this->table.to_forget(this->now).empty());
 }
 
+/// A node that started with few others known was heard everywhere for a moment; later its heartbeats go to
+/// the nearest only. Its entry must stay.
+TEST_F(members, a_node_heard_only_while_few_were_known_is_not_forgotten) {
+  for (int i = 0; i < 30; ++i) {
+    this->table.add(make_member("a" + std::to_string(i), far_a), this->now);
+  }
+  this->hear({"peer", "other", "far", "a3"});
+  this->now = this->now + duration{16'000};
+  this->hear({"peer", "other"});
+  EXPECT_TRUE(this->table.to_forget(this->now).empty());
+}
+
 TEST_F(members, heartbeats_go_to_the_nearest_within_a_bound) {
   for (int i = 0; i < 40; ++i) {
     this->table.add(make_member("x" + std::to_string(i), i < 10 ? near_b : far_a), this->now);
--- a/packages/membership/tests/serving_set_test.cpp
+++ b/packages/membership/tests/serving_set_test.cpp
@@ -58,7 +58,7 @@
     table.add({node_id{id}, here, id + ":80", {}, "", incarnation_id{"1"}, capacity}, now);
   };
   const auto hear = [&](const std::string& id) {
-    table.on_beat({node_id{id}, incarnation_id{"1"}, true, false, {}}, now);
+    table.on_beat({node_id{id}, incarnation_id{"1"}, true, false, {}, false, {}}, now);
   };
   for (const auto* const id : {"l1", "l2"}) {
     add(id, large);
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -15,6 +15,7 @@
 #include "zinnia/node/deployment.hpp"
 #include "zinnia/observe/metrics.hpp"
 #include "zinnia/routing/snapshot_builder.hpp"
+#include "zinnia/store/change_board.hpp"
 #include "zinnia/store/http_multi.hpp"
 #include "zinnia/store/object_feed.hpp"
 
@@ -38,6 +39,8 @@
   std::function<void(const known_nodes&)> on_nodes;
   /// Drains and moves, as lines for operators.
   std::function<void(const std::vector<shift_progress>&)> on_progress;
+  /// The board that others read has changed.
+  std::function<void()> on_board;
 };
 
 /// \brief   Runs from construction to destruction.
@@ -59,6 +62,8 @@
   void begin_leaving();
   /// \brief Looks at the settings file again. Any thread.
   void reload_settings();
+  /// \brief What other nodes may be told of the store's changes. Any thread.
+  [[nodiscard]] const change_board& board() const noexcept { return this->told; }
 
  private:
   /// One kind of object: its feed and the call under way.
@@ -69,6 +74,10 @@
     bool call_active{false};
     bool lost{false};
     void (control_thread::*apply)(const object_change& change);
+    /// Changes are heard of from another node; no calls are made.
+    bool relayed{false};
+    /// Changes of a list under way, which others are told of once it is whole.
+    std::vector<object_change> untold{};
   };
 
   void run();
@@ -77,6 +86,18 @@
   void issue_calls(time_point now);
   void start_call(watched_kind& watched, const feed_call& call);
   void on_answer(watched_kind& watched, const feed_call& call, const http_answer& answer);
+  void cancel_call(watched_kind& watched);
+  /// Applies what the feed has learned, and notes it for other nodes.
+  void take_changes(watched_kind& watched);
+
+  /// Hears of changes from a node of this failure domain that watches, if this one only stands by.
+  void follow_news(time_point now);
+  void on_news(const std::vector<feed_reply>& news);
+  void stop_following(const std::string& cause);
+  [[nodiscard]] std::vector<object_version> known_versions() const;
+  /// Whether this node hears from the store itself.
+  [[nodiscard]] bool is_watching() const;
+  void tell_watching();
   void note_dependency(watched_kind& watched, const http_answer& answer);
   /// Makes the other watches anew if the store's version shows changes that none of them brought.
   void renew_if_silent(object_version newest);
@@ -113,6 +134,12 @@
   known_nodes last_nodes;
   std::unique_ptr<class load_meter> meter;
   std::unique_ptr<class beat_link> beats;
+  change_board told;
+  std::unique_ptr<class news_follower> follower;
+  // Since when another node has known of a change that this one has not heard of.
+  time_point behind_since{end_of_time};
+  time_point follow_not_before;
+  bool told_watching{false};
   time_point next_beat;
   time_point nodes_not_before;
   time_point write_not_before;
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -2,10 +2,12 @@
 #include "zinnia/node/control_thread.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "beat_link.hpp"
 #include "load_meter.hpp"
+#include "news_follower.hpp"
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/membership/member_codec.hpp"
 #include "zinnia/observe/log.hpp"
@@ -37,6 +39,11 @@
 constexpr duration nodes_period{100};
 /// How often silent nodes are looked for.
 constexpr duration forget_period{2000};
+/// How long a node that follows another may know less than some other node before it asks the store itself;
+/// its source sends on what it hears within a pause of 200 ms and one of 150 ms.
+constexpr duration news_patience{500};
+/// How long it then watches the store itself.
+constexpr duration distrust_pause{3000};
 /// How often the settings file is looked at without a signal.
 constexpr duration settings_period{2000};
 /// How often the log is written out.
@@ -96,6 +103,11 @@
       members{this->self.id},
       meter{std::make_unique<load_meter>()},
       beats{std::make_unique<beat_link>(ip_endpoint{settings_in.ip, settings_in.peer_port})},
+      told{this->watches.size()},
+      follower{std::make_unique<news_follower>(
+          this->calls, news_follower::hooks{[this] { return this->known_versions(); },
+                                            [this](const auto& news) { this->on_news(news); },
+                                            [this](const auto& cause) { this->stop_following(cause); }})},
       settings_stamp{outside_in.settings_stamp()} {
   this->builder.set_tree(std::move(tree));
   this->thread = std::thread{[this] { this->run(); }};
@@ -120,6 +132,7 @@
 void control_thread::run() {
   while (!this->stopping) {
     const auto now = this->clock.now();
+    this->follow_news(now);
     this->issue_calls(now);
     this->keep_registered(now);
     this->forget_silent(now);
@@ -133,7 +146,7 @@
 }
 
 duration control_thread::time_to_next(time_point now) const {
-  auto next = std::min(this->next_beat, this->builder.next_removal());
+  auto next = std::min({this->next_beat, this->builder.next_removal(), this->follower->next_at()});
   for (const auto& watched : this->watches) {
     if (this->may_call(watched)) {
       next = std::min(next, watched.feed.next_at());
@@ -143,7 +156,7 @@
 }
 
 bool control_thread::may_call(const watched_kind& watched) const {
-  return &watched == &this->watches.front() || !this->watches.front().feed.is_failing();
+  return !watched.relayed && (&watched == &this->watches.front() || !this->watches.front().feed.is_failing());
 }
 
 void control_thread::issue_calls(time_point now) {
@@ -181,11 +194,109 @@
     this->renew_if_silent(reply.newest);
   }
   this->note_dependency(watched, answer);
-  for (const auto& change : watched.feed.take_changes()) {
+  this->take_changes(watched);
+}
+
+void control_thread::take_changes(watched_kind& watched) {
+  const auto changes = watched.feed.take_changes();
+  watched.untold.insert(watched.untold.end(), changes.begin(), changes.end());
+  if (!watched.feed.is_listing()) {
+    const auto kind = static_cast<std::size_t>(&watched - this->watches.data());
+    this->told.advance(kind, watched.untold, watched.feed.known_up_to(), this->clock.now());
+    if (!watched.untold.empty()) {
+      watched.untold.clear();
+      this->events.on_board();
+    }
+  }
+  for (const auto& change : changes) {
     (this->*watched.apply)(change);
   }
 }
 
+void control_thread::cancel_call(watched_kind& watched) {
+  if (watched.call_active) {
+    this->calls.cancel(watched.call);
+    watched.call_active = false;
+  }
+  watched.feed.restart();
+}
+
+std::vector<object_version> control_thread::known_versions() const {
+  std::vector<object_version> versions;
+  for (const auto& watched : this->watches) {
+    versions.push_back(watched.feed.known_up_to());
+  }
+  return versions;
+}
+
+bool control_thread::is_watching() const {
+  const auto& configuration = this->watches.front();
+  return this->ready && !configuration.relayed && !configuration.feed.is_failing() && !this->leaving;
+}
+
+void control_thread::tell_watching() {
+  const bool watching = this->is_watching();
+  if (watching != this->told_watching) {
+    this->told_watching = watching;
+    this->told.set_watching(watching);
+    this->events.on_board();
+  }
+}
+
+void control_thread::follow_news(time_point now) {
+  auto known = this->known_versions();
+  // Nodes watch each other by heartbeats; late news of their register is harmless.
+  known.back() = object_version{std::numeric_limits<std::int64_t>::max()};
+  const bool is_behind = this->members.is_behind(known, now);
+  this->behind_since = is_behind ? std::min(this->behind_since, now) : end_of_time;
+  if (this->follower->is_following() && now - this->behind_since > impl::news_patience) {
+    this->stop_following("another node has heard of more");
+  }
+  const bool has_all = std::none_of(this->watches.begin(), this->watches.end(),
+                                    [](const watched_kind& watched) { return watched.feed.is_listing(); });
+  const bool may_follow = has_all && this->ready && !this->leaving && now >= this->follow_not_before;
+  const auto source = may_follow ? this->members.news_source(now) : std::nullopt;
+  if (!source && this->follower->is_following()) {
+    this->stop_following("no node to follow");
+  }
+  if (source) {
+    if (!this->follower->is_following()) {
+      log_line{log_level::info, "follows_node"}.field("source", source->id.str());
+    }
+    this->follower->follow(source);
+    const bool is_all_relayed = std::all_of(this->watches.begin(), this->watches.end(),
+                                            [](const watched_kind& watched) { return watched.relayed; });
+    this->follower->poll(now, is_all_relayed);
+  }
+  this->tell_watching();
+}
+
+void control_thread::on_news(const std::vector<feed_reply>& news) {
+  if (news.size() != this->watches.size()) {
+    this->stop_following("another number of kinds");
+    return;
+  }
+  for (std::size_t i = 0; i < news.size(); ++i) {
+    auto& watched = this->watches[i];
+    // A kind whose changes the source cannot tell is asked of the store until it can.
+    const bool is_relayed = watched.feed.take_news(news[i]);
+    if (is_relayed && !watched.relayed) {
+      this->cancel_call(watched);
+    }
+    watched.relayed = is_relayed;
+    this->take_changes(watched);
+  }
+}
+
+void control_thread::stop_following(const std::string& cause) {
+  log_line{log_level::info, "watches_store_again"}.field("cause", cause);
+  this->follower->follow(std::nullopt);
+  this->follow_not_before = this->clock.now() + impl::distrust_pause;
+  for (auto& watched : this->watches) {
+    watched.relayed = false;
+  }
+}
+
 void control_thread::note_dependency(watched_kind& watched, const http_answer& answer) {
   const bool is_lost = watched.feed.is_failing();
   if (is_lost) {
@@ -212,6 +323,10 @@
   object_version explained;
   for (const auto& watched : this->watches) {
     if (&watched != &this->configuration_watch()) {
+      if (!watched.call_active) {
+        // It pauses, and will tell soon.
+        return;
+      }
       explained = std::max(explained, watched.feed.known_up_to());
     }
   }
@@ -237,11 +352,7 @@
     if (&watched == &except) {
       continue;
     }
-    if (watched.call_active) {
-      this->calls.cancel(watched.call);
-      watched.call_active = false;
-    }
-    watched.feed.restart();
+    this->cancel_call(watched);
   }
 }
 
@@ -460,6 +571,10 @@
   beat.ready = this->ready;
   beat.leaving = this->is_leaving();
   beat.load = this->meter->load();
+  beat.watching = this->is_watching();
+  if (beat.watching) {
+    beat.changes = this->told.last_changes();
+  }
   this->beats->send(beat, this->members.peers());
 }
 
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -17,6 +17,7 @@
 #include <random>
 #include <sstream>
 
+#include "change_desk.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
 #include "zinnia/node/control_thread.hpp"
@@ -90,6 +91,7 @@
   http_listener readiness;
   http_listener directory;
   http_listener operators;
+  http_listener peers;
   boost::asio::signal_set signals;
   boost::asio::steady_timer stop_timer;
   live_members alive;
@@ -99,6 +101,8 @@
   bool reading_stopped{false};
   time_point reading_stopped_at;
   std::unique_ptr<control_thread> control;
+  // Reads the control thread's board.
+  std::unique_ptr<change_desk> desk;
 };
 
 node::node(const deployment& outside_in, const node_settings& settings_in,
@@ -117,6 +121,8 @@
                 [this](const auto& exchange) {
                   answer_operator(*exchange, {this->traffic, this->counts, this->alive, this->progress});
                 }},
+      peers{this->context, this->clock, service_connections,
+            [this](const auto& exchange) { this->desk->handle(exchange); }},
       signals{this->context, SIGTERM, SIGINT, SIGHUP},
       stop_timer{this->context} {}
 
@@ -167,6 +173,7 @@
       this->traffic.set_nodes({std::move(serving), nodes.staffed, nodes.registered});
     });
   };
+  handlers.on_board = [this] { boost::asio::post(this->context, [this] { this->desk->look(); }); };
   handlers.on_progress = [this](const std::vector<shift_progress>& shifts) {
     boost::asio::post(this->context, [this, shifts] { this->progress = shifts; });
   };
@@ -182,7 +189,9 @@
     return static_cast<bool>(started);
   };
   return start(this->callers, this->settings.callers) && start(this->readiness, this->settings.readiness) &&
-         start(this->directory, this->settings.directory) && start(this->operators, this->settings.operators);
+         start(this->directory, this->settings.directory) &&
+         start(this->operators, this->settings.operators) &&
+         start(this->peers, {this->settings.ip, this->settings.peer_port});
 }
 
 int node::run() {
@@ -193,11 +202,13 @@
   this->wait_for_signal();
   this->control = std::make_unique<control_thread>(this->outside, this->settings, this->tree, this->self(),
                                                    this->counts, this->events());
+  this->desk = std::make_unique<change_desk>(this->context, this->clock, this->control->board());
   log_line{log_level::info, "started"}
       .field("callers", this->settings.callers.str())
       .field("domain", this->settings.here.domain.str())
       .field("region", this->settings.here.region.str());
   this->context.run();
+  this->desk.reset();
   this->control.reset();
   log_line{log_level::info, "stopped"}.field("requests_under_way",
                                              static_cast<std::int64_t>(this->traffic.requests_under_way()));
--- a/packages/node/tests/control_contract_test.cpp
+++ b/packages/node/tests/control_contract_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "standins/platform_store.hpp"
+#include "store_contents.hpp"
 #include "zinnia/node/control_thread.hpp"
 #include "zinnia/platform/platform_deployment.hpp"
 
@@ -18,25 +19,6 @@
 
 namespace {
 
-[[nodiscard]] nlohmann::json make_config(const std::string& version, const std::string& prefix) {
-  return {{"version", version},
-          {"listeners",
-           {{{"host", "a.example"},
-             {"rules",
-              {{{"name", "r"},
-                {"kind", "safe"},
-                {"targetLatencyMs", 300},
-                {"priority", 1},
-                {"match", {{"pathPrefix", prefix}}},
-                {"action", {{"service", "desk"}, {"timeoutMs", 500}, {"maxAttempts", 2}}}}}}}}},
-          {"clusters", {{{"name", "desk"}, {"healthPath", "/health"}, {"maxConnections", 10}}}}};
-}
-
-[[nodiscard]] nlohmann::json make_server(const std::string& state) {
-  return {{"service", "desk"}, {"address", "127.0.0.1:9"}, {"zone", "near-a"},     {"version", "v1"},
-          {"slots", 3},        {"state", state},           {"coldRemainingMs", 0}, {"sequence", 1}};
-}
-
 class control_contract : public testing::Test {
  protected:
   void SetUp() override {
@@ -63,6 +45,7 @@
     events.on_limits = [](const caller_limits&) {};
     events.on_nodes = [](const known_nodes&) {};
     events.on_progress = [](const std::vector<shift_progress>&) {};
+    events.on_board = [] {};
     member self;
     self.id = this->settings.node;
     self.where = this->settings.here;
--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -86,14 +86,19 @@
   /// \brief When `next` should be asked again; `end_of_time` while a call is under way.
   [[nodiscard]] time_point next_at() const noexcept;
   void on_reply(const feed_reply& reply, time_point now);
+  /// \brief   Takes over what another node knows of this kind.
+  /// \returns Whether it could be used: a list must have been taken before, as news only tell what changed.
+  bool take_news(const feed_reply& news);
   /// \brief Forgets the call under way, so that it is made anew at once.
   void restart() noexcept;
 
-  /// \brief Changes since the last call of this function; a deleted object has its last version.
+  /// \brief Changes since the last call of this function; a deleted object has the version of its removal.
   [[nodiscard]] std::vector<object_change> take_changes();
   [[nodiscard]] const std::map<std::string, stored_object>& objects() const noexcept { return this->known; }
   /// \brief Whether a complete list has been taken.
   [[nodiscard]] bool is_complete() const noexcept { return this->complete; }
+  /// \brief Whether a list is wanted or under way, so that changes may be incomplete.
+  [[nodiscard]] bool is_listing() const noexcept { return this->listing; }
   /// \brief The store's version up to which all changes of this kind are known.
   [[nodiscard]] object_version known_up_to() const noexcept { return this->watch_from; }
   /// \brief When the store last answered.
@@ -102,6 +107,7 @@
   [[nodiscard]] bool is_failing() const noexcept { return this->failures_in_a_row > 0; }
 
  private:
+  void apply(const feed_reply& watched);
   void take(const stored_object& object);
   void drop(const std::string& name, object_version at);
   void finish_list();
--- /dev/null
+++ b/packages/store/src/news_codec.cpp
@@ -0,0 +1,83 @@
+// FlatBuffers for the news, decimal numbers for the query.
+#include "zinnia/store/news_codec.hpp"
+
+#include <charconv>
+
+#include "generated/news_generated.h"
+
+namespace zinnia {
+
+std::string encode_news(const std::vector<feed_reply>& kinds) {
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<flatbuffers::Offset<store::fbs::Kind>> encoded;
+  for (const auto& kind : kinds) {
+    std::vector<flatbuffers::Offset<store::fbs::Change>> changes;
+    for (const auto& [object, deleted] : kind.changes) {
+      const auto name = builder.CreateString(object.name);
+      const auto document = builder.CreateString(deleted ? "" : object.document);
+      changes.push_back(store::fbs::CreateChange(builder, name, object.version.count(), deleted,
+                                                 object.deleting, document));
+    }
+    const auto list = builder.CreateVector(changes);
+    encoded.push_back(
+        store::fbs::CreateKind(builder, kind.status != feed_status::ok, kind.newest.count(), list));
+  }
+  const auto list = builder.CreateVector(encoded);
+  builder.Finish(store::fbs::CreateNews(builder, list));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+result<std::vector<feed_reply>> decode_news(std::string_view bytes) {
+  const auto* const data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier{data, bytes.size()};
+  if (!store::fbs::VerifyNewsBuffer(verifier)) {
+    return error{reason::malformed_frame, std::to_string(bytes.size()) + " bytes are not news", "peer"};
+  }
+  std::vector<feed_reply> kinds;
+  for (const auto* const kind : *store::fbs::GetNews(data)->kinds()) {
+    feed_reply reply;
+    reply.status = kind->gone() ? feed_status::history_gone : feed_status::ok;
+    reply.newest = object_version{kind->newest()};
+    if (kind->changes() != nullptr) {
+      for (const auto* const change : *kind->changes()) {
+        stored_object object{change->name()->str(), object_version{change->version()},
+                             change->document() == nullptr ? "" : change->document()->str(),
+                             change->deleting()};
+        reply.changes.push_back({std::move(object), change->deleted()});
+      }
+    }
+    kinds.push_back(std::move(reply));
+  }
+  return kinds;
+}
+
+std::string encode_versions(const std::vector<object_version>& versions) {
+  std::string text;
+  for (const auto version : versions) {
+    text += (text.empty() ? "" : ",") + std::to_string(version.count());
+  }
+  return text;
+}
+
+std::optional<std::vector<object_version>> decode_versions(std::string_view text) {
+  std::vector<object_version> versions;
+  const char* next = text.data();
+  const char* const end = text.data() + text.size();
+  while (true) {
+    std::int64_t value = 0;
+    const auto read = std::from_chars(next, end, value);
+    if (read.ec != std::errc{} || value < 0) {
+      return std::nullopt;
+    }
+    versions.emplace_back(value);
+    if (read.ptr == end) {
+      return versions;
+    }
+    if (*read.ptr != ',') {
+      return std::nullopt;
+    }
+    next = read.ptr + 1;
+  }
+}
+
+}  // namespace zinnia
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -74,14 +74,7 @@
     return;
   }
   if (!this->listing) {
-    for (const auto& change : reply.changes) {
-      if (change.deleted) {
-        this->drop(change.object.name, change.object.version);
-      } else {
-        this->take(change.object);
-      }
-    }
-    this->watch_from = std::max(this->watch_from, reply.newest);
+    this->apply(reply);
     const bool is_early =
         reply.changes.empty() && now - this->asked_at < duration{this->timing.watch_wait.ms / 2};
     this->not_before = !reply.changes.empty() ? now + this->timing.settle_pause
@@ -103,6 +96,25 @@
   }
 }
 
+bool object_feed::take_news(const feed_reply& news) {
+  if (this->listing || news.status != feed_status::ok) {
+    return false;
+  }
+  this->apply(news);
+  return true;
+}
+
+void object_feed::apply(const feed_reply& watched) {
+  for (const auto& change : watched.changes) {
+    if (change.deleted) {
+      this->drop(change.object.name, change.object.version);
+    } else {
+      this->take(change.object);
+    }
+  }
+  this->watch_from = std::max(this->watch_from, watched.newest);
+}
+
 void object_feed::finish_list() {
   std::vector<std::string> missing;
   for (const auto& [name, object] : this->known) {
@@ -136,6 +148,7 @@
     return;
   }
   this->changes.push_back({found->second, true});
+  this->changes.back().object.version = at;
   this->known.erase(found);
 }
 
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 flatc --cpp -o packages/membership/src/generated packages/membership/beat.fbs
+flatc --cpp -o packages/store/src/generated packages/store/news.fbs
