Look up once a request what is the same for all servers

Cause: placement looked up the work estimate by a newly built string for each candidate, took a logarithm of the answer's size for each server and copied a pointer to each. Change: a view of the request holds what depends on the failure domain; candidates are plain pointers; the list of all servers is kept instead of copied each 25 ms.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -49,7 +49,7 @@
   }
   this->current = std::move(snapshot_in);
   const auto now = this->clock.now();
-  const auto before = this->table.all();
+  const auto before = std::vector{this->table.all()};
   this->table.apply(*this->current, now);
   this->table.assign_warming(this->nodes.serving, this->nodes.staffed, this->options.self);
   for (const auto& backend : before) {
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -95,7 +95,7 @@
   [[nodiscard]] std::vector<std::shared_ptr<backend_state>> due_for_check(time_point now) const;
   /// \brief Whether another request may be sent to the server at this moment.
   [[nodiscard]] bool has_room(const backend_state& backend, time_point now) const;
-  [[nodiscard]] std::vector<std::shared_ptr<backend_state>> all() const;
+  [[nodiscard]] const std::vector<std::shared_ptr<backend_state>>& all() const noexcept { return this->list; }
   [[nodiscard]] std::shared_ptr<backend_state> find(const backend_id& id) const;
   [[nodiscard]] const service_declaration* service(const service_id& id) const;
   /// \brief The settings in force for a service at this node.
@@ -103,15 +103,41 @@
   [[nodiscard]] bool may_receive(const backend_state& backend, time_point now) const;
 
  private:
+  struct domain_entry {
+    failure_domain_id id;
+    region_id region;
+  };
+  struct group_member {
+    std::shared_ptr<backend_state> backend;
+    // Position in `domains`.
+    std::size_t domain{0};
+  };
+  using member_list = std::vector<const group_member*>;
   struct service_group {
     service_declaration declaration;
     placement_settings settings;
-    std::vector<std::shared_ptr<backend_state>> members;
+    std::vector<group_member> members;
     // Average time for which a request holds a slot, in ms; turns queue lengths into waits.
     double mean_work_ms{80};
   };
+  /// What one request needs of a failure domain.
+  struct domain_view {
+    bool allowed{true};
+    double round_trip_ms{0};
+    double transfer_ms{0};
+    // Weight of one slot there among the homes of an object.
+    double slot_weight{0};
+  };
+  /// A request with everything that is the same for all servers, looked up once.
+  struct request_view {
+    const placement_request& request;
+    const work_estimate& estimate;
+    time_point now;
+    // As `domains`.
+    std::vector<domain_view> domains;
+  };
   struct candidate {
-    std::shared_ptr<backend_state> backend;
+    const group_member* member{nullptr};
     warmth expects{warmth::none};
     double round_trip_ms{0};
     double work_ms{0};
@@ -122,30 +148,33 @@
     }
   };
 
-  [[nodiscard]] std::vector<std::shared_ptr<backend_state>> usable(const service_group& group,
-                                                                   const placement_request& request,
-                                                                   time_point now) const;
-  /// The servers that may handle an object, best first.
-  [[nodiscard]] std::vector<std::shared_ptr<backend_state>> homes_of(
-      const service_group& group, const std::vector<std::shared_ptr<backend_state>>& among,
-      const placement_request& request, time_point now);
-  [[nodiscard]] double home_weight(const service_group& group, const backend_state& backend,
+  [[nodiscard]] request_view view(const service_group& group, const placement_request& request,
+                                  time_point now);
+  [[nodiscard]] double slot_weight(const service_group& group, const domain_entry& domain,
                                    const placement_request& request, const work_estimate& estimate) const;
-  [[nodiscard]] candidate weigh(const service_group& group, const placement_request& request,
-                                const std::shared_ptr<backend_state>& backend, const backend_state* home,
-                                double utilisation, time_point now);
-  [[nodiscard]] double transfer_cost(const service_group& group, const backend_state& backend,
+  [[nodiscard]] member_list usable(const service_group& group, const request_view& view) const;
+  /// The servers that may handle an object, best first.
+  [[nodiscard]] static member_list homes_of(const service_group& group, const member_list& among,
+                                            const request_view& view);
+  [[nodiscard]] static candidate weigh(const service_group& group, const request_view& view,
+                                       const group_member& member, const group_member* home,
+                                       double utilisation);
+  [[nodiscard]] double transfer_cost(const service_group& group, const domain_entry& domain,
                                      double kib) const;
   [[nodiscard]] placement_decision refuse(reason why, duration retry_after, int candidates) const;
   /// Leaves only the region to which a move sends this request, if servers there can take it.
-  void follow_moves(const placement_request& request,
-                    std::vector<std::shared_ptr<backend_state>>& among) const;
+  void follow_moves(const placement_request& request, member_list& among) const;
+  [[nodiscard]] duration round_trip_to(const failure_domain_id& domain) const;
   [[nodiscard]] region_id region_of(const failure_domain_id& domain) const;
 
   place here;
   std::map<failure_domain_id, region_id> regions;
   std::map<service_id, service_group> services;
   std::map<backend_id, std::shared_ptr<backend_state>> backends;
+  // As `backends`.
+  std::vector<std::shared_ptr<backend_state>> list;
+  // Failure domains in which there are servers.
+  std::vector<domain_entry> domains;
   std::map<failure_domain_id, double> round_trips;
   std::set<failure_domain_id> evacuated;
   shift_state shifts;
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -75,6 +75,9 @@
   this->evacuated = snapshot.evacuated;
   this->shifts = snapshot.shifts;
   std::map<backend_id, std::shared_ptr<backend_state>> kept;
+  std::map<failure_domain_id, std::size_t> positions;
+  this->domains.clear();
+  this->list.clear();
   for (const auto& [id, declaration] : snapshot.backends) {
     auto& backend = kept[id];
     if (const auto known = this->backends.find(id); known != this->backends.end()) {
@@ -83,8 +86,13 @@
     } else {
       backend = std::make_shared<backend_state>(declaration);
     }
+    this->list.push_back(backend);
+    const auto [position, is_new] = positions.try_emplace(declaration.domain, this->domains.size());
+    if (is_new) {
+      this->domains.push_back({declaration.domain, this->region_of(declaration.domain)});
+    }
     if (const auto group = next.find(declaration.service); group != next.end()) {
-      group->second.members.push_back(backend);
+      group->second.members.push_back({backend, position->second});
     }
   }
   this->services = std::move(next);
@@ -118,7 +126,10 @@
 }
 
 duration backend_table::round_trip(const backend_state& backend) const {
-  const auto& domain = backend.declared().domain;
+  return this->round_trip_to(backend.declared().domain);
+}
+
+duration backend_table::round_trip_to(const failure_domain_id& domain) const {
   if (const auto timed = this->round_trips.find(domain); timed != this->round_trips.end()) {
     return impl::to_duration(timed->second);
   }
@@ -159,25 +170,35 @@
          backend.has_cold_room(service->cold_rate * impl::used_cold_rate, now);
 }
 
-std::vector<std::shared_ptr<backend_state>> backend_table::usable(const service_group& group,
-                                                                  const placement_request& request,
-                                                                  time_point now) const {
-  std::vector<std::shared_ptr<backend_state>> found;
-  for (const auto& backend : group.members) {
-    const auto& declared = backend->declared();
-    const bool allowed = request.rule->allowed_regions.empty() ||
-                         request.rule->allowed_regions.contains(this->region_of(declared.domain));
-    const bool untried = request.tried == nullptr || std::find(request.tried->begin(), request.tried->end(),
-                                                               declared.id) == request.tried->end();
-    if (allowed && untried && this->may_receive(*backend, now)) {
-      found.push_back(backend);
+backend_table::request_view backend_table::view(const service_group& group, const placement_request& request,
+                                                time_point now) {
+  request_view made{request, this->estimate(*request.rule, request.service), now, {}};
+  made.domains.reserve(this->domains.size());
+  for (const auto& domain : this->domains) {
+    domain_view& one = made.domains.emplace_back();
+    one.allowed =
+        request.rule->allowed_regions.empty() || request.rule->allowed_regions.contains(domain.region);
+    one.round_trip_ms = static_cast<double>(this->round_trip_to(domain.id).ms);
+    one.transfer_ms = this->transfer_cost(group, domain, made.estimate.answer_kib());
+    one.slot_weight = this->slot_weight(group, domain, request, made.estimate);
+  }
+  return made;
+}
+
+backend_table::member_list backend_table::usable(const service_group& group, const request_view& view) const {
+  const auto* const tried = view.request.tried;
+  member_list found;
+  for (const auto& member : group.members) {
+    const bool untried = tried == nullptr || std::find(tried->begin(), tried->end(),
+                                                       member.backend->declared().id) == tried->end();
+    if (view.domains[member.domain].allowed && untried && this->may_receive(*member.backend, view.now)) {
+      found.push_back(&member);
     }
   }
   return found;
 }
 
-void backend_table::follow_moves(const placement_request& request,
-                                 std::vector<std::shared_ptr<backend_state>>& among) const {
+void backend_table::follow_moves(const placement_request& request, member_list& among) const {
   const auto found = this->shifts.moves.find({request.service, this->here.region});
   if (found == this->shifts.moves.end()) {
     return;
@@ -189,9 +210,9 @@
     if (position >= 0) {
       continue;
     }
-    std::vector<std::shared_ptr<backend_state>> there;
+    member_list there;
     std::copy_if(among.begin(), among.end(), std::back_inserter(there),
-                 [&](const auto& backend) { return this->region_of(backend->declared().domain) == part.to; });
+                 [&](const auto* member) { return this->domains[member->domain].region == part.to; });
     if (!there.empty()) {
       among = std::move(there);
     }
@@ -199,78 +220,75 @@
   }
 }
 
-double backend_table::home_weight(const service_group& group, const backend_state& backend,
+double backend_table::slot_weight(const service_group& group, const domain_entry& domain,
                                   const placement_request& request, const work_estimate& estimate) const {
-  const auto& domain = backend.declared().domain;
-  const double slots = std::max(backend.declared().slots, 1);
-  if (domain == this->here.domain) {
-    return group.settings.own_domain_weight * slots;
+  if (domain.id == this->here.domain) {
+    return group.settings.own_domain_weight;
   }
-  const bool same_region = this->region_of(domain) == this->here.region;
+  const bool same_region = domain.region == this->here.region;
   const double weight = same_region ? group.settings.own_region_weight : group.settings.other_region_weight;
   // Rounded, so that nodes whose averages differ a little still rank alike.
   const double kib = std::exp2(std::round(std::log2(std::max(estimate.answer_kib(), 1.0))));
-  const double bytes_part = 1 / (1 + this->transfer_cost(group, backend, kib) / impl::transfer_halving_ms);
-  const auto soonest = static_cast<double>(this->round_trip(backend).ms) + estimate.warm_ms();
+  const double bytes_part = 1 / (1 + this->transfer_cost(group, domain, kib) / impl::transfer_halving_ms);
+  const auto soonest = static_cast<double>(this->round_trip_to(domain.id).ms) + estimate.warm_ms();
   const bool in_time =
       soonest < impl::used_latency_part * static_cast<double>(request.rule->target_latency.ms);
-  return weight * slots * bytes_part * (in_time ? 1 : impl::too_far_part);
+  return weight * bytes_part * (in_time ? 1 : impl::too_far_part);
 }
 
-std::vector<std::shared_ptr<backend_state>> backend_table::homes_of(
-    const service_group& group, const std::vector<std::shared_ptr<backend_state>>& among,
-    const placement_request& request, time_point now) {
-  const auto& estimate = this->estimate(*request.rule, request.service);
-  std::vector<std::pair<double, std::shared_ptr<backend_state>>> scored;
-  for (const auto& backend : among) {
-    if (!backend->is_cold(now)) {
-      const double weight = this->home_weight(group, *backend, request, estimate);
-      scored.emplace_back(rendezvous_score(backend->hash(), *request.object, weight), backend);
+backend_table::member_list backend_table::homes_of(const service_group& group, const member_list& among,
+                                                   const request_view& view) {
+  std::vector<std::pair<double, const group_member*>> scored;
+  scored.reserve(among.size());
+  for (const auto* const member : among) {
+    const auto& backend = *member->backend;
+    if (!backend.is_cold(view.now)) {
+      const double weight = view.domains[member->domain].slot_weight * std::max(backend.declared().slots, 1);
+      scored.emplace_back(rendezvous_score(backend.hash(), *view.request.object, weight), member);
     }
   }
   const auto count = std::min(scored.size(), group.settings.homes_per_object);
   std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(),
                     [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<std::shared_ptr<backend_state>> homes;
+  member_list homes;
   for (std::size_t i = 0; i < count; ++i) {
-    homes.push_back(std::move(scored[i].second));
+    homes.push_back(scored[i].second);
   }
   return homes;
 }
 
-double backend_table::transfer_cost(const service_group& group, const backend_state& backend,
+double backend_table::transfer_cost(const service_group& group, const domain_entry& domain,
                                     double kib) const {
-  const auto& domain = backend.declared().domain;
-  if (domain == this->here.domain) {
+  if (domain.id == this->here.domain) {
     return 0;
   }
-  const double rate = this->region_of(domain) == this->here.region
-                          ? group.settings.domain_transfer_ms_per_kib
-                          : group.settings.region_transfer_ms_per_kib;
+  const double rate = domain.region == this->here.region ? group.settings.domain_transfer_ms_per_kib
+                                                         : group.settings.region_transfer_ms_per_kib;
   return rate * kib;
 }
 
-backend_table::candidate backend_table::weigh(const service_group& group, const placement_request& request,
-                                              const std::shared_ptr<backend_state>& backend,
-                                              const backend_state* home, double utilisation, time_point now) {
-  const auto& estimate = this->estimate(*request.rule, request.service);
-  const auto slots = std::max(backend->declared().slots, 1);
-  const double slowness = backend->slowness(now) * (backend->is_cold(now) ? impl::cold_slowness : 1);
+backend_table::candidate backend_table::weigh(const service_group& group, const request_view& view,
+                                              const group_member& member, const group_member* home,
+                                              double utilisation) {
+  const auto& request = view.request;
+  const auto& backend = *member.backend;
+  const auto& domain = view.domains[member.domain];
+  const auto slots = std::max(backend.declared().slots, 1);
+  const double slowness = backend.slowness(view.now) * (backend.is_cold(view.now) ? impl::cold_slowness : 1);
   candidate weighed;
-  weighed.backend = backend;
-  weighed.expects = !request.object || backend->objects.contains(*request.object) ? warmth::known
-                    : backend.get() == home                                       ? warmth::presumed
-                                                                                  : warmth::none;
-  weighed.round_trip_ms = static_cast<double>(this->round_trip(*backend).ms);
-  weighed.work_ms = estimate.expected_ms(weighed.expects) * slowness;
-  const double ahead = backend->load(now) + backend->queue.count_ahead(request.rule->priority) + 1 - slots;
+  weighed.member = &member;
+  weighed.expects = !request.object || backend.objects.contains(*request.object) ? warmth::known
+                    : &member == home                                            ? warmth::presumed
+                                                                                 : warmth::none;
+  weighed.round_trip_ms = domain.round_trip_ms;
+  weighed.work_ms = view.estimate.expected_ms(weighed.expects) * slowness;
+  const double ahead = backend.load(view.now) + backend.queue.count_ahead(request.rule->priority) + 1 - slots;
   weighed.wait_ms = std::max(ahead, 0.0) * group.mean_work_ms * slowness / slots;
   const double miss =
-      weighed.expects == warmth::none ? (estimate.cold_ms() - estimate.warm_ms()) * slowness : 0;
+      weighed.expects == warmth::none ? (view.estimate.cold_ms() - view.estimate.warm_ms()) * slowness : 0;
   const double failure = request.repeatable ? impl::repeatable_failure_ms : impl::final_failure_ms;
   weighed.cost_ms = weighed.total_ms() + miss * group.settings.miss_penalty * std::min(utilisation, 1.0) +
-                    backend->failure_ratio(now) * failure +
-                    this->transfer_cost(group, *backend, estimate.answer_kib());
+                    backend.failure_ratio(view.now) * failure + domain.transfer_ms;
   return weighed;
 }
 
@@ -287,32 +305,33 @@
   if (found == this->services.end()) {
     return this->refuse(reason::no_backend, impl::most_retry_after, 0);
   }
-  auto& group = found->second;
-  auto usable_now = this->usable(group, request, now);
+  const auto& group = found->second;
+  const auto view = this->view(group, request, now);
+  auto usable_now = this->usable(group, view);
   this->follow_moves(request, usable_now);
   if (usable_now.empty()) {
     return this->refuse(reason::no_backend, impl::most_retry_after, 0);
   }
   double load = 0;
   double slots = 0;
-  for (const auto& backend : usable_now) {
-    load += backend->load(now) + static_cast<double>(backend->queue.size());
-    slots += backend->declared().slots;
+  for (const auto* const member : usable_now) {
+    load += member->backend->load(now) + static_cast<double>(member->backend->queue.size());
+    slots += member->backend->declared().slots;
   }
-  const auto homes = request.object ? this->homes_of(group, usable_now, request, now)
-                                    : std::vector<std::shared_ptr<backend_state>>{};
-  const auto* const home = homes.empty() ? nullptr : homes.front().get();
+  const auto homes = request.object ? homes_of(group, usable_now, view) : member_list{};
+  const auto* const home = homes.empty() ? nullptr : homes.front();
   const double left = static_cast<double>((request.deadline - now).ms);
   const double utilisation = load / std::max(slots, 1.0);
   std::optional<candidate> best;
   double soonest = 0;
-  const auto weigh_all = [&](const std::vector<std::shared_ptr<backend_state>>& among) {
-    for (const auto& backend : among) {
-      auto weighed = this->weigh(group, request, backend, home, utilisation, now);
+  const auto weigh_all = [&](const member_list& among) {
+    for (const auto* const member : among) {
+      const auto weighed = weigh(group, view, *member, home, utilisation);
       soonest = soonest == 0 ? weighed.total_ms() : std::min(soonest, weighed.total_ms());
-      const bool in_time = weighed.total_ms() <= left && backend->queue.size() < group.settings.queue_limit;
+      const bool in_time =
+          weighed.total_ms() <= left && member->backend->queue.size() < group.settings.queue_limit;
       if (in_time && (!best || weighed.cost_ms < best->cost_ms)) {
-        best = std::move(weighed);
+        best = weighed;
       }
     }
   };
@@ -325,14 +344,15 @@
   if (!best) {
     return this->refuse(reason::wait_exceeds_deadline, impl::to_duration(soonest - left), candidates);
   }
+  const auto& target = best->member->backend;
   placement_decision decision;
-  decision.target = best->backend;
+  decision.target = target;
   decision.expects = best->expects;
   decision.work = impl::to_duration(best->round_trip_ms + best->work_ms);
   decision.expected = impl::to_duration(best->total_ms());
-  decision.load = best->backend->load(now);
+  decision.load = target->load(now);
   decision.candidates = candidates;
-  const bool goes_now = best->backend->queue.empty() && this->has_room(*best->backend, now);
+  const bool goes_now = target->queue.empty() && this->has_room(*target, now);
   decision.action = goes_now ? placement_action::send : placement_action::wait;
   return decision;
 }
@@ -362,14 +382,6 @@
   return due;
 }
 
-std::vector<std::shared_ptr<backend_state>> backend_table::all() const {
-  std::vector<std::shared_ptr<backend_state>> found;
-  for (const auto& [id, backend] : this->backends) {
-    found.push_back(backend);
-  }
-  return found;
-}
-
 std::shared_ptr<backend_state> backend_table::find(const backend_id& id) const {
   const auto found = this->backends.find(id);
   return found == this->backends.end() ? nullptr : found->second;
