Move objects between regions in small steps as estimates change

Each step moved many objects at once, each node at another moment; shares between regions were bounded by nothing in the code. Change: the weight falls evenly between 0.8 and 1.0 of the target; the size that homes depend on changes only with a real change of the mean. Two tests that failed first: a step of 5 ms moved 0.14 of the objects, now at most 0.05.

--- a/packages/routing/include/zinnia/routing/work_estimate.hpp
+++ b/packages/routing/include/zinnia/routing/work_estimate.hpp
@@ -28,6 +28,8 @@
   /// \brief Never below the warm time.
   [[nodiscard]] double cold_ms() const noexcept;
   [[nodiscard]] double answer_kib() const noexcept { return this->answer.value; }
+  /// \brief The answer's size as it was when it last changed by much; homes of objects depend on it.
+  [[nodiscard]] double settled_answer_kib() const noexcept { return this->settled; }
 
  private:
   /// A mean of the first values that turns into a running average.
@@ -43,6 +45,7 @@
   // Part of the presumed ones that were warm; at first nobody has warmed anything.
   average presumed_warm{0};
   average answer{4};
+  double settled{4};
 };
 
 }  // namespace zinnia
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -29,8 +29,11 @@
 constexpr double used_cold_rate = 0.8;
 /// Cost of moving an answer's bytes that halves a server's share of the homes.
 constexpr double transfer_halving_ms = 20;
-/// Part of a route's latency target that distance and work may take for a server to be a full home.
-constexpr double used_latency_part = 0.9;
+/// Part of a route's latency target that distance and work may take for a server to be a full home, and the
+/// part from which on it is hardly one; between them its share falls evenly, as a step would move many
+/// objects at once.
+constexpr double full_home_latency_part = 0.8;
+constexpr double hardly_home_latency_part = 1.0;
 /// Share of the homes that a server beyond that keeps.
 constexpr double too_far_part = 0.1;
 /// Utilisation of a service up to which objects may leave their homes; above it misses would feed on
@@ -42,6 +45,12 @@
 constexpr duration least_retry_after{50};
 constexpr duration most_retry_after{1000};
 
+/// Share of its weight that a server keeps whose answers take this part of the latency target.
+[[nodiscard]] double in_time_part(double used) noexcept {
+  const double beyond = (used - full_home_latency_part) / (hardly_home_latency_part - full_home_latency_part);
+  return 1 - (1 - too_far_part) * std::clamp(beyond, 0.0, 1.0);
+}
+
 [[nodiscard]] duration to_duration(double ms) noexcept {
   return {static_cast<std::int64_t>(std::llround(ms))};
 }
@@ -227,13 +236,11 @@
   }
   const bool same_region = domain.region == this->here.region;
   const double weight = same_region ? group.settings.own_region_weight : group.settings.other_region_weight;
-  // Rounded, so that nodes whose averages differ a little still rank alike.
-  const double kib = std::exp2(std::round(std::log2(std::max(estimate.answer_kib(), 1.0))));
-  const double bytes_part = 1 / (1 + this->transfer_cost(group, domain, kib) / impl::transfer_halving_ms);
-  const auto soonest = static_cast<double>(this->round_trip_to(domain.id).ms) + estimate.warm_ms();
-  const bool in_time =
-      soonest < impl::used_latency_part * static_cast<double>(request.rule->target_latency.ms);
-  return weight * bytes_part * (in_time ? 1 : impl::too_far_part);
+  const double transfer_ms = this->transfer_cost(group, domain, estimate.settled_answer_kib());
+  const double bytes_part = 1 / (1 + transfer_ms / impl::transfer_halving_ms);
+  const auto target = static_cast<double>(std::max<std::int64_t>(request.rule->target_latency.ms, 1));
+  const double used = (static_cast<double>(this->round_trip_to(domain.id).ms) + estimate.warm_ms()) / target;
+  return weight * bytes_part * impl::in_time_part(used);
 }
 
 backend_table::member_list backend_table::homes_of(const service_group& group, const member_list& among,
--- a/packages/routing/src/work_estimate.cpp
+++ b/packages/routing/src/work_estimate.cpp
@@ -2,6 +2,7 @@
 #include "zinnia/routing/work_estimate.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinnia {
 namespace impl {
@@ -9,6 +10,11 @@
 
 /// Samples after which the mean turns into a running average; some seconds of one route at one node.
 constexpr int settled_count = 30;
+/// A change of the mean size by this factor is more than its noise: several standard deviations of a mean of
+/// 30 sizes that vary by 0.6 of themselves.
+constexpr double real_change = 1.6;
+/// Sizes below this count as equal.
+constexpr double least_kib = 1;
 
 }  // namespace
 }  // namespace impl
@@ -46,6 +52,11 @@
 
 void work_estimate::note_answer(double kib) noexcept {
   this->answer.note(kib);
+  const double ratio =
+      std::max(this->answer.value, impl::least_kib) / std::max(this->settled, impl::least_kib);
+  if (this->answer.count < impl::settled_count || std::abs(std::log(ratio)) > std::log(impl::real_change)) {
+    this->settled = this->answer.value;
+  }
 }
 
 double work_estimate::cold_ms() const noexcept {
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -1,6 +1,7 @@
 // Placement under the loads that it answers: affinity, overload, slow and failing servers, cold ones, drains.
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <random>
 
 #include "zinnia/routing/backend_table.hpp"
@@ -31,6 +32,12 @@
     backend.slots = slots;
     return this->snapshot.backends[backend.id] = backend;
   }
+  void use_tree(const std::string& settings) {
+    auto tree = settings_tree::parse(
+        {"e", "t", settings + "places: {near: {domains: {near-a: {}, near-b: {}}}}\n", {}}, "t");
+    ASSERT_TRUE(tree) << tree.last_error().describe();
+    this->snapshot.tree = std::make_shared<const settings_tree>(std::move(tree).value());
+  }
   void apply() {
     ++this->snapshot.sequence;
     this->table.apply(this->snapshot, this->now);
@@ -184,15 +191,8 @@
 }
 
 TEST_F(placement, large_answers_stay_near) {
-  auto tree = settings_tree::parse(
-      {"e",
-       "t",
-       "settings: {own_domain_weight: 4, own_region_weight: 4, domain_transfer_us_per_kib: 8000}\n"
-       "places: {near: {domains: {near-a: {}, near-b: {}}}}\n",
-       {}},
-      "t");
-  ASSERT_TRUE(tree) << tree.last_error().describe();
-  this->snapshot.tree = std::make_shared<const settings_tree>(std::move(tree).value());
+  this->use_tree(
+      "settings: {own_domain_weight: 4, own_region_weight: 4, domain_transfer_us_per_kib: 8000}\n");
   for (int i = 0; i < 4; ++i) {
     this->add("a" + std::to_string(i), near_a);
     this->add("b" + std::to_string(i), near_b);
@@ -212,6 +212,46 @@
   EXPECT_GT(near_part(), std::max(before, 180));
 }
 
+/// Estimates change a little all the time; the part of the objects at home in another region must not jump.
+/// The users bear a change of 0.15 (`maxShift`) within 2 s, in which an estimate changes by far more than one
+/// step here.
+TEST_F(placement, shares_between_regions_follow_estimates_in_small_steps) {
+  this->use_tree("settings: {own_domain_weight: 2, own_region_weight: 2}\n");
+  for (int i = 0; i < 4; ++i) {
+    this->add("n" + std::to_string(i), near_a);
+    this->add("f" + std::to_string(i), far_a);
+    this->add("g" + std::to_string(i), far_a);
+  }
+  this->apply();
+  const auto far_part = [this] {
+    int count = 0;
+    constexpr int objects = 1000;
+    for (std::uint64_t object = 0; object < objects; ++object) {
+      count += this->chosen(object).starts_with("n") ? 0 : 1;
+    }
+    return static_cast<double>(count) / objects;
+  };
+  constexpr double most_change = 0.15;
+  const auto check = [&](const char* what, const std::function<void(double)>& learn, double from, double to,
+                         double step) {
+    for (int i = 0; i < 300; ++i) {
+      learn(from);
+    }
+    double before = far_part();
+    for (double value = from; value < to; value += step) {
+      learn(value);
+      const double part = far_part();
+      EXPECT_LE(std::abs(part - before), most_change / 3) << what << " " << value;
+      before = part;
+    }
+  };
+  auto& estimate = this->table.estimate(this->rule, desk);
+  check(
+      "warm work, ms", [&](double ms) { estimate.note_work(warmth::known, ms); }, 100, 400, 5);
+  check(
+      "answer, KiB", [&](double kib) { estimate.note_answer(kib); }, 20, 200, 2);
+}
+
 TEST_F(placement, avoids_slow_and_failing_servers) {
   this->add("good", near_a);
   this->add("bad", near_a);
--- a/packages/routing/tests/tables_test.cpp
+++ b/packages/routing/tests/tables_test.cpp
@@ -1,6 +1,9 @@
 // Routes, queues, memories, budgets, splits and snapshots, each by small tables.
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <random>
+
 #include "zinnia/routing/object_memory.hpp"
 #include "zinnia/routing/rendezvous_score.hpp"
 #include "zinnia/routing/retry_allowance.hpp"
@@ -106,6 +109,29 @@
   EXPECT_EQ(memory.size(), 3U);
 }
 
+/// Homes depend on the size of answers; where it wavers about any value, they must stay.
+TEST(work_estimate, a_settled_size_stays_while_the_average_wavers) {
+  for (const double mean : {5.0, 45.0, 90.0, 91.0, 128.0}) {
+    work_estimate estimate;
+    std::mt19937 random{7};
+    std::lognormal_distribution<> sizes{std::log(mean), 0.6};
+    for (int i = 0; i < 200; ++i) {
+      estimate.note_answer(sizes(random));
+    }
+    const double settled = estimate.settled_answer_kib();
+    int changes = 0;
+    for (int i = 0; i < 2000; ++i) {
+      estimate.note_answer(sizes(random));
+      changes += estimate.settled_answer_kib() != settled ? 1 : 0;
+    }
+    EXPECT_EQ(changes, 0) << mean;
+    for (int i = 0; i < 300; ++i) {
+      estimate.note_answer(3 * mean);
+    }
+    EXPECT_NEAR(estimate.settled_answer_kib(), 3 * mean, mean) << "it follows a real change";
+  }
+}
+
 TEST(work_estimate, keeps_warm_and_cold_work_apart) {
   work_estimate estimate;
   for (int i = 0; i < 100; ++i) {
