Keep the soak's proxies until their thread has ended, and its nodes' ports their own

Change: the thread ends first; each node has a loopback address of its own, which outgoing connections do not use.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -64,21 +64,32 @@
   }
 }
 
-/// Writes data and a script for gnuplot beside the picture, and the picture if gnuplot is there.
+/// Writes data and a script for gnuplot beside the picture.
 void plot(const std::string& file, const scenario& what, const std::vector<row>& rows) {
   std::ofstream data{file + ".dat"};
   for (const auto& row : rows) {
-    data << '"' << to_word(row.which) << "\" " << row.mean([](const outcome& run) { return run.share(); })
-         << ' ' << row.mean([](const outcome& run) { return least(run.by_domain); }) << '\n';
+    data << '"' << to_word(row.which) << '"';
+    for (const double value : {row.mean([](const outcome& run) { return run.share(); }),
+                               row.mean([](const outcome& run) { return least(run.by_domain); }),
+                               row.mean([](const outcome& run) { return least(run.by_class); }),
+                               row.mean([](const outcome& run) { return run.percentile(0.5); }),
+                               row.mean([](const outcome& run) { return run.percentile(0.9); }),
+                               row.mean([](const outcome& run) { return run.percentile(0.99); })}) {
+      data << ' ' << value;
+    }
+    data << '\n';
   }
   std::ofstream script{file + ".gnuplot"};
-  script << "set terminal svg size 800,400\nset output '" << file << "'\nset title '" << what.name
-         << "'\nset style data histograms\nset style fill solid 0.6\nset yrange [0:1]\nset ylabel 'part of "
-            "the credit owed'\n"
-         << "plot '" << file
-         << ".dat' using 2:xtic(1) title 'all callers', '' using 3 title 'worst failure domain'\n";
-  script.close();
-  std::cerr << "plot with: gnuplot " << file << ".gnuplot\n";
+  script << "set terminal svg size 1000,400\nset output '" << file << "'\nset multiplot layout 1,2 title '"
+         << what.name << "'\nset style data histograms\nset style fill solid 0.6\nset xtics rotate by -30\n"
+         << "set yrange [0:1]\nset ylabel 'part of the credit owed'\nplot '" << file
+         << ".dat' using 2:xtic(1) title 'all callers', '' using 3 title 'worst failure domain', '' using 4 "
+            "title "
+            "'worst kind'\n"
+         << "set yrange [10:*]\nset logscale y\nset ylabel 'latency, ms'\nplot '" << file
+         << ".dat' using 5:xtic(1) title 'p50', '' using 6 title 'p90', '' using 7 title 'p99'\nunset "
+            "multiplot\n";
+  std::cerr << "draw with: gnuplot " << file << ".gnuplot\n";
 }
 
 }  // namespace
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -34,9 +34,10 @@
   std::array<std::array<char, impl::piece_bytes>, 2> pieces{};
 };
 
-fault_proxy::fault_proxy(boost::asio::io_context& context_in, std::uint16_t target_port)
+fault_proxy::fault_proxy(boost::asio::io_context& context_in, const std::string& target_ip,
+                         std::uint16_t target_port)
     : context{context_in},
-      target{impl::asio::ip::address_v4::loopback(), target_port},
+      target{impl::asio::ip::make_address_v4(target_ip), target_port},
       listening{context_in, {impl::asio::ip::address_v4::loopback(), 0}} {
   this->accept();
 }
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <set>
+#include <string>
 
 namespace zinnia::soak {
 
@@ -22,12 +23,13 @@
   silent_answers,
 };
 
-/// \brief   Passes connections on to a port of this machine.
-/// \details Runs on the thread of its context; `set` may be called from any thread. Ended by stopping the
-/// context.
+/// \brief   Passes connections on to an address of this machine.
+/// \details Runs on the thread of its context, which must have ended before the proxy is destroyed; `set` may
+/// be
+///          called from any thread.
 class fault_proxy {
  public:
-  fault_proxy(boost::asio::io_context& context_in, std::uint16_t target_port);
+  fault_proxy(boost::asio::io_context& context_in, const std::string& target_ip, std::uint16_t target_port);
 
   [[nodiscard]] std::uint16_t port() const { return this->listening.local_endpoint().port(); }
   void set(link_state state_in);
--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -26,15 +26,24 @@
 constexpr std::chrono::milliseconds wait_poll{10};
 constexpr int read_write = 0644;
 
-[[nodiscard]] std::string address(std::uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
+[[nodiscard]] std::string address(const std::string& ip, std::uint16_t port) {
+  return ip + ':' + std::to_string(port);
+}
+
+/// An address in 127.0.0.0/8 that no other soak running now uses.
+[[nodiscard]] std::string address_of(int node) {
+  constexpr int octet = 250;
+  const int process = getpid();
+  return "127." + std::to_string(1 + process / octet % octet) + '.' + std::to_string(1 + process % octet) +
+         '.' + std::to_string(1 + node);
 }
 
 }  // namespace
 }  // namespace impl
 
-node_ports pick_ports() {
+node_ports pick_ports(int node) {
   node_ports ports;
+  ports.ip = impl::address_of(node);
   std::vector<int> held;
   for (auto* const port :
        {&ports.callers, &ports.readiness, &ports.directory, &ports.operators, &ports.peers}) {
@@ -42,7 +51,7 @@
     held.push_back(one);
     sockaddr_in any{};
     any.sin_family = AF_INET;
-    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, ports.ip.c_str(), &any.sin_addr);
     socklen_t size = sizeof any;
     if (bind(one, reinterpret_cast<const sockaddr*>(&any), size) == 0 &&
         getsockname(one, reinterpret_cast<sockaddr*>(&any), &size) == 0) {
@@ -71,15 +80,15 @@
                                  "--domain",
                                  this->how.domain,
                                  "--store",
-                                 impl::address(this->how.store_port),
+                                 impl::address("127.0.0.1", this->how.store_port),
                                  "--listen-callers",
-                                 impl::address(ports.callers),
+                                 impl::address(ports.ip, ports.callers),
                                  "--listen-ready",
-                                 impl::address(ports.readiness),
+                                 impl::address(ports.ip, ports.readiness),
                                  "--listen-directory",
-                                 impl::address(ports.directory),
+                                 impl::address(ports.ip, ports.directory),
                                  "--listen-operators",
-                                 impl::address(ports.operators),
+                                 impl::address(ports.ip, ports.operators),
                                  "--peer-port",
                                  std::to_string(ports.peers),
                                  "--cpu-milli",
--- a/soak/node_process.hpp
+++ b/soak/node_process.hpp
@@ -10,8 +10,11 @@
 
 namespace zinnia::soak {
 
-/// \brief Where a node listens on the loopback address.
+/// \brief   Where a node listens.
+/// \details Each node has a loopback address of its own: connections that others make come from 127.0.0.1 and
+///          cannot take its ports while it is down.
 struct node_ports {
+  std::string ip;
   std::uint16_t callers{0};
   std::uint16_t readiness{0};
   std::uint16_t directory{0};
@@ -20,8 +23,8 @@
   std::uint16_t peers{0};
 };
 
-/// \brief Five ports that were free a moment ago.
-[[nodiscard]] node_ports pick_ports();
+/// \brief An address for a node of this process, and five ports that the kernel found free there.
+[[nodiscard]] node_ports pick_ports(int node);
 
 struct node_start {
   std::string program;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -38,6 +38,7 @@
 constexpr int recovery_limit_ms = 30'000;
 /// Pauses of the whole machine are of no interest before and after a disturbance.
 constexpr milliseconds disturbance_margin{3500};
+constexpr const char* loopback = "127.0.0.1";
 constexpr int caller_deadline_ms = 1200;
 constexpr int caller_limit_ms = 3000;
 constexpr int callers_per_node = 3;
@@ -91,7 +92,7 @@
   soak(soak&&) = delete;
   soak& operator=(soak&&) = delete;
   ~soak() {
-    this->nodes.clear();
+    // The proxies are used by the network's thread until it has ended.
     this->context.stop();
     this->network.join();
   }
@@ -151,19 +152,20 @@
       auto made = std::make_unique<server_under_test>();
       made->server =
           std::make_unique<backend>(this->book, this->store, "b" + std::to_string(i), i % 2 == 0 ? "a" : "b");
-      made->proxy = std::make_unique<fault_proxy>(this->context, made->server->port());
+      made->proxy = std::make_unique<fault_proxy>(this->context, loopback, made->server->port());
       made->server->enter(made->proxy->port());
       this->servers.push_back(std::move(made));
     }
     for (int i = 0; i < this->options.nodes; ++i) {
       auto made = std::make_unique<node_under_test>();
       const auto name = "n" + std::to_string(i);
-      made->store = std::make_unique<fault_proxy>(this->context, this->store_server.port());
+      made->store = std::make_unique<fault_proxy>(this->context, loopback, this->store_server.port());
       // Two large nodes, the rest stand by in the same failure domain or serve in the other one.
       made->process = std::make_unique<node_process>(
-          node_start{this->options.program, name, "r", i < 3 ? "a" : "b", i != 2, pick_ports(),
+          node_start{this->options.program, name, "r", i < 3 ? "a" : "b", i != 2, pick_ports(i),
                      made->store->port(), this->options.directory + "/" + name + ".log"});
-      made->callers = std::make_unique<fault_proxy>(this->context, made->process->started().ports.callers);
+      made->callers = std::make_unique<fault_proxy>(this->context, made->process->started().ports.ip,
+                                                    made->process->started().ports.callers);
       made->process->start();
       this->nodes.push_back(std::move(made));
     }
@@ -344,7 +346,8 @@
     for (auto& node : this->nodes) {
       const auto end = clock::now() + milliseconds{recovery_limit_ms};
       http_call question;
-      question.url = absl::StrCat("http://127.0.0.1:", node->process->started().ports.readiness, "/");
+      const auto& ports = node->process->started().ports;
+      question.url = absl::StrCat("http://", ports.ip, ":", ports.readiness, "/");
       constexpr long status_ok = 200;
       while (perform(question).status != status_ok) {
         if (clock::now() > end) {
