Spread heartbeats over large failure domains, and let four nodes of a domain watch

Cause: in a domain with more nodes than a node has peers (24) all sent their heartbeats to the same 24 by name, so that the rest heard nobody: their directory named only themselves. Change: heartbeats go to the nodes that follow in a ring of names; beyond four serving nodes that watch in a domain the others follow these, in one order, so that no two wait for each other. Tests: every_node_of_a_large_domain_is_heard_by_as_many (before: 24 heard by 85, 62 by none), of_many_equal_nodes_four_watch.

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -84,7 +84,8 @@
                {}},
               time_point{0});
   }
-  member_beat beat{node_id{"n1"}, incarnation_id{"run"}, true, false, {}, false, {}};
+  member_beat beat{node_id{"n1"}, incarnation_id{"run"},         true, false, {},
+                   true,          std::vector<object_version>(5)};
   const auto datagram = encode_beat(beat);
   const double hear = time_us(2000, [&](int) { table.on_beat(*decode_beat(datagram), time_point{0}); });
   const double alive = time_us(20, [&](int) { static_cast<void>(table.alive(time_point{0})); });
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -78,8 +78,9 @@
   /// \brief Regions in which nodes are registered, alive or not.
   [[nodiscard]] std::set<region_id> staffed_regions() const;
   /// \brief   The node from which this one should hear of changes in the store.
-  /// \details One of its failure domain that serves and watches; nothing if this node serves itself, so that
-  ///          those who carry callers depend on nobody. Looks at the marks of the last call of `alive`.
+  /// \details One of its failure domain that serves and watches. Nothing if this node serves itself, so that
+  ///          those who carry callers depend on nobody, unless enough others watch already. Looks at the
+  ///          marks of the last call of `alive`.
   [[nodiscard]] std::optional<member> news_source(time_point now) const;
   /// \brief Whether a watching node nearby has heard of a change that is not known here.
   /// \param known For each kind the version up to which everything is known.
@@ -132,6 +133,9 @@
 inline constexpr duration forget_unheard_after{60'000};
 /// \brief Most nodes that one node sends heartbeats to.
 inline constexpr std::size_t most_heartbeat_peers = 24;
+/// \brief Serving nodes of a failure domain that watch the store before further ones follow them; two may
+/// fail with two left to tell of changes.
+inline constexpr std::size_t most_watching = 4;
 /// \brief Most addresses that one answer to a caller names.
 inline constexpr std::size_t most_named_addresses = 64;
 
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -2,6 +2,7 @@
 #include "zinnia/membership/member_table.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "zinnia/core/rendezvous.hpp"
@@ -15,6 +16,12 @@
   return a.domain == b.domain ? 0 : a.region == b.region ? 1 : 2;
 }
 
+/// Sorts a node's peers: the nearest first, among them those that follow it in a ring of all names. A ring,
+/// so that in a large domain every node is heard by as many others.
+[[nodiscard]] std::tuple<int, bool, const node_id&> peer_order(const member& from, const member& to) {
+  return {distance(from.where, to.where), to.id < from.id, to.id};
+}
+
 }  // namespace
 }  // namespace impl
 
@@ -105,21 +112,28 @@
 }
 
 std::vector<member> member_table::peers() const {
-  std::vector<member> others;
   const auto own = this->members.find(this->self);
-  const place here = own == this->members.end() ? place{} : own->second.registered.where;
+  if (own == this->members.end()) {
+    // Not in the register yet: nobody can make use of a heartbeat.
+    return {};
+  }
+  const auto& here = own->second.registered;
+  std::vector<const member*> others;
   for (const auto& [id, known] : this->members) {
     if (id != this->self) {
-      others.push_back(known.registered);
+      others.push_back(&known.registered);
     }
   }
-  std::stable_sort(others.begin(), others.end(), [&](const member& a, const member& b) {
-    return impl::distance(a.where, here) < impl::distance(b.where, here);
-  });
-  if (others.size() > most_heartbeat_peers) {
-    others.resize(most_heartbeat_peers);
+  const auto count = std::min(others.size(), most_heartbeat_peers);
+  std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count), others.end(),
+                    [&](const member* a, const member* b) {
+                      return impl::peer_order(here, *a) < impl::peer_order(here, *b);
+                    });
+  std::vector<member> chosen;
+  for (std::size_t i = 0; i < count; ++i) {
+    chosen.push_back(*others[i]);
   }
-  return others;
+  return chosen;
 }
 
 bool member_table::hears(const member& other) const {
@@ -127,10 +141,9 @@
   if (own == this->members.end()) {
     return false;
   }
-  const std::pair here{impl::distance(own->second.registered.where, other.where), this->self};
+  const auto here = impl::peer_order(other, own->second.registered);
   const auto nearer = std::count_if(this->members.begin(), this->members.end(), [&](const auto& one) {
-    return one.first != other.id &&
-           std::pair{impl::distance(one.second.registered.where, other.where), one.first} < here;
+    return one.first != other.id && impl::peer_order(other, one.second.registered) < here;
   });
   return static_cast<std::size_t>(nearer) < most_heartbeat_peers;
 }
@@ -164,12 +177,19 @@
 
 std::optional<member> member_table::news_source(time_point now) const {
   const auto chosen = this->serving.find(this->own_domain());
-  if (chosen == this->serving.end() || chosen->second.contains(this->self)) {
+  if (chosen == this->serving.end()) {
     return std::nullopt;
   }
+  const bool serves = chosen->second.contains(this->self);
+  const auto own_rank = stable_hash(this->self.str());
   std::optional<member> source;
   std::uint64_t best = 0;
+  std::size_t sources = 0;
   for (const auto& id : chosen->second) {
+    // Nodes that serve follow in one order only, so that no two wait for each other.
+    if (serves && stable_hash(id.str()) >= own_rank) {
+      continue;
+    }
     const auto found = this->members.find(id);
     if (found == this->members.end() || !found->second.watching ||
         !this->takes_requests(id, found->second, now)) {
@@ -181,8 +201,9 @@
       source = found->second.registered;
       best = weight;
     }
+    ++sources;
   }
-  return source;
+  return serves && sources < most_watching ? std::nullopt : source;
 }
 
 bool member_table::is_behind(const std::vector<object_version>& known, time_point now) const {
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -118,6 +118,25 @@
   EXPECT_TRUE(this->table.to_forget(this->now).empty());
 }
 
+/// In a domain with more nodes than a node has peers, each one must be heard by some.
+TEST_F(members, every_node_of_a_large_domain_is_heard_by_as_many) {
+  constexpr int nodes = 86;
+  std::map<node_id, int> heard_by;
+  const auto name = [](int i) { return "n" + std::to_string(100 + i); };
+  for (int i = 0; i < nodes; ++i) {
+    member_table one{node_id{name(i)}};
+    for (int k = 0; k < nodes; ++k) {
+      one.add(make_member(name(k), far_a), this->now);
+    }
+    for (const auto& peer : one.peers()) {
+      ++heard_by[peer.id];
+    }
+  }
+  for (int i = 0; i < nodes; ++i) {
+    EXPECT_EQ(heard_by[node_id{name(i)}], static_cast<int>(most_heartbeat_peers)) << i;
+  }
+}
+
 TEST_F(members, heartbeats_go_to_the_nearest_within_a_bound) {
   for (int i = 0; i < 40; ++i) {
     this->table.add(make_member("x" + std::to_string(i), i < 10 ? near_b : far_a), this->now);
--- a/packages/membership/tests/news_source_test.cpp
+++ b/packages/membership/tests/news_source_test.cpp
@@ -1,6 +1,8 @@
 // From whom a node that stands by hears of changes, and when it must not rely on that.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "zinnia/membership/member_table.hpp"
 
 using namespace zinnia;
@@ -63,6 +65,35 @@
   EXPECT_EQ(this->source(), "");
 }
 
+/// Equal nodes all serve. Four of them watch; the others follow these, and nobody follows one that may follow
+/// it.
+TEST(news_sources, of_many_equal_nodes_four_watch) {
+  constexpr int nodes = 12;
+  const auto name = [](int i) { return "n" + std::to_string(i); };
+  const time_point now{10'000};
+  std::vector<bool> watching(nodes, true);
+  std::vector<std::string> followed(nodes);
+  // Each node decides in turn, as heartbeats tell of the others' choices.
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < nodes; ++i) {
+      member_table table{node_id{name(i)}};
+      for (int k = 0; k < nodes; ++k) {
+        table.add({node_id{name(k)}, here, "", {}, "", incarnation_id{"1"}, {}}, now);
+        table.on_beat({node_id{name(k)}, incarnation_id{"1"}, true, false, {}, watching[k], {}}, now);
+      }
+      table.set_self(true, false, {});
+      static_cast<void>(table.alive(now));
+      const auto source = table.news_source(now);
+      watching[i] = !source;
+      followed[i] = source ? source->id.str() : "";
+    }
+  }
+  EXPECT_EQ(std::count(watching.begin(), watching.end(), true), 4);
+  for (int i = 0; i < nodes; ++i) {
+    EXPECT_TRUE(followed[i].empty() || watching[std::stoi(followed[i].substr(1))]) << i;
+  }
+}
+
 TEST_F(news_source, tells_of_changes_that_others_have_heard) {
   this->hear("far", true, 9);
   EXPECT_TRUE(this->is_behind(8));
