--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -35,7 +35,7 @@
 
 std::string ledger::on_run(const sent_request& seen, const std::string& backend) {
   const absl::MutexLock lock{&this->mutex};
-  const auto stamp = absl::StrCat(backend, ".", this->next_stamp++);
+  auto stamp = absl::StrCat(backend, ".", this->next_stamp++);
   const auto found = this->records.find(seen.id);
   if (found == this->records.end()) {
     this->findings.push_back(absl::StrCat("a request that nobody sent ran: '", seen.id, "' at ", stamp));
--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -17,8 +17,6 @@
 #include <thread>
 #include <vector>
 
-extern char** environ;
-
 namespace zinnia::soak {
 namespace impl {
 namespace {
