Deliver whole responses, and follow servers, places and entries that change

A pool kept the first address of a server's id, an unreadable address became 0.0.0.0, a health check could end twice.

Change: writes in pieces, with time-outs from the last progress and the caller's deadline; lingering counts from delivery; the stop waits for undelivered output, bounded by its own limit; a response that the caller still reads outlasts the timeout. The rest as listed, each with a test.

Not done: a trace of the refusals during drains with restarts.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -84,8 +84,11 @@
   friend class request_flow;
   friend class health_check;
 
-  /// Returns the backend server's pool and creates it on first use.
-  [[nodiscard]] backend_pool& pool_for(const backend_state& backend);
+  /// Returns the pool for the backend server's current address, created on first use; null if the address
+  /// cannot be read.
+  [[nodiscard]] backend_pool* pool_for(const backend_state& backend);
+  /// Returns a connection to the pool that lent it.
+  void release_connection(const backend_state& backend, std::shared_ptr<backend_connection> connection);
   /// Returns the number of connections that this node may have to the backend server.
   [[nodiscard]] std::size_t connection_limit(const backend_state& backend) const;
   /// Sends queued requests while the backend server has room.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -110,16 +110,34 @@
   flow->start();
 }
 
-backend_pool& gateway::pool_for(const backend_state& backend) {
+backend_pool* gateway::pool_for(const backend_state& backend) {
   const auto& declared = backend.declared();
+  boost::system::error_code problem;
+  const auto ip = boost::asio::ip::make_address_v4(declared.address.ip, problem);
+  if (problem) {
+    log_line{log_level::error, "backend_address_unreadable"}
+        .field("backend", declared.id.str())
+        .field("address", declared.address.str());
+    return nullptr;
+  }
+  const boost::asio::ip::tcp::endpoint address{ip, declared.address.port};
   auto& pool = this->pools[declared.id];
   if (pool == nullptr) {
-    boost::system::error_code problem;
-    const auto address = boost::asio::ip::make_address_v4(declared.address.ip, problem);
-    pool = std::make_unique<backend_pool>(
-        this->context, boost::asio::ip::tcp::endpoint{address, declared.address.port}, this->clock);
+    pool = std::make_unique<backend_pool>(this->context, address, this->clock);
+  } else if (pool->endpoint() != address) {
+    log_line{log_level::info, "backend_address_changed"}
+        .field("backend", declared.id.str())
+        .field("address", declared.address.str());
+    pool->set_endpoint(address);
+  }
+  return pool.get();
+}
+
+void gateway::release_connection(const backend_state& backend,
+                                 std::shared_ptr<backend_connection> connection) {
+  if (const auto pool = this->pools.find(backend.declared().id); pool != this->pools.end()) {
+    pool->second->release(std::move(connection));
   }
-  return *pool;
 }
 
 std::size_t gateway::connection_limit(const backend_state& backend) const {
@@ -201,9 +219,13 @@
 void gateway::start_health_checks() {
   for (const auto& backend : this->backends.due_for_health_check(this->clock.now())) {
     const auto* const service = this->backends.service(backend->declared().service);
+    const auto* const pool = this->pool_for(*backend);
+    if (service == nullptr || pool == nullptr) {
+      continue;
+    }
     auto& check = this->health_checks[backend->declared().id];
-    if (service != nullptr && check == nullptr) {
-      check = std::make_unique<health_check>(*this, backend, service->health_path);
+    if (check == nullptr) {
+      check = std::make_unique<health_check>(*this, backend, pool->endpoint(), service->health_path);
     }
   }
 }
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -20,12 +20,11 @@
 }  // namespace impl
 
 health_check::health_check(gateway& owner_in, std::shared_ptr<backend_state> backend_in,
-                           const std::string& path)
+                           const boost::asio::ip::tcp::endpoint& address, const std::string& path)
     : owner{owner_in}, backend{std::move(backend_in)}, timeout_timer{owner_in.context} {
   this->backend->on_health_check_started();
   const auto& declared = this->backend->declared();
-  this->connection = std::make_shared<backend_connection>(
-      this->owner.context, this->owner.pool_for(*this->backend).endpoint(), this->owner.clock);
+  this->connection = std::make_shared<backend_connection>(this->owner.context, address, this->owner.clock);
   this->timeout_timer.expires_after(impl::health_check_timeout);
   this->timeout_timer.async_wait([this](const boost::system::error_code& stopped) {
     if (!stopped) {
@@ -56,6 +55,10 @@
 }
 
 void health_check::finish(bool is_healthy) {
+  if (this->finished) {
+    return;
+  }
+  this->finished = true;
   this->connection->cancel();
   this->timeout_timer.cancel();
   this->backend->on_health_check(is_healthy, this->cold_left, this->owner.clock.now());
--- a/packages/gateway/src/health_check.hpp
+++ b/packages/gateway/src/health_check.hpp
@@ -14,7 +14,8 @@
 /// \details Removes itself from the gateway's health checks when it has finished.
 class health_check final : public backend_call_handler {
  public:
-  health_check(gateway& owner_in, std::shared_ptr<backend_state> backend_in, const std::string& path);
+  health_check(gateway& owner_in, std::shared_ptr<backend_state> backend_in,
+               const boost::asio::ip::tcp::endpoint& address, const std::string& path);
   ~health_check() override;
   health_check(const health_check&) = delete;
   health_check& operator=(const health_check&) = delete;
@@ -33,6 +34,8 @@
   std::shared_ptr<backend_connection> connection;
   boost::asio::steady_timer timeout_timer;
   bool healthy{false};
+  // The result is reported once, by the timeout or by the end of the call, whichever comes first.
+  bool finished{false};
   // Time for which the server says that it is still cold.
   duration cold_left{0};
 };
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t max_held_response_bytes = 64 << 10;
 /// A request is retried after up to this many failed connects, which do not count as attempts.
 constexpr int max_connect_failures = 2;
+/// Interval between checks of a response that the caller is still reading after the deadline.
+constexpr std::chrono::milliseconds late_read_check_period{250};
 /// Time in ms that a queued request waits beyond the expected wait before it is placed again.
 constexpr duration overdue_slack{40};
 /// Retry-After, in ms, if no attempt ran, for instance because a server had no room: about the time that one
@@ -69,6 +71,7 @@
       this->deadline = std::min(this->deadline, this->arrived_at + duration{*ms});
     }
   }
+  this->exchange->set_deadline(this->deadline);
   const auto key = find_field(fields, field_names.object_key);
   if (this->matched_route.sticky && key) {
     this->object_hash =
@@ -82,12 +85,7 @@
   const auto self = this->shared_from_this();
   this->exchange->on_disconnect = [self] { self->on_caller_left(); };
   const auto left = this->deadline - this->owner.clock.now();
-  this->deadline_timer.expires_after(std::chrono::milliseconds{std::max<std::int64_t>(left.ms, 0)});
-  this->deadline_timer.async_wait([self](const boost::system::error_code& stopped) {
-    if (!stopped) {
-      self->on_deadline();
-    }
-  });
+  this->start_deadline_timer(std::chrono::milliseconds{std::max<std::int64_t>(left.ms, 0)});
   if (this->idempotent) {
     this->place_request();
     return;
@@ -101,6 +99,16 @@
   });
 }
 
+void request_flow::start_deadline_timer(std::chrono::milliseconds after) {
+  this->deadline_timer.expires_after(after);
+  this->deadline_timer.async_wait(
+      [self = this->shared_from_this()](const boost::system::error_code& stopped) {
+        if (!stopped) {
+          self->on_deadline();
+        }
+      });
+}
+
 void request_flow::place_request() {
   const auto now = this->owner.clock.now();
   placement_request request;
@@ -175,7 +183,8 @@
 
 void request_flow::send() {
   const auto& target = this->decision.target;
-  this->connection = this->owner.pool_for(*target).acquire(this->owner.connection_limit(*target));
+  auto* const pool = this->owner.pool_for(*target);
+  this->connection = pool == nullptr ? nullptr : pool->acquire(this->owner.connection_limit(*target));
   if (this->connection == nullptr) {
     this->tried_backends.push_back(target->declared().id);
     this->place_request();
@@ -277,7 +286,7 @@
   if (const auto connected = this->connection->connect_time()) {
     this->owner.backends.record_round_trip(*target, *connected);
   }
-  this->owner.pool_for(*target).release(std::exchange(this->connection, nullptr));
+  this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
   this->owner.counts.record(timing::backend, took);
   this->record_attempt(attempt, took);
   this->run_verdict = combine(this->run_verdict, attempt.run_verdict);
@@ -367,6 +376,11 @@
   if (this->closed) {
     return;
   }
+  if (this->committed && this->exchange->has_unsent_output()) {
+    // The caller is still reading what arrived in time. Its connection closes if it makes no progress.
+    this->start_deadline_timer(impl::late_read_check_period);
+    return;
+  }
   if (this->has_active_call()) {
     this->abandon_call();
     this->run_verdict = combine(this->run_verdict, verdict::may_have_run);
@@ -401,7 +415,7 @@
   }
   const auto target = this->decision.target;
   this->connection->cancel();
-  this->owner.pool_for(*target).release(std::exchange(this->connection, nullptr));
+  this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
   target->on_abandoned();
   absl::StrAppend(&this->attempt_history, this->attempt_history.empty() ? "" : " ",
                   target->declared().id.str(), "=cancelled");
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,6 +50,7 @@
   void fail(int status, reason why);
   /// Refuses the request if it did not run, or else fails it with 502.
   void end_without_response(reason why);
+  void start_deadline_timer(std::chrono::milliseconds after);
   void on_deadline();
   void on_caller_left();
   /// Cancels the call in progress, if there is one.
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -292,6 +292,52 @@
   EXPECT_TRUE(client.read_all().starts_with("HTTP/1.1 200"));
 }
 
+/// A server that starts again under its id may have another address; idle connections to the old one must not
+/// be used.
+TEST_F(gateway_contract, follows_a_server_to_its_new_address) {
+  const scripted_tcp_server before{[](int) { return make_response(200, "Stamp: s\r\n", "before"); }};
+  const scripted_tcp_server after{[](int) { return make_response(200, "Stamp: s\r\n", "after"); }};
+  this->route_with(request_kind::unsafe);
+  this->add("a", before.port());
+  this->start();
+  EXPECT_NE(this->send_request("POST").find("before"), std::string::npos);
+  std::promise<void> applied;
+  boost::asio::post(this->context, [&] {
+    this->add("a", after.port());
+    this->snapshot.sequence = 2;
+    this->traffic->apply(std::make_shared<const routing_snapshot>(this->snapshot));
+    applied.set_value();
+  });
+  applied.get_future().wait();
+  EXPECT_NE(this->send_request("POST").find("after"), std::string::npos);
+}
+
+TEST_F(gateway_contract, sends_nothing_to_an_address_that_cannot_be_read) {
+  // 0.0.0.0 would reach this server.
+  const scripted_tcp_server listening{[](int) { return good_response; }};
+  this->route_with(request_kind::unsafe);
+  this->add("a", listening.port());
+  this->snapshot.backends.at(backend_id{"a"}).address.ip = "not an address";
+  this->start();
+  EXPECT_TRUE(this->send_request("POST").starts_with("HTTP/1.1 503"));
+}
+
+/// The route's timeout bounds the server's time. A caller that is still reading then gets the rest.
+TEST_F(gateway_contract, a_caller_may_read_on_after_the_timeout) {
+  constexpr std::size_t size = 32 << 20;
+  const std::string body(size, 'x');
+  const scripted_tcp_server a{[&](int) { return make_response(200, "Stamp: s\r\n", body); }};
+  this->route_with(request_kind::safe, 300);
+  this->add("a", a.port());
+  this->start();
+  raw_tcp_client client{this->port};
+  client.send("GET /x/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nLeft: 300\r\nConnection: close\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds{700});
+  const auto received = client.read_all(20'000);
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 200"));
+  EXPECT_GT(received.size(), size);
+}
+
 TEST_F(gateway_contract, keeps_a_record_of_a_finished_request) {
   const scripted_tcp_server a{[](int) { return good_response; }};
   this->route_with(request_kind::safe);
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -65,6 +65,7 @@
   backend_connection(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint address_in,
                      const clock_source& clock_in);
 
+  [[nodiscard]] const boost::asio::ip::tcp::endpoint& endpoint() const noexcept { return this->address; }
   /// \brief Sends a request. A new connection connects first; any other must be idle.
   /// \param call_handler Must outlive the call unless `cancel` is called.
   void start(backend_call call, backend_call_handler& call_handler);
--- a/packages/http/include/zinnia/http/backend_pool.hpp
+++ b/packages/http/include/zinnia/http/backend_pool.hpp
@@ -12,7 +12,7 @@
 
 namespace zinnia {
 
-/// \brief   Lends connections to one address; the most recently used idle connection is reused first.
+/// \brief   Lends connections to a backend server; the most recently used idle connection is reused first.
 /// \details Invariant: connections in use and idle connections together never exceed the limit.
 class backend_pool {
  public:
@@ -24,6 +24,9 @@
   [[nodiscard]] std::shared_ptr<backend_connection> acquire(std::size_t max_connections);
   /// \brief Returns a connection to the pool after its call, in any state. Closes it if it is not reusable.
   void release(std::shared_ptr<backend_connection> connection);
+  /// \brief   Directs all further calls to another address.
+  /// \details Closes idle connections to the old address; those in use are closed when they are returned.
+  void set_endpoint(const boost::asio::ip::tcp::endpoint& address_in);
   /// \brief Removes idle connections that the peer closed or whose idle timeout has passed.
   void close_expired();
   /// \brief Closes all idle connections.
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -56,6 +56,11 @@
   void abort();
   /// \brief True if so much output is unsent that the source of the body should pause.
   [[nodiscard]] bool is_congested() const noexcept;
+  /// \brief True if the caller has not yet read all that was written.
+  [[nodiscard]] bool has_unsent_output() const noexcept;
+  /// \brief Sets the time until which the caller waits; a caller that pauses reading stays connected until
+  /// then.
+  void set_deadline(time_point deadline_in) noexcept;
   /// \}
 
   /// \name Events; each is called at most once, except `on_writable`
@@ -108,13 +113,16 @@
   [[nodiscard]] bool is_idle() const noexcept {
     return this->pending.empty() && !this->has_partial_request();
   }
+  /// \brief True while a response is written or the caller has not acknowledged all of the last one.
+  [[nodiscard]] bool has_undelivered_output();
 
  private:
   friend class caller_exchange;
 
   enum class connection_phase : unsigned char {
     open,
-    /// The last response is sent or being written; input is discarded until the caller closes the connection.
+    /// The last response is being written or delivered; input is discarded until the caller closes the
+    /// connection.
     lingering,
     closed,
   };
@@ -130,7 +138,11 @@
   void deliver_request();
   void reject(int status);
   void flush();
-  void on_written(std::size_t bytes);
+  void write_next_piece();
+  void on_written();
+  void enforce_linger_timeout();
+  /// True if the caller has made no progress for so long that the connection should be closed.
+  [[nodiscard]] bool is_stalled(time_point now) const noexcept;
   void begin_linger();
   void close_if_idle();
   void shutdown_output();
@@ -146,7 +158,9 @@
   std::string input;
   // In order of arrival; responses are sent in the same order.
   std::deque<std::shared_ptr<caller_exchange>> pending;
+  // The bytes being written and how many of them the socket has taken.
   std::string outgoing;
+  std::size_t outgoing_written{0};
   bool write_active{false};
   bool read_active{false};
   bool head_accepted{false};
@@ -155,8 +169,13 @@
   // was stopped.
   bool input_ended{false};
   connection_phase phase{connection_phase::open};
+  // When bytes were last read, or taken by the socket, or, while lingering, acknowledged by the caller.
   time_point last_activity;
   time_point request_started;
+  // The latest deadline of all requests so far.
+  time_point caller_deadline;
+  // Unacknowledged bytes at the last check, while lingering.
+  std::size_t undelivered{0};
 };
 
 }  // namespace zinnia
--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -35,7 +35,8 @@
   /// \details Requests that are already read get their responses.
   void stop_reading();
   [[nodiscard]] std::size_t open_connections() const noexcept { return this->connections.size(); }
-  /// \brief True if any connection has a request in flight or partly read.
+  /// \brief True if any connection has a request in flight or partly read, or output that its caller has not
+  ///        received.
   [[nodiscard]] bool has_requests_in_flight() const;
 
  private:
--- a/packages/http/include/zinnia/http/socket_options.hpp
+++ b/packages/http/include/zinnia/http/socket_options.hpp
@@ -1,10 +1,22 @@
 // Options of every TCP socket of a node: no send delay, and early detection of an unresponsive peer.
 #pragma once
 
+#include <cstddef>
+
 namespace zinnia {
 
-/// \brief Sets the options on a socket descriptor. An option that the system rejects keeps its default value.
+/// \brief Sets the options on a connection to a server. An option that the system rejects keeps its default
+///        value.
 /// \see   tcp_timeouts.hpp
 void set_tcp_options(int descriptor) noexcept;
 
+/// \brief   Sets the options on a connection from a caller.
+/// \details Without `TCP_USER_TIMEOUT`, which would also reset a caller that acknowledges probes but has
+/// paused
+///          reading.
+void set_caller_tcp_options(int descriptor) noexcept;
+
+/// \brief Returns how many sent bytes the peer has not acknowledged; 0 if the system does not tell.
+[[nodiscard]] std::size_t unacknowledged_bytes(int descriptor) noexcept;
+
 }  // namespace zinnia
--- a/packages/http/src/backend_pool.cpp
+++ b/packages/http/src/backend_pool.cpp
@@ -29,13 +29,18 @@
 
 void backend_pool::release(std::shared_ptr<backend_connection> connection) {
   --this->in_use;
-  if (connection->is_reusable(this->clock.now())) {
+  if (connection->is_reusable(this->clock.now()) && connection->endpoint() == this->address) {
     this->idle.push_back(std::move(connection));
   } else {
     connection->cancel();
   }
 }
 
+void backend_pool::set_endpoint(const boost::asio::ip::tcp::endpoint& address_in) {
+  this->close_idle();
+  this->address = address_in;
+}
+
 void backend_pool::close_expired() {
   const auto now = this->clock.now();
   const auto is_expired = [&](const std::shared_ptr<backend_connection>& connection) {
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -4,8 +4,9 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
 #include <array>
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
 
 #include "zinnia/http/socket_options.hpp"
 
@@ -21,8 +22,8 @@
 constexpr std::size_t max_input_bytes = 256 << 10;
 /// The source of a response body should pause when more output than this is unsent.
 constexpr std::size_t max_output_bytes = 128 << 10;
-/// The time to wait for the caller to close the connection after the last response. An earlier close could
-/// send a reset and make the caller lose the response.
+/// The time to wait for the caller to close the connection after it has received the last response. An
+/// earlier close could send a reset and make the caller lose the response.
 constexpr duration linger_timeout{1000};
 /// The maximum time that a write may make no progress.
 constexpr duration write_timeout{10'000};
@@ -133,7 +134,18 @@
 
 bool caller_exchange::is_congested() const noexcept {
   return this->connection != nullptr &&
-         this->output.size() + this->connection->outgoing.size() > impl::max_output_bytes;
+         this->output.size() + this->connection->outgoing.size() - this->connection->outgoing_written >
+             impl::max_output_bytes;
+}
+
+bool caller_exchange::has_unsent_output() const noexcept {
+  return this->connection != nullptr && (!this->output.empty() || this->connection->write_active);
+}
+
+void caller_exchange::set_deadline(time_point deadline_in) noexcept {
+  if (this->connection != nullptr) {
+    this->connection->caller_deadline = std::max(this->connection->caller_deadline, deadline_in);
+  }
 }
 
 void caller_exchange::when_first_in_pipeline(std::function<void()> callback) {
@@ -165,7 +177,7 @@
 void caller_connection::start() {
   impl::error_code ignored;
   this->socket.non_blocking(true, ignored);
-  set_tcp_options(this->socket.native_handle());
+  set_caller_tcp_options(this->socket.native_handle());
   this->wait_readable();
 }
 
@@ -201,7 +213,9 @@
     this->close_socket();
     return;
   }
-  this->last_activity = this->clock.now();
+  if (this->phase == connection_phase::open) {
+    this->last_activity = this->clock.now();
+  }
   if (!this->input_ended) {
     if (!this->has_partial_request()) {
       this->request_started = this->last_activity;
@@ -331,23 +345,36 @@
     return;
   }
   this->write_active = true;
-  boost::asio::async_write(this->socket, boost::asio::buffer(this->outgoing),
-                           [self = this->shared_from_this()](const impl::error_code& ec, std::size_t bytes) {
-                             self->write_active = false;
-                             if (self->phase == connection_phase::closed) {
-                               return;
-                             }
-                             if (ec) {
-                               self->close_socket();
-                               return;
-                             }
-                             self->on_written(bytes);
-                           });
-}
-
-void caller_connection::on_written(std::size_t bytes) {
-  this->outgoing.erase(0, bytes);
-  this->last_activity = this->clock.now();
+  this->write_next_piece();
+}
+
+void caller_connection::write_next_piece() {
+  const auto rest = boost::asio::buffer(this->outgoing) + this->outgoing_written;
+  this->socket.async_write_some(
+      rest, [self = this->shared_from_this()](const impl::error_code& ec, std::size_t bytes) {
+        if (self->phase == connection_phase::closed) {
+          self->write_active = false;
+          return;
+        }
+        if (ec) {
+          self->write_active = false;
+          self->close_socket();
+          return;
+        }
+        self->last_activity = self->clock.now();
+        self->outgoing_written += bytes;
+        if (self->outgoing_written < self->outgoing.size()) {
+          self->write_next_piece();
+          return;
+        }
+        self->write_active = false;
+        self->outgoing.clear();
+        self->outgoing_written = 0;
+        self->on_written();
+      });
+}
+
+void caller_connection::on_written() {
   if (this->phase == connection_phase::lingering) {
     this->shutdown_output();
     return;
@@ -358,6 +385,9 @@
     callback();
   }
   this->parse_input();
+  if (this->input_ended && !this->write_active && this->pending.empty()) {
+    this->close_if_idle();
+  }
   this->wait_readable();
 }
 
@@ -370,15 +400,13 @@
   const auto now = this->clock.now();
   const auto since_activity = now - this->last_activity;
   if (this->phase == connection_phase::lingering) {
-    if (since_activity > impl::linger_timeout) {
-      this->close_socket();
-    }
+    this->enforce_linger_timeout();
     return;
   }
   if (this->phase != connection_phase::open) {
     return;
   }
-  if (this->write_active && since_activity > impl::write_timeout) {
+  if (this->write_active && this->is_stalled(now)) {
     this->close_socket();
     return;
   }
@@ -398,6 +426,30 @@
   }
 }
 
+void caller_connection::enforce_linger_timeout() {
+  const auto now = this->clock.now();
+  const auto undelivered_now = unacknowledged_bytes(this->socket.native_handle());
+  if (undelivered_now < this->undelivered) {
+    this->last_activity = now;
+  }
+  this->undelivered = undelivered_now;
+  const bool is_delivered = !this->write_active && undelivered_now == 0;
+  if (is_delivered ? now - this->last_activity > impl::linger_timeout : this->is_stalled(now)) {
+    this->close_socket();
+  }
+}
+
+bool caller_connection::is_stalled(time_point now) const noexcept {
+  return now - this->last_activity > impl::write_timeout && now > this->caller_deadline;
+}
+
+bool caller_connection::has_undelivered_output() {
+  if (this->phase == connection_phase::closed) {
+    return false;
+  }
+  return this->write_active || unacknowledged_bytes(this->socket.native_handle()) > 0;
+}
+
 void caller_connection::stop_reading() {
   this->draining = true;
   this->input_ended = true;
@@ -416,6 +468,7 @@
 }
 
 void caller_connection::shutdown_output() {
+  this->last_activity = this->clock.now();
   impl::error_code ignored;
   this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
 }
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -114,7 +114,7 @@
 
 bool http_listener::has_requests_in_flight() const {
   return std::any_of(this->connections.begin(), this->connections.end(), [](const auto& connection) {
-    return !connection->is_closed() && !connection->is_idle();
+    return !connection->is_closed() && (!connection->is_idle() || connection->has_undelivered_output());
   });
 }
 
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -111,6 +111,7 @@
   void apply_node(const object_change& change);
   void apply_tree(const object_change& change);
   [[nodiscard]] watched_kind& configuration_watch() { return this->watches.front(); }
+  [[nodiscard]] watched_kind& backend_watch() { return this->watches[1]; }
   [[nodiscard]] watched_kind& node_watch() { return this->watches.back(); }
   void publish(time_point now);
   void maintain_registration(time_point now);
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -489,6 +489,10 @@
         .field("node_entry", name)
         .field("status", response.status)
         .field("cause", response.failure_reason);
+    if (!is_done) {
+      // Repeated after the pause between writes; the watch shows whether the entry is still there.
+      this->removal_sent = false;
+    }
   });
 }
 
@@ -539,6 +543,13 @@
   }
   // Only the regions are applied: addresses and locations are fixed for the lifetime of the process.
   this->settings.regions = (*read)->regions;
+  this->builder.set_regions(this->settings.regions);
+  for (const auto& [name, object] : this->backend_watch().feed.objects()) {
+    // Entries that named an unknown failure domain until now.
+    if (!this->builder.has_backend(backend_id{name})) {
+      this->apply_backend({object, false});
+    }
+  }
   log_line{log_level::info, "settings_reloaded"}.field("regions",
                                                        static_cast<std::int64_t>((*read)->regions.size()));
 }
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -199,6 +199,22 @@
   }));
 }
 
+TEST_F(control_thread_contract, repeats_the_removal_of_its_entry_until_it_succeeds) {
+  const auto wait_until = [](const std::function<bool()>& condition) {
+    for (int i = 0; i < 1000 && !condition(); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    return condition();
+  };
+  ASSERT_TRUE(wait_until([this] { return this->store.contains("zinnia-nodes", "n1"); }));
+  this->store.set_faults({.error_status = 503});
+  const auto before = this->store.calls_for("zinnia-nodes");
+  this->control->begin_leaving();
+  EXPECT_TRUE(wait_until([&] { return this->store.calls_for("zinnia-nodes") >= before + 2; }));
+  this->store.set_faults({});
+  EXPECT_TRUE(wait_until([this] { return !this->store.contains("zinnia-nodes", "n1"); }));
+}
+
 TEST_F(control_thread_contract, applies_the_settings_tree_from_the_store) {
   ASSERT_TRUE(this->wait_for_route("/one/"));
   settings_document document;
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -71,7 +71,7 @@
 ///          occupies. A request waits if that server is full and is refused if no server can respond in time.
 class backend_table {
  public:
-  /// \param regions_by_domain_in The region of each known failure domain.
+  /// \param regions_by_domain_in The region of each known failure domain, until a snapshot has newer ones.
   backend_table(location own_location_in, std::map<failure_domain_id, region_id> regions_by_domain_in)
       : own_location{std::move(own_location_in)}, regions_by_domain{std::move(regions_by_domain_in)} {}
 
--- a/packages/routing/include/zinnia/routing/declarations.hpp
+++ b/packages/routing/include/zinnia/routing/declarations.hpp
@@ -109,6 +109,8 @@
   std::map<backend_id, backend_declaration> backends;
   /// Failure domains that get no requests.
   std::set<failure_domain_id> evacuated;
+  /// The region of each known failure domain; null if it has not changed since the process started.
+  std::shared_ptr<const std::map<failure_domain_id, region_id>> regions;
   /// The active settings tree; may be null.
   std::shared_ptr<const settings_tree> tree;
   /// Current state of the operators' drains and moves.
--- a/packages/routing/include/zinnia/routing/snapshot_builder.hpp
+++ b/packages/routing/include/zinnia/routing/snapshot_builder.hpp
@@ -39,6 +39,8 @@
   /// \param grace Time for which the server is kept if it was ready.
   void remove_backend(const backend_id& id, time_point now, duration grace);
   void set_evacuated(const failure_domain_id& domain, bool is_evacuated);
+  /// \brief Replaces the regions of the known failure domains.
+  void set_regions(std::map<failure_domain_id, region_id> regions_in);
   /// \brief Applies a settings tree together with the routes and servers that it declares.
   void set_tree(std::shared_ptr<const settings_tree> tree);
   /// \brief Performs removals whose grace period has ended and updates the state of drains and moves.
@@ -53,6 +55,7 @@
   [[nodiscard]] bool has_routes() const noexcept {
     return this->state.version.count() > 0 || !this->from_tree.routes.empty();
   }
+  [[nodiscard]] bool has_backend(const backend_id& id) const { return this->state.backends.contains(id); }
   /// \brief Returns the progress of the shifts of the active tree.
   [[nodiscard]] std::vector<shift_progress> progress(std::int64_t now_unix_ms) const;
 
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -18,7 +18,7 @@
 constexpr double other_region_round_trip_ms = 60;
 /// Weight of the newest measurement in the moving average of the round trip.
 constexpr double round_trip_ewma_weight = 0.3;
-/// Assumed slowdown of a cold server, on top of the slowness that its response times show.
+/// Assumed slowdown of a cold server, unless its response times show a greater one.
 constexpr double assumed_cold_slowness = 2;
 /// Cost of a failed attempt as latency. A repeatable request is retried at another server; a request that
 /// runs at most once loses its response.
@@ -81,6 +81,9 @@
       }
     }
   }
+  if (snapshot.regions != nullptr) {
+    this->regions_by_domain = *snapshot.regions;
+  }
   this->evacuated = snapshot.evacuated;
   this->shifts = snapshot.shifts;
   std::map<backend_id, std::shared_ptr<backend_state>> next_backends;
@@ -294,8 +297,11 @@
   const auto& backend = *member.backend;
   const auto& domain = context.domains[member.domain];
   const auto slots = std::max(backend.declared().slots, 1);
-  const double slowness =
-      backend.slowness(context.now) * (backend.is_cold(context.now) ? impl::assumed_cold_slowness : 1);
+  // A cold server's response times already show that it is cold, so the assumption is only a lower bound.
+  const double learned_slowness = backend.slowness(context.now);
+  const double slowness = backend.is_cold(context.now)
+                              ? std::max(learned_slowness, impl::assumed_cold_slowness)
+                              : learned_slowness;
   candidate evaluated;
   evaluated.member = &member;
   evaluated.expected_warmth = !request.object || backend.objects.contains(*request.object) ? warmth::known
--- a/packages/routing/src/shift_plan.cpp
+++ b/packages/routing/src/shift_plan.cpp
@@ -40,6 +40,18 @@
   }
 }
 
+/// Returns the settings of the place that a shift is about, whose ramp the shift follows.
+[[nodiscard]] service_settings shift_settings(const settings_tree& tree, const shift_inventory& inventory,
+                                              const shift_intent& shift, const service_id& service) {
+  if (shift.kind == shift_kind::drain_domain) {
+    const failure_domain_id domain{shift.target};
+    const auto region = inventory.regions->find(domain);
+    return tree.effective(service, region == inventory.regions->end() ? region_id{} : region->second, domain)
+        .values;
+  }
+  return tree.effective(service, region_id{shift.target}).values;
+}
+
 /// Closes the reached percentage of each service's target servers, in the order of their ids.
 void close_target_backends(const settings_tree& tree, const shift_inventory& inventory,
                            const shift_intent& shift, std::int64_t now_unix_ms,
@@ -52,8 +64,7 @@
   }
   for (const auto& [service, backends] : targets) {
     const auto region = region_of(inventory, *backends.front());
-    auto percent =
-        shift_percent(shift, tree.effective(service, region, backends.front()->domain).values, now_unix_ms);
+    auto percent = shift_percent(shift, shift_settings(tree, inventory, shift, service), now_unix_ms);
     if (shift.kind == shift_kind::drain_region) {
       percent = std::min(percent, replaceable_percent(tree, inventory, service, region));
     }
@@ -141,8 +152,17 @@
                                                    std::int64_t now_unix_ms) {
   std::vector<shift_progress> progress_list;
   for (const auto& shift : tree.shifts()) {
-    const auto values = tree.effective(shift.service, region_id{shift.target}).values;
-    shift_progress progress{shift.id, shift_percent(shift, values, now_unix_ms), false, {}};
+    const auto percent_of = [&](const service_id& service) {
+      return shift_percent(shift, impl::shift_settings(tree, inventory, shift, service), now_unix_ms);
+    };
+    shift_progress progress{shift.id, percent_of(shift.service), false, {}};
+    if (const auto services = impl::services_of(inventory, shift); !services.empty()) {
+      // The service that is furthest behind.
+      progress.percent = impl::full_percent;
+      for (const auto& service : services) {
+        progress.percent = std::min(progress.percent, percent_of(service));
+      }
+    }
     if (now_unix_ms < shift.start_unix_ms) {
       progress.waits_for = "start time";
     } else if (progress.percent < shift.percent) {
--- a/packages/routing/src/snapshot_builder.cpp
+++ b/packages/routing/src/snapshot_builder.cpp
@@ -28,12 +28,23 @@
   this->changed = true;
 }
 
+void snapshot_builder::set_regions(std::map<failure_domain_id, region_id> regions_in) {
+  if (regions_in == this->regions) {
+    return;
+  }
+  this->regions = std::move(regions_in);
+  this->state.regions = std::make_shared<const std::map<failure_domain_id, region_id>>(this->regions);
+  this->changed = true;
+}
+
 void snapshot_builder::set_tree(std::shared_ptr<const settings_tree> tree) {
   for (const auto& backend : this->from_tree.backends) {
+    this->pending_removals.erase(backend.id);
     this->state.backends.erase(backend.id);
   }
   this->from_tree = declarations_of(*tree);
   for (const auto& backend : this->from_tree.backends) {
+    this->pending_removals.erase(backend.id);
     this->state.backends.emplace(backend.id, backend);
   }
   this->state.tree = std::move(tree);
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -83,6 +83,24 @@
   EXPECT_LT(moved, 30) << "about one in seven objects moves to the new server";
 }
 
+/// Responses of a cold server show its slowness; the assumed slowness must not be multiplied with it.
+TEST_F(placement, the_slowness_of_a_cold_server_counts_once) {
+  this->add("b0", near_a).cold_until = this->now + duration{10'000};
+  this->apply();
+  const node_id self{"n"};
+  this->table.assign_warmup({{self, {near_a, near}}}, {near}, self);
+  const auto expected_work = [&] {
+    return this->table.choose(this->request(std::nullopt), this->now).expected_work;
+  };
+  const auto assumed = expected_work();
+  const auto& backend = this->table.all().front();
+  for (int i = 0; i < 40; ++i) {
+    backend->on_sent(this->now - duration{5'000});
+    backend->on_ended(backend_outcome::responded, duration{200}, duration{100}, this->now);
+  }
+  EXPECT_NEAR(static_cast<double>(expected_work().ms), static_cast<double>(assumed.ms), 3.0);
+}
+
 TEST_F(placement, refuses_at_once_if_no_server_can_respond_in_time) {
   for (int i = 0; i < 4; ++i) {
     this->add("b" + std::to_string(i), near_a, 1);
--- a/packages/routing/tests/shift_plan_test.cpp
+++ b/packages/routing/tests/shift_plan_test.cpp
@@ -74,6 +74,40 @@
   EXPECT_EQ(at(12'000), 60);
 }
 
+/// The ramp of the failure domain is twice as fast as that of its region.
+TEST_F(shifts, a_domain_drain_follows_the_ramp_of_its_domain) {
+  const shift_intent drain{"d", shift_kind::drain_domain, "near-a", {}, {}, 100, 10'000};
+  const auto tree = settings_tree::parse({"e",
+                                          "t",
+                                          "settings: {ramp_step_percent: 25, ramp_interval_ms: 1000}\n"
+                                          "places: {near: {domains: {near-a: {settings: {ramp_step_percent: "
+                                          "50}}}}, far: {domains: {far-a: {}}}}\n"
+                                          "services: {desk: {}}\n",
+                                          {drain}},
+                                         "t");
+  ASSERT_TRUE(tree) << tree.last_error().describe();
+  EXPECT_EQ(this->state(*tree, 10'000).closed_backends.size(), 2U);
+  const auto progress = compute_shift_progress(*tree, {&this->backends, &this->regions}, 10'000);
+  ASSERT_EQ(progress.size(), 1U);
+  EXPECT_EQ(progress[0].percent, 50);
+}
+
+/// A region's drain follows the region's ramp, whichever of its failure domains the first server is in.
+TEST_F(shifts, a_region_drain_follows_the_ramp_of_its_region) {
+  const shift_intent drain{"d", shift_kind::drain_region, "near", {}, {}, 100, 10'000};
+  const auto tree = settings_tree::parse({"e",
+                                          "t",
+                                          "settings: {ramp_step_percent: 25, ramp_interval_ms: 1000}\n"
+                                          "places: {near: {domains: {near-a: {settings: {ramp_step_percent: "
+                                          "50}}}}, far: {domains: {far-a: {}}}}\n"
+                                          "services: {desk: {}}\n",
+                                          {drain}},
+                                         "t");
+  ASSERT_TRUE(tree) << tree.last_error().describe();
+  EXPECT_EQ(this->state(*tree, 10'000).closed_backends.size(), 1U);
+  EXPECT_EQ(compute_shift_progress(*tree, {&this->backends, &this->regions}, 10'000)[0].percent, 25);
+}
+
 TEST_F(shifts, an_entry_drain_takes_effect_at_once) {
   const auto tree = tree_with({"d", shift_kind::drain_entry, "entry-1", {}, {}, 100, 10'000}, 12);
   EXPECT_TRUE(this->state(tree, 10'000).drained_nodes.contains(node_id{"entry-1"}));
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -63,5 +63,29 @@
   's/now - entry.last_heartbeat_at < heartbeat_timeout;/true;/' "silent nodes are named to callers"
 mutate test_node packages/node/src/control_thread.cpp \
   's/ || !this->watches.front().feed.is_failing()/ || true/' "every kind probes a lost store"
+mutate test_http packages/http/src/caller_connection.cpp \
+  's/const bool is_delivered = .*/const bool is_delivered = true;/' "a closing response to a slow caller is cut"
+mutate test_http packages/http/src/caller_connection.cpp \
+  's/ \&\& now > this->caller_deadline;/;/' "a caller that pauses reading is reset before its deadline"
+mutate test_http packages/http/src/caller_connection.cpp \
+  's/  if (this->phase == connection_phase::open) {/  if (true) {/' "a caller that sends keeps a finished connection open"
+mutate test_http packages/http/src/caller_connection.cpp \
+  's/return this->write_active || unacknowledged_bytes.*/return false;/' "a stop does not wait for responses being read"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/this->committed \&\& this->exchange->has_unsent_output()/false/' "a response is cut at the timeout while its caller reads"
+mutate test_gateway packages/gateway/src/gateway.cpp \
+  's/    pool->set_endpoint(address);//' "requests go to a server's old address"
+mutate test_gateway packages/gateway/src/gateway.cpp \
+  's/^  if (problem) {/  if (false) {/' "an unreadable address is used as 0.0.0.0"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/std::max(learned_slowness, impl::assumed_cold_slowness)/learned_slowness * impl::assumed_cold_slowness/' "the slowness of a cold server counts twice"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/    this->regions_by_domain = \*snapshot.regions;//' "a new failure domain stays unknown to placement"
+mutate test_routing packages/routing/src/snapshot_builder.cpp \
+  's/    this->pending_removals.erase(backend.id);//' "a server that the tree declares is removed"
+mutate test_routing packages/routing/src/shift_plan.cpp \
+  's/  if (shift.kind == shift_kind::drain_domain) {/  if (false) {/' "a domain drain follows another place's ramp"
+mutate test_node packages/node/src/control_thread.cpp \
+  's/      this->removal_sent = false;//' "a failed removal of the own entry is not repeated"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
