Load an object at one server for all nodes of a region, and copy it where its requests pay for it

The nodes of each failure domain ranked the servers by their own weights and by estimates that were still settling, so an object was loaded again for each failure domain; nodes heard of each other's requests only with answers, a second and more later, so objects were loaded at busy servers while others were idle.

Change: homes are ranked by weights that follow from the declared slots of the regions alone (region_shares), the same at all nodes of a region; nodes tell each other by datagram which server loads an object (holder notices), so that it is loaded at the first home that is not busy and everyone follows it there; a second home or a server of the own failure domain gets a copy once requests have paid the price of loading it (copy_ledger). Estimates start at the route's target; servers do not look slow while a route's estimate settles.

--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -99,6 +99,7 @@
   read_number(root, "region_delay_ms", parsed.region_delay_ms, 0, 1000);
   read_number(root, "caller_delay_ms", parsed.caller_delay_ms, 0, 1000);
   read_number(root, "swing", parsed.swing, 0, 1);
+  parsed.notices = root["notices"].as<bool>(true);
   for (const auto& service : root["servers"]) {
     for (const auto& group : service.second) {
       parsed.servers.push_back({service_id{service.first.as<std::string>()},
--- a/bench/scenario.hpp
+++ b/bench/scenario.hpp
@@ -80,6 +80,8 @@
   double region_delay_ms{55};
   /// One-way network delay between a caller and its entry node.
   double caller_delay_ms{3};
+  /// Entry nodes tell each other which servers hold objects.
+  bool notices{true};
   /// Amplitude of the periodic load, as a fraction of its mean. The phase differs between regions.
   double swing{0.5};
   std::vector<server_group> servers;
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,8 @@
   std::size_t max_buffered_body_bytes{64 << 20};
   /// The number of finished requests whose records are kept.
   std::size_t fate_records{1000};
+  /// Sends notices to other nodes; called several times a second, also with none. May be empty.
+  std::function<void(std::vector<holder_notice>)> send_notices;
 };
 
 /// \brief The nodes that send requests to the same backend servers.
@@ -66,6 +69,8 @@
   /// \brief Makes a snapshot current if it is newer; requests in flight keep the snapshot they started with.
   void apply(std::shared_ptr<const routing_snapshot> snapshot_in);
   void set_nodes(gateway_nodes nodes_in);
+  /// \brief Applies what another node tells about the objects that backend servers hold.
+  void apply_notices(const std::vector<holder_notice>& notices);
   /// \brief Handles a caller's request and writes the response to the exchange.
   void handle(const std::shared_ptr<caller_exchange>& exchange);
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -66,6 +66,10 @@
   this->backends.assign_warmup(this->nodes.serving, this->nodes.regions_with_nodes, this->options.self);
 }
 
+void gateway::apply_notices(const std::vector<holder_notice>& notices) {
+  this->backends.apply_notices(notices, this->clock.now());
+}
+
 void gateway::handle(const std::shared_ptr<caller_exchange>& exchange) {
   this->counts.add(counter::requests);
   const auto& head = exchange->head();
@@ -193,6 +197,10 @@
     }
   }
   this->start_health_checks();
+  auto notices = this->backends.take_notices();
+  if (this->options.send_notices) {
+    this->options.send_notices(std::move(notices));
+  }
   if (now - this->pools_cleaned_at > impl::pool_cleanup_period) {
     this->pools_cleaned_at = now;
     this->clean_up_pools();
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -191,7 +191,7 @@
     return;
   }
   this->sent_at = this->owner.clock.now();
-  target->on_sent(this->sent_at);
+  this->owner.backends.record_send(this->decision, this->service, this->object_hash, this->sent_at);
   ++this->sent_count;
   this->response = {};
   this->held_body.clear();
@@ -256,25 +256,11 @@
 }
 
 void request_flow::record_attempt(const attempt_result& attempt, duration took) {
-  auto& backends = this->owner.backends;
-  const auto& target = *this->decision.target;
-  const auto now = this->owner.clock.now();
-  this->decision.target->on_ended(attempt.outcome, took, this->decision.expected_total, now);
-  if (attempt.outcome != backend_outcome::responded) {
-    return;
-  }
-  auto& estimate = backends.estimate(this->matched_route, this->service);
   constexpr double bytes_per_kib = 1024;
-  estimate.record_response_size(static_cast<double>(this->response_bytes) / bytes_per_kib);
-  if (this->decision.load < target.declared().slots && !target.is_cold(now)) {
-    const auto work = static_cast<double>(std::max<std::int64_t>((took - backends.round_trip(target)).ms, 1));
-    estimate.record_work_time(this->decision.expected_warmth, work);
-    backends.record_service_time(this->service, work);
-  }
-  if (this->object_hash) {
-    this->decision.target->objects.touch(*this->object_hash,
-                                         backends.settings_of(this->service).remembered_objects);
-  }
+  this->owner.backends.record_attempt(
+      {this->matched_route, this->service, this->decision, this->object_hash, attempt.outcome, took,
+       static_cast<double>(this->response_bytes) / bytes_per_kib},
+      this->owner.clock.now());
 }
 
 void request_flow::on_end(const backend_call_result& end) {
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -1,6 +1,7 @@
 // Tracks the registered nodes, their liveness by heartbeats, and the addresses advertised to callers.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +31,8 @@
   node_capacity capacity;
   /// True if the node is advertised to callers of its failure domain. Set by `member_table::alive`.
   bool serves{false};
+  /// Port at the IP address of `peer_address` that receives holder notices; 0 if the node receives none.
+  std::uint16_t notice_port{0};
 
   friend bool operator==(const member& a, const member& b) noexcept {
     return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address &&
--- /dev/null
+++ b/packages/membership/tests/holder_notice_codec_test.cpp
@@ -0,0 +1,51 @@
+// Round trips of holder notices, and datagrams that are not notices.
+#include "zinnia/membership/holder_notice_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include "zinnia/membership/member_codec.hpp"
+
+using namespace zinnia;
+
+namespace {
+
+TEST(holder_notice_codec, decodes_what_it_encodes) {
+  std::vector<holder_notice> notices;
+  for (std::uint64_t i = 0; i < max_notices_per_datagram; ++i) {
+    notices.push_back({~i, i << 40U, duration{static_cast<std::int64_t>(i) * 100}});
+  }
+  const auto datagram = encode_holder_notices(notices);
+  EXPECT_LE(datagram.size(), 1'400U) << "one Ethernet frame";
+  const auto decoded = decode_holder_notices(datagram);
+  ASSERT_TRUE(decoded) << decoded.last_error().describe();
+  EXPECT_EQ(*decoded, notices);
+  EXPECT_TRUE(decode_holder_notices(encode_holder_notices({}))->empty());
+}
+
+TEST(holder_notice_codec, rejects_malformed_datagrams) {
+  const std::vector<holder_notice> notice{{1, 2, duration{3}}};
+  const auto datagram = encode_holder_notices(notice);
+  for (std::size_t size = 0; size < datagram.size(); ++size) {
+    const auto decoded = decode_holder_notices(datagram.substr(0, size));
+    EXPECT_TRUE(!decoded || decoded->size() <= 1) << size;
+  }
+  EXPECT_FALSE(decode_holder_notices(""));
+  EXPECT_FALSE(decode_holder_notices(std::string(200, '\xff')));
+}
+
+TEST(member_codec, keeps_the_notice_port_and_accepts_entries_without_one) {
+  member entry;
+  entry.id = node_id{"n"};
+  entry.peer_address = {"10.0.0.1", 70};
+  entry.notice_port = 71;
+  const auto document = encode_member(entry);
+  EXPECT_EQ(decode_member("n", document)->notice_port, 71);
+  auto earlier = document;
+  earlier.replace(earlier.find("\"notices\""), 9, "\"unknown\"");
+  EXPECT_EQ(decode_member("n", earlier)->notice_port, 0);
+  auto wrong = document;
+  wrong.replace(wrong.find(":71"), 3, ":99999");
+  EXPECT_FALSE(decode_member("n", wrong));
+}
+
+}  // namespace
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -32,6 +32,8 @@
   duration store_history{20'000};
   /// The UDP port for heartbeats and the TCP port for relayed changes between nodes.
   std::uint16_t peer_port{0};
+  /// The UDP port for holder notices; 0 lets the system choose one.
+  std::uint16_t notice_port{0};
 
   std::size_t max_descriptors{1024};
   node_capacity capacity;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
@@ -18,6 +19,8 @@
 #include <sstream>
 
 #include "change_relay_server.hpp"
+#include "notice_exchange.hpp"
+#include "zinnia/core/rendezvous.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
 #include "zinnia/node/control_thread.hpp"
@@ -39,6 +42,9 @@
 constexpr std::size_t max_internal_connections = 200;
 /// Connection limit of the directory listener.
 constexpr std::size_t max_directory_connections = 800;
+/// Upper limit on the nodes that one node sends holder notices to, so that their number stays proportional to
+/// the number of nodes.
+constexpr std::size_t max_notice_peers = 64;
 /// The process ends by itself this long before it would be killed.
 constexpr duration stop_margin{700};
 /// Time for the last responses to reach their callers before the process ends: the round trip of a long link.
@@ -69,9 +75,11 @@
   [[nodiscard]] int run();
 
  private:
-  [[nodiscard]] gateway_options options() const;
+  [[nodiscard]] gateway_options options();
   [[nodiscard]] control_events events();
   [[nodiscard]] member self() const;
+  /// Addresses of the serving nodes that this node sends holder notices to.
+  [[nodiscard]] std::vector<ip_endpoint> notice_peers() const;
   [[nodiscard]] bool listen();
   void respond_to_directory_query(const std::shared_ptr<caller_exchange>& exchange);
   void respond_to_readiness_check(const std::shared_ptr<caller_exchange>& exchange);
@@ -87,6 +95,7 @@
   boot_clock clock;
   metrics counts;
   boost::asio::io_context context{1};
+  notice_exchange notices;
   gateway traffic;
   http_listener callers;
   http_listener readiness;
@@ -111,6 +120,8 @@
     : adapter{adapter_in},
       settings{settings_in},
       tree{std::move(tree_in)},
+      notices{this->context, ip_endpoint{settings_in.ip, settings_in.notice_port}, this->counts,
+              [this](const auto& received) { this->traffic.apply_notices(received); }},
       traffic{this->context, this->clock, this->counts, this->options()},
       callers{this->context, this->clock, impl::max_caller_connections(settings_in),
               [this](const auto& exchange) { this->traffic.handle(exchange); }},
@@ -127,7 +138,7 @@
       signals{this->context, SIGTERM, SIGINT, SIGHUP},
       stop_timer{this->context} {}
 
-gateway_options node::options() const {
+gateway_options node::options() {
   gateway_options chosen;
   chosen.self = this->settings.node;
   chosen.own_location = this->settings.own_location;
@@ -135,9 +146,30 @@
   chosen.field_names = this->adapter.field_names();
   chosen.retry_budget = this->settings.retry_budget;
   chosen.fate_records = this->settings.fate_records;
+  chosen.send_notices = [this](std::vector<holder_notice> sent) {
+    this->notices.offer(std::move(sent), this->clock.now());
+  };
   return chosen;
 }
 
+std::vector<ip_endpoint> node::notice_peers() const {
+  std::vector<std::pair<std::uint64_t, ip_endpoint>> ranked;
+  for (const auto& [id, known] : this->alive) {
+    if (known.serves && id != this->settings.node) {
+      ranked.emplace_back(rendezvous_weight(this->settings.node.str(), id.str()),
+                          ip_endpoint{known.peer_address.ip, known.notice_port});
+    }
+  }
+  const auto count = std::min(ranked.size(), max_notice_peers);
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
+                    [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<ip_endpoint> addresses;
+  for (std::size_t i = 0; i < count; ++i) {
+    addresses.push_back(ranked[i].second);
+  }
+  return addresses;
+}
+
 member node::self() const {
   member own;
   own.id = this->settings.node;
@@ -145,6 +177,7 @@
   own.caller_address = this->settings.caller_endpoint.str();
   own.operator_address = this->settings.operator_endpoint.str();
   own.peer_address = {this->settings.ip, this->settings.peer_port};
+  own.notice_port = this->notices.port();
   own.incarnation = make_incarnation();
   own.capacity = this->settings.capacity;
   return own;
@@ -161,6 +194,7 @@
   handlers.on_nodes = [this](const membership_view& nodes) {
     boost::asio::post(this->context, [this, nodes] {
       this->alive = nodes.alive;
+      this->notices.set_peers(this->notice_peers());
       std::map<node_id, location> serving;
       for (const auto& [id, known] : this->alive) {
         if (known.serves) {
--- /dev/null
+++ b/packages/node/tests/notice_exchange_test.cpp
@@ -0,0 +1,66 @@
+// Sends notices between two exchanges on the loopback interface; the clock is set by hand.
+#include "notice_exchange.hpp"
+
+#include <gtest/gtest.h>
+
+#include "zinnia/membership/holder_notice_codec.hpp"
+
+using namespace zinnia;
+
+namespace {
+
+class notice_exchange_test : public testing::Test {
+ protected:
+  void poll_until(std::size_t count) {
+    while (this->received.size() < count) {
+      this->context.run_one();
+    }
+  }
+
+  boost::asio::io_context context;
+  metrics counts;
+  std::vector<holder_notice> received;
+  notice_exchange sender{this->context, {"127.0.0.1", 0}, this->counts, [](const auto&) {}};
+  notice_exchange receiver{this->context, {"127.0.0.1", 0}, this->counts, [this](const auto& notices) {
+                             this->received.insert(this->received.end(), notices.begin(), notices.end());
+                           }};
+};
+
+TEST_F(notice_exchange_test, load_notices_wait_briefly_and_confirmations_longer) {
+  this->sender.set_peers({{"127.0.0.1", this->receiver.port()}, {"127.0.0.1", 0}, {"unreadable", 5}});
+  this->sender.offer({{1, 2, duration{0}}}, time_point{1'000});
+  this->sender.offer({}, time_point{1'900});
+  this->sender.offer({{3, 4, duration{240}}}, time_point{1'910});
+  this->context.poll();
+  EXPECT_TRUE(this->received.empty());
+  this->sender.offer({}, time_point{1'960});
+  this->poll_until(2);
+  EXPECT_EQ(this->received, (std::vector<holder_notice>{{1, 2, duration{0}}, {3, 4, duration{240}}}));
+  this->sender.offer({}, time_point{9'000});
+  this->context.poll();
+  EXPECT_EQ(this->received.size(), 2U);
+}
+
+TEST_F(notice_exchange_test, many_notices_take_several_datagrams) {
+  this->sender.set_peers({{"127.0.0.1", this->receiver.port()}});
+  std::vector<holder_notice> notices;
+  for (std::uint64_t i = 0; i < 3 * max_notices_per_datagram; ++i) {
+    notices.push_back({i, i, duration{1}});
+  }
+  this->sender.offer(notices, time_point{1'000});
+  this->sender.offer({}, time_point{1'100});
+  this->poll_until(notices.size());
+  EXPECT_EQ(this->received.size(), notices.size());
+}
+
+TEST_F(notice_exchange_test, counts_what_it_cannot_read) {
+  boost::asio::ip::udp::socket socket{this->context, boost::asio::ip::udp::v4()};
+  const boost::asio::ip::udp::endpoint to{boost::asio::ip::address_v4::loopback(), this->receiver.port()};
+  socket.send_to(boost::asio::buffer(std::string(100, '\xff')), to);
+  while (this->counts.value(counter::malformed_frames) == 0) {
+    this->context.run_one();
+  }
+  EXPECT_TRUE(this->received.empty());
+}
+
+}  // namespace
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <string_view>
+#include <vector>
 
 #include "zinnia/core/clock.hpp"
 #include "zinnia/routing/declarations.hpp"
@@ -59,6 +60,8 @@
   /// \{
   void on_sent(time_point now);
   void on_report(const load_report& report, time_point now);
+  /// \brief Records that another node's request makes the server load an object until `loaded_at`.
+  void on_peer_load(time_point loaded_at, time_point now);
   /// \brief Estimated number of requests from all nodes that are at the server or in flight to it.
   [[nodiscard]] double load(time_point now) const noexcept;
   [[nodiscard]] int in_flight() const noexcept { return this->own_in_flight; }
@@ -108,6 +111,9 @@
   double other_nodes_load{0};
   double other_nodes_load_average{0};
   time_point last_report_at;
+  // Other nodes' requests that make the server load an object, since its last report: the times of their
+  // ends.
+  std::vector<time_point> peer_loads;
   backend_availability availability{backend_availability::available};
   bool health_check_running{false};
   time_point next_check_at;
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -13,8 +13,12 @@
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/reason.hpp"
 #include "zinnia/routing/backend_state.hpp"
+#include "zinnia/routing/copy_ledger.hpp"
 #include "zinnia/routing/declarations.hpp"
+#include "zinnia/routing/holder_notice.hpp"
+#include "zinnia/routing/object_homes.hpp"
 #include "zinnia/routing/placement_settings.hpp"
+#include "zinnia/routing/region_shares.hpp"
 #include "zinnia/routing/work_estimate.hpp"
 
 namespace zinnia {
@@ -52,6 +56,8 @@
   std::shared_ptr<backend_state> target;
   /// Whether the target is expected to hold the object.
   warmth expected_warmth{warmth::none};
+  /// Expected time until the target has loaded the object, if it does not hold it.
+  duration expected_load_time{0};
   /// Expected time from sending to the response, without the wait for a slot.
   duration expected_work{0};
   /// Expected time from sending to the response under the current load, including the wait for a slot.
@@ -62,13 +68,28 @@
   int candidates{0};
 };
 
+/// \brief One finished attempt at a backend server.
+struct attempt_report {
+  const route& matched_route;
+  const service_id& service;
+  const placement_decision& decision;
+  std::optional<std::uint64_t> object;
+  backend_outcome outcome{backend_outcome::responded};
+  /// From sending the request to the end of the response.
+  duration took{0};
+  double response_kib{0};
+};
+
 /// \brief   State of all backend servers at one node. Not thread safe.
 ///
-/// \details Requests for an object go to its home servers, which are likely to hold it. They spill over to
-///          other servers only while the service has spare capacity. Among the servers that can respond
-///          within the deadline, including the wait for a slot, placement picks the one with the lowest cost:
-///          expected time plus costs for failures, for transferring bytes and for the slots that a miss
-///          occupies. A request waits if that server is full and is refused if no server can respond in time.
+/// \details Requests for an object go to the homes that all nodes of the region agree on, where other nodes'
+///          requests have made a server load it; notices between nodes tell which. An object that no server
+///          holds goes to the first home that is not busy. Another home, or a server of the own failure
+///          domain, gets a copy once requests have paid for it (`copy_ledger`). Requests spill over to other
+///          servers only while the service has spare capacity. Among the servers that can respond within the
+///          deadline, including the wait for a slot, placement picks the one with the lowest cost: expected
+///          time plus costs for failures, for transferring bytes and for the slots that a miss occupies. A
+///          request waits if that server is full and is refused if no server can respond in time.
 class backend_table {
  public:
   /// \param regions_by_domain_in The region of each known failure domain, until a snapshot has newer ones.
@@ -88,10 +109,16 @@
 
   /// \name Learning
   /// \{
+  /// \brief Records that a request was sent to the target of its decision.
+  void record_send(const placement_decision& decision, const service_id& service,
+                   std::optional<std::uint64_t> object, time_point now);
+  void record_attempt(const attempt_report& attempt, time_point now);
+  /// \brief Returns and clears what other nodes should know about the objects that servers hold.
+  [[nodiscard]] std::vector<holder_notice> take_notices();
+  /// \brief Applies notices of another node. Ignores those about unknown servers.
+  void apply_notices(const std::vector<holder_notice>& notices, time_point now);
   void record_round_trip(const backend_state& backend, duration took);
   [[nodiscard]] work_estimate& estimate(const route& matched_route, const service_id& service);
-  /// \brief Records how long a request that did not have to wait for a slot occupied one.
-  void record_service_time(const service_id& service, double took_ms);
   [[nodiscard]] duration round_trip(const backend_state& backend) const;
   /// \}
 
@@ -127,14 +154,22 @@
     std::vector<group_member> members;
     // Mean time in ms for which a request occupies a slot; converts queue lengths to waiting times.
     double mean_slot_time_ms{80};
+    int slot_time_samples{0};
+    // Weight of one slot in each failure domain for the objects of this region's callers; parallel to
+    // `domains`.
+    std::vector<double> slot_weights;
   };
   /// What it costs to send one request to a failure domain.
   struct domain_costs {
     bool allowed{true};
     double round_trip_ms{0};
     double transfer_ms{0};
-    // Weight of one slot of the domain when homes of objects are chosen.
-    double slot_weight{0};
+    // The same for a response size that changes rarely.
+    double stable_transfer_ms{0};
+    // Weight of one slot when homes of objects are chosen.
+    double slot_weight{1};
+    bool is_own{false};
+    bool is_own_region{false};
   };
   /// A request and the values that are the same for all servers, computed once.
   struct request_context {
@@ -144,12 +179,23 @@
     // Parallel to `backend_table::domains`.
     std::vector<domain_costs> domains;
   };
+  /// The members that may hold an object.
+  struct home_members {
+    member_list shared;
+    const group_member* in_domain{nullptr};
+    // True if any of them holds the object or is loading it.
+    bool has_holder{false};
+  };
   struct candidate {
     const group_member* member{nullptr};
     warmth expected_warmth{warmth::none};
     double round_trip_ms{0};
     double work_ms{0};
     double wait_ms{0};
+    // Costs of the server's load and failures.
+    double busy_ms{0};
+    // Round trip and transfer.
+    double distance_ms{0};
     double cost_ms{0};
     [[nodiscard]] double total_ms() const noexcept {
       return this->round_trip_ms + this->wait_ms + this->work_ms;
@@ -158,16 +204,25 @@
 
   [[nodiscard]] request_context make_context(const service_group& group, const placement_request& request,
                                              time_point now);
-  [[nodiscard]] double slot_weight(const service_group& group, const domain_entry& domain,
-                                   const placement_request& request, const work_estimate& estimate) const;
+  /// Sets the service's weights of slots from the declared servers.
+  void update_slot_weights(service_group& group) const;
+  /// Records how long a request that did not have to wait for a slot occupied one.
+  void record_service_time(const service_id& service, double took_ms);
   [[nodiscard]] member_list eligible_members(const service_group& group,
                                              const request_context& context) const;
-  /// Returns the servers that may handle an object, highest score first.
-  [[nodiscard]] static member_list homes_for(const service_group& group, const member_list& among,
-                                             const request_context& context);
+  [[nodiscard]] static home_members homes_for(const service_group& group, const member_list& among,
+                                              const request_context& context);
+  [[nodiscard]] static warmth expected_warmth(const request_context& context, const group_member& member,
+                                              const home_members& homes);
   [[nodiscard]] static candidate evaluate(const service_group& group, const request_context& context,
-                                          const group_member& member, const group_member* home,
+                                          const group_member& member, const home_members& homes,
                                           double utilisation);
+  /// Returns a home that does not hold the object yet, if the object has paid for a copy and it can respond
+  /// in time.
+  [[nodiscard]] std::optional<candidate> find_paid_copy(const service_group& group,
+                                                        const request_context& context,
+                                                        const home_members& homes, const candidate& best,
+                                                        double utilisation);
   [[nodiscard]] double transfer_cost(const service_group& group, const domain_entry& domain,
                                      double kib) const;
   [[nodiscard]] placement_decision refuse(reason refusal_reason, duration retry_after, int candidates) const;
@@ -188,6 +243,10 @@
   std::set<failure_domain_id> evacuated;
   shift_state shifts;
   absl::flat_hash_map<std::string, work_estimate> estimates;
+  // The values of `backends` by the hash of their id.
+  absl::flat_hash_map<std::uint64_t, std::shared_ptr<backend_state>> backends_by_hash;
+  copy_ledger copies;
+  std::vector<holder_notice> outgoing_notices;
 };
 
 }  // namespace zinnia
--- a/packages/routing/include/zinnia/routing/placement_settings.hpp
+++ b/packages/routing/include/zinnia/routing/placement_settings.hpp
@@ -10,9 +10,11 @@
 
 /// \brief Parameters of placement at one location.
 struct placement_settings {
-  /// Weights of a backend server by distance; higher weights for near servers keep more homes near.
-  double own_domain_weight{16};
-  double own_region_weight{4};
+  /// Multiplies what a request's cost of distance counts towards a copy of its object in the own failure
+  /// domain.
+  double own_domain_weight{1};
+  /// Multiply the weight of a slot in the own region and in other regions when homes of objects are chosen.
+  double own_region_weight{1};
   double other_region_weight{1};
   /// Cost of transferring one KiB of a response, as ms of latency, between domains and between regions.
   double domain_transfer_ms_per_kib{2};
@@ -20,9 +22,9 @@
   /// Weight of the extra time of a miss in the placement cost, in addition to the time itself and scaled by
   /// utilisation: a miss takes slots from other requests.
   double miss_penalty{3};
-  /// The number of backend servers that may handle an object. With more homes, more objects would be evicted
-  /// from the servers' memory.
-  std::size_t homes_per_object{2};
+  /// The number of backend servers at which all nodes look for an object. One of them loads it; with more to
+  /// choose from, fewer objects are loaded at a busy server.
+  std::size_t homes_per_object{3};
   /// True if objects may be handled by other servers than their homes while the service has spare capacity.
   bool allow_spillover{true};
   /// The number of objects that a backend server is assumed to hold in memory.
--- a/packages/routing/include/zinnia/routing/work_estimate.hpp
+++ b/packages/routing/include/zinnia/routing/work_estimate.hpp
@@ -7,9 +7,9 @@
 
 /// \brief How likely it is that a server holds an object, as far as this node knows.
 enum class warmth : unsigned char {
-  /// The server recently responded to a request for the object that came through this node.
+  /// The server recently responded to a request for the object, from this node or, by notice, from another.
   known,
-  /// The server is the object's first home, so requests from other nodes may have made it load the object.
+  /// The server is loading the object, or, if no server is known to hold it, is the object's first home.
   presumed,
   none,
 };
@@ -19,10 +19,19 @@
 ///          times faster.
 class work_estimate {
  public:
+  work_estimate() = default;
+  /// \brief Starts with the assumption that a server which has to load the object just meets the route's
+  /// target.
+  explicit work_estimate(duration target_latency) noexcept;
+
   /// \brief Records the time of a request that did not have to wait for a slot.
   void record_work_time(warmth expected, double took_ms) noexcept;
   /// \brief Returns the expected time of a request.
   [[nodiscard]] double expected_ms(warmth expected) const noexcept;
+  /// \brief Returns the time that a typical server takes for a request like one that took `took_ms`;
+  /// `took_ms`
+  ///        itself while too few requests have been recorded to tell.
+  [[nodiscard]] double typical_ms(warmth expected, double took_ms) const noexcept;
   void record_response_size(double kib) noexcept;
 
   [[nodiscard]] double warm_ms() const noexcept { return this->warm.value; }
@@ -41,7 +50,9 @@
     void add(double sample) noexcept;
   };
 
-  // Initial values until requests have been recorded; typical of a small look-up.
+  [[nodiscard]] bool is_like_warm(double took_ms) const noexcept;
+
+  // Initial values until requests have been recorded.
   running_mean warm{60};
   running_mean cold{200};
   // Fraction of presumed hits that were warm; initially no object has been loaded by any request.
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -56,6 +56,7 @@
                          this->declaration.started_unix_ms != 0;
   if (restarted) {
     this->objects.clear();
+    this->peer_loads.clear();
     this->other_nodes_load = 0;
     this->other_nodes_load_average = 0;
     this->failure_average = 0;
@@ -80,15 +81,23 @@
   this->other_nodes_load_average +=
       (this->other_nodes_load - this->other_nodes_load_average) * impl::report_ewma_weight;
   this->last_report_at = now;
+  this->peer_loads.clear();
   if (report.slots > 0) {
     this->declaration.slots = report.slots;
   }
 }
 
+void backend_state::on_peer_load(time_point loaded_at, time_point now) {
+  std::erase_if(this->peer_loads, [now](time_point ends) { return ends <= now; });
+  this->peer_loads.push_back(loaded_at);
+}
+
 double backend_state::load(time_point now) const noexcept {
+  const auto loading = std::count_if(this->peer_loads.begin(), this->peer_loads.end(),
+                                     [now](time_point ends) { return ends > now; });
   const auto age = static_cast<double>((now - this->last_report_at).ms);
   const double average = this->other_nodes_load_average * std::exp(-age / impl::average_decay_ms);
-  return this->own_in_flight + average +
+  return static_cast<double>(this->own_in_flight + loading) + average +
          (this->other_nodes_load - average) * std::exp(-age / impl::report_decay_ms);
 }
 
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -27,30 +27,16 @@
 /// Fraction of a cold server's request rate that the node warming it uses. The rest is a margin for a second
 /// node that may warm it for a short time.
 constexpr double cold_rate_fraction = 0.8;
-/// Transfer cost of a response that halves a server's share of the homes.
-constexpr double share_halving_transfer_ms = 20;
-/// Fractions of a route's latency target that round trip and work may take: up to the first a server keeps
-/// its full share of the homes, from the second on only `min_share_factor` of it. In between the share falls
-/// linearly, because a step would move many objects at once.
-constexpr double full_share_latency_fraction = 0.8;
-constexpr double min_share_latency_fraction = 1.0;
-constexpr double min_share_factor = 0.1;
 /// Utilisation of a service below which objects may spill over to servers other than their homes. Above it
 /// the extra misses would cause further misses.
 constexpr double max_spillover_utilisation = 0.6;
-/// Weight of the newest request in a service's mean slot time.
-constexpr double slot_time_ewma_weight = 0.05;
+/// Cost of a server's load, as a fraction of the time that its slots are expected to be busy: other nodes may
+/// have sent requests that this node has not heard of.
+constexpr double contention_fraction = 0.25;
 /// Bounds of the retry delay that a refused caller receives.
 constexpr duration min_retry_after{50};
 constexpr duration max_retry_after{1000};
 
-/// Returns the factor on the weight of a server whose responses take this fraction of the latency target.
-[[nodiscard]] double latency_share_factor(double latency_fraction) noexcept {
-  const double excess = (latency_fraction - full_share_latency_fraction) /
-                        (min_share_latency_fraction - full_share_latency_fraction);
-  return 1 - (1 - min_share_factor) * std::clamp(excess, 0.0, 1.0);
-}
-
 [[nodiscard]] duration to_duration(double ms) noexcept {
   return {static_cast<std::int64_t>(std::llround(ms))};
 }
@@ -69,6 +55,7 @@
     }
     if (const auto known = this->services.find(id); known != this->services.end()) {
       group.mean_slot_time_ms = known->second.mean_slot_time_ms;
+      group.slot_time_samples = known->second.slot_time_samples;
     }
   }
   for (const auto& domain : this->evacuated) {
@@ -90,6 +77,7 @@
   std::map<failure_domain_id, std::size_t> domain_positions;
   this->domains.clear();
   this->backend_list.clear();
+  this->backends_by_hash.clear();
   for (const auto& [id, declaration] : snapshot.backends) {
     auto& backend = next_backends[id];
     if (const auto known = this->backends.find(id); known != this->backends.end()) {
@@ -99,6 +87,7 @@
       backend = std::make_shared<backend_state>(declaration);
     }
     this->backend_list.push_back(backend);
+    this->backends_by_hash[backend->hash()] = backend;
     const auto [position, is_new] = domain_positions.try_emplace(declaration.domain, this->domains.size());
     if (is_new) {
       this->domains.push_back({declaration.domain, this->region_of(declaration.domain)});
@@ -107,6 +96,9 @@
       group->second.members.push_back({backend, position->second});
     }
   }
+  for (auto& [id, group] : next_services) {
+    this->update_slot_weights(group);
+  }
   this->services = std::move(next_services);
   this->backends = std::move(next_backends);
 }
@@ -164,14 +156,8 @@
 }
 
 work_estimate& backend_table::estimate(const route& matched_route, const service_id& service) {
-  return this->estimates[service.str() + matched_route.prefix];
-}
-
-void backend_table::record_service_time(const service_id& service, double took_ms) {
-  if (const auto found = this->services.find(service); found != this->services.end()) {
-    found->second.mean_slot_time_ms +=
-        (took_ms - found->second.mean_slot_time_ms) * impl::slot_time_ewma_weight;
-  }
+  return this->estimates.try_emplace(service.str() + matched_route.prefix, matched_route.target_latency)
+      .first->second;
 }
 
 bool backend_table::is_eligible(const backend_state& backend, time_point now) const {
@@ -198,7 +184,10 @@
                     request.matched_route->allowed_regions.contains(domain.region);
     costs.round_trip_ms = static_cast<double>(this->round_trip_to(domain.id).ms);
     costs.transfer_ms = this->transfer_cost(group, domain, context.estimate.response_kib());
-    costs.slot_weight = this->slot_weight(group, domain, request, context.estimate);
+    costs.stable_transfer_ms = this->transfer_cost(group, domain, context.estimate.stable_response_kib());
+    costs.is_own = domain.id == this->own_location.domain;
+    costs.is_own_region = domain.region == this->own_location.region;
+    costs.slot_weight = group.slot_weights[context.domains.size() - 1];
   }
   return context;
 }
@@ -241,44 +230,73 @@
   }
 }
 
-double backend_table::slot_weight(const service_group& group, const domain_entry& domain,
-                                  const placement_request& request, const work_estimate& estimate) const {
-  if (domain.id == this->own_location.domain) {
-    return group.settings.own_domain_weight;
-  }
-  const bool same_region = domain.region == this->own_location.region;
-  const double weight = same_region ? group.settings.own_region_weight : group.settings.other_region_weight;
-  const double transfer_ms = this->transfer_cost(group, domain, estimate.stable_response_kib());
-  const double transfer_share_factor = 1 / (1 + transfer_ms / impl::share_halving_transfer_ms);
-  const auto target =
-      static_cast<double>(std::max<std::int64_t>(request.matched_route->target_latency.ms, 1));
-  const double latency_fraction =
-      (static_cast<double>(this->round_trip_to(domain.id).ms) + estimate.warm_ms()) / target;
-  return weight * transfer_share_factor * impl::latency_share_factor(latency_fraction);
+void backend_table::update_slot_weights(service_group& group) const {
+  std::map<region_id, region_capacity> regions;
+  for (const auto& [domain, region] : this->regions_by_domain) {
+    // Callers are taken to be spread evenly over the failure domains.
+    regions.try_emplace(region, region_capacity{0, 0}).first->second.demand += 1;
+  }
+  for (const auto& member : group.members) {
+    const auto& declared = member.backend->declared();
+    const auto& domain = this->domains[member.domain];
+    if (declared.mode == backend_mode::ready && !this->evacuated.contains(domain.id)) {
+      regions[domain.region].slots += std::max(declared.slots, 1);
+    }
+  }
+  const auto weights = slot_weights(regions, this->own_location.region);
+  group.slot_weights.clear();
+  for (const auto& domain : this->domains) {
+    const auto found = weights.find(domain.region);
+    const bool is_own = domain.region == this->own_location.region;
+    group.slot_weights.push_back(
+        (found == weights.end() ? 1.0 : found->second) *
+        (is_own ? group.settings.own_region_weight : group.settings.other_region_weight));
+  }
 }
 
-backend_table::member_list backend_table::homes_for(const service_group& group, const member_list& among,
-                                                    const request_context& context) {
-  std::vector<std::pair<double, const group_member*>> scored;
-  scored.reserve(among.size());
+backend_table::home_members backend_table::homes_for(const service_group& group, const member_list& among,
+                                                     const request_context& context) {
+  std::vector<home_candidate> candidates;
+  member_list warm_members;
+  candidates.reserve(among.size());
+  warm_members.reserve(among.size());
   for (const auto* const member : among) {
     const auto& backend = *member->backend;
     if (!backend.is_cold(context.now)) {
-      const double weight =
-          context.domains[member->domain].slot_weight * std::max(backend.declared().slots, 1);
-      scored.emplace_back(rendezvous_score(backend.hash(), *context.request.object, weight), member);
+      const auto& domain = context.domains[member->domain];
+      candidates.push_back(
+          {backend.hash(), domain.slot_weight * std::max(backend.declared().slots, 1), domain.is_own});
+      warm_members.push_back(member);
     }
   }
-  const auto count = std::min(scored.size(), group.settings.homes_per_object);
-  std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(),
-                    [](const auto& a, const auto& b) { return a.first > b.first; });
-  member_list homes;
-  for (std::size_t i = 0; i < count; ++i) {
-    homes.push_back(scored[i].second);
+  const auto object = *context.request.object;
+  const auto ranking = rank_homes(candidates, object, group.settings.homes_per_object);
+  home_members homes;
+  const auto note_holder = [&](const group_member* member) {
+    homes.has_holder = homes.has_holder || member->backend->objects.contains(object);
+    return member;
+  };
+  for (const auto index : ranking.shared) {
+    homes.shared.push_back(note_holder(warm_members[index]));
   }
+  homes.in_domain = ranking.in_domain ? note_holder(warm_members[*ranking.in_domain]) : nullptr;
   return homes;
 }
 
+warmth backend_table::expected_warmth(const request_context& context, const group_member& member,
+                                      const home_members& homes) {
+  const auto& object = context.request.object;
+  if (!object || member.backend->objects.is_loaded(*object, context.now)) {
+    return warmth::known;
+  }
+  if (member.backend->objects.contains(*object)) {
+    return warmth::presumed;
+  }
+  // Requests that this node has not heard of are most likely to have gone to the first home.
+  const bool is_first_home = !homes.shared.empty() && homes.shared.front() == &member;
+  return !homes.has_holder && is_first_home ? warmth::presumed : warmth::none;
+}
+
 double backend_table::transfer_cost(const service_group& group, const domain_entry& domain,
                                     double kib) const {
   if (domain.id == this->own_location.domain) {
@@ -291,7 +309,7 @@
 }
 
 backend_table::candidate backend_table::evaluate(const service_group& group, const request_context& context,
-                                                 const group_member& member, const group_member* home,
+                                                 const group_member& member, const home_members& homes,
                                                  double utilisation) {
   const auto& request = context.request;
   const auto& backend = *member.backend;
@@ -304,25 +322,74 @@
                               : learned_slowness;
   candidate evaluated;
   evaluated.member = &member;
-  evaluated.expected_warmth = !request.object || backend.objects.contains(*request.object) ? warmth::known
-                              : &member == home                                            ? warmth::presumed
-                                                                                           : warmth::none;
+  evaluated.expected_warmth = expected_warmth(context, member, homes);
   evaluated.round_trip_ms = domain.round_trip_ms;
   evaluated.work_ms = context.estimate.expected_ms(evaluated.expected_warmth) * slowness;
-  const double queue_position =
-      backend.load(context.now) + backend.queue.count_ahead(request.matched_route->priority) + 1 - slots;
+  // Requests and responses in transit occupy no slot.
+  const double in_transit = backend.in_flight() * domain.round_trip_ms /
+                            std::max(domain.round_trip_ms + group.mean_slot_time_ms, 1.0);
+  const double load = backend.load(context.now) - in_transit;
+  const double queue_position = load + backend.queue.count_ahead(request.matched_route->priority) + 1 - slots;
   evaluated.wait_ms = std::max(queue_position, 0.0) * group.mean_slot_time_ms * slowness / slots;
-  const double miss_extra_ms = evaluated.expected_warmth == warmth::none
+  const double contention_ms = impl::contention_fraction * load * group.mean_slot_time_ms / slots;
+  // Where no server holds the object, some server has to load it.
+  const double miss_extra_ms = homes.has_holder && evaluated.expected_warmth == warmth::none
                                    ? (context.estimate.cold_ms() - context.estimate.warm_ms()) * slowness
                                    : 0;
   const double failure_cost_ms =
       request.repeatable ? impl::repeatable_failure_cost_ms : impl::unrepeatable_failure_cost_ms;
-  evaluated.cost_ms = evaluated.total_ms() +
-                      miss_extra_ms * group.settings.miss_penalty * std::min(utilisation, 1.0) +
-                      backend.failure_ratio(context.now) * failure_cost_ms + domain.transfer_ms;
+  evaluated.busy_ms =
+      evaluated.wait_ms + contention_ms + backend.failure_ratio(context.now) * failure_cost_ms;
+  evaluated.distance_ms = domain.round_trip_ms + domain.stable_transfer_ms;
+  // Nodes in different places must choose the same server to load an object, so distance does not count then.
+  const bool is_first_load = request.object.has_value() && !homes.has_holder;
+  evaluated.cost_ms = evaluated.busy_ms + (is_first_load ? 0 : evaluated.distance_ms) + evaluated.work_ms +
+                      miss_extra_ms * group.settings.miss_penalty * std::min(utilisation, 1.0);
   return evaluated;
 }
 
+std::optional<backend_table::candidate> backend_table::find_paid_copy(const service_group& group,
+                                                                      const request_context& context,
+                                                                      const home_members& homes,
+                                                                      const candidate& best,
+                                                                      double utilisation) {
+  const auto object = *context.request.object;
+  const auto remaining_ms = static_cast<double>((context.request.deadline - context.now).ms);
+  const double price_ms = (context.estimate.cold_ms() - context.estimate.warm_ms()) *
+                          (1 + group.settings.miss_penalty * std::min(utilisation, 1.0));
+  const auto evaluate_copy = [&](const group_member* member) -> std::optional<candidate> {
+    if (member == nullptr || member == best.member || member->backend->objects.contains(object)) {
+      return std::nullopt;
+    }
+    const auto evaluated = evaluate(group, context, *member, homes, utilisation);
+    const bool in_time =
+        evaluated.total_ms() <= remaining_ms && member->backend->queue.size() < group.settings.queue_limit;
+    return in_time ? std::optional{evaluated} : std::nullopt;
+  };
+  // Objects in other regions are there because the own region has no slots for them.
+  const bool is_in_region = context.domains[best.member->domain].is_own_region;
+  if (const auto near = is_in_region ? evaluate_copy(homes.in_domain) : std::nullopt) {
+    const double saved_ms = best.distance_ms - near->distance_ms;
+    if (near->busy_ms < best.busy_ms + saved_ms &&
+        this->copies.pay(object ^ near->member->backend->hash(), saved_ms * group.settings.own_domain_weight,
+                         price_ms)) {
+      return near;
+    }
+  }
+  std::optional<candidate> least_busy;
+  for (const auto* const member : homes.shared) {
+    const auto evaluated = evaluate_copy(member);
+    if (evaluated && (!least_busy || evaluated->busy_ms < least_busy->busy_ms)) {
+      least_busy = evaluated;
+    }
+  }
+  if (least_busy && least_busy->busy_ms < best.busy_ms &&
+      this->copies.pay(object, best.busy_ms - least_busy->busy_ms, price_ms)) {
+    return least_busy;
+  }
+  return std::nullopt;
+}
+
 placement_decision backend_table::refuse(reason refusal_reason, duration retry_after, int candidates) const {
   placement_decision decision;
   decision.refusal_reason = refusal_reason;
@@ -349,38 +416,50 @@
     load += member->backend->load(now) + static_cast<double>(member->backend->queue.size());
     slots += member->backend->declared().slots;
   }
-  const auto homes = request.object ? homes_for(group, eligible, context) : member_list{};
-  const auto* const home = homes.empty() ? nullptr : homes.front();
+  const auto homes = request.object ? homes_for(group, eligible, context) : home_members{};
   const double remaining_ms = static_cast<double>((request.deadline - now).ms);
   const double utilisation = load / std::max(slots, 1.0);
   std::optional<candidate> best;
   double earliest_ms = 0;
-  const auto evaluate_all = [&](const member_list& among) {
+  const auto consider = [&](const group_member& member) {
+    const auto evaluated = evaluate(group, context, member, homes, utilisation);
+    earliest_ms = earliest_ms == 0 ? evaluated.total_ms() : std::min(earliest_ms, evaluated.total_ms());
+    const bool in_time =
+        evaluated.total_ms() <= remaining_ms && member.backend->queue.size() < group.settings.queue_limit;
+    if (in_time && (!best || evaluated.cost_ms < best->cost_ms)) {
+      best = evaluated;
+    }
+  };
+  const auto consider_all = [&](const member_list& among) {
     for (const auto* const member : among) {
-      const auto evaluated = evaluate(group, context, *member, home, utilisation);
-      earliest_ms = earliest_ms == 0 ? evaluated.total_ms() : std::min(earliest_ms, evaluated.total_ms());
-      const bool in_time =
-          evaluated.total_ms() <= remaining_ms && member->backend->queue.size() < group.settings.queue_limit;
-      if (in_time && (!best || evaluated.cost_ms < best->cost_ms)) {
-        best = evaluated;
-      }
+      consider(*member);
     }
   };
-  evaluate_all(homes.empty() ? eligible : homes);
+  consider_all(homes.shared.empty() ? eligible : homes.shared);
+  if (homes.in_domain != nullptr && homes.in_domain->backend->objects.contains(*request.object)) {
+    consider(*homes.in_domain);
+  }
   if (!best && group.settings.allow_spillover && utilisation < impl::max_spillover_utilisation) {
     // The homes cannot respond in time, but the service has spare capacity.
-    evaluate_all(eligible);
+    consider_all(eligible);
   }
   const auto candidates = static_cast<int>(eligible.size());
   if (!best) {
     return this->refuse(reason::wait_exceeds_deadline, impl::to_duration(earliest_ms - remaining_ms),
                         candidates);
   }
+  if (request.object) {
+    if (const auto copy = this->find_paid_copy(group, context, homes, *best, utilisation)) {
+      best = copy;
+    }
+  }
   const auto& target = best->member->backend;
   placement_decision decision;
   decision.target = target;
   decision.expected_warmth = best->expected_warmth;
   decision.expected_work = impl::to_duration(best->round_trip_ms + best->work_ms);
+  decision.expected_load_time = impl::to_duration(best->round_trip_ms + best->wait_ms +
+                                                  context.estimate.cold_ms() * target->slowness(now));
   decision.expected_total = impl::to_duration(best->total_ms());
   decision.load = target->load(now);
   decision.candidates = candidates;
--- a/packages/routing/src/work_estimate.cpp
+++ b/packages/routing/src/work_estimate.cpp
@@ -11,6 +11,10 @@
 /// Samples after which the mean becomes an exponential moving average; a few seconds of traffic of one route
 /// at one node.
 constexpr int max_mean_samples = 30;
+/// Assumed time at a server that holds the object, as a fraction of the time at one that does not.
+constexpr double initial_warm_fraction = 0.3;
+/// Samples from which on a mean tells a slow server from a slow route.
+constexpr int min_typical_samples = 5;
 /// Factor by which the mean size must change for the change to be significant: several standard deviations of
 /// a mean of 30 sizes with a standard deviation of 0.6 of their mean.
 constexpr double significant_change = 1.6;
@@ -20,6 +24,10 @@
 }  // namespace
 }  // namespace impl
 
+work_estimate::work_estimate(duration target_latency) noexcept
+    : warm{impl::initial_warm_fraction * static_cast<double>(target_latency.ms)},
+      cold{static_cast<double>(target_latency.ms)} {}
+
 void work_estimate::running_mean::add(double sample) noexcept {
   this->count = std::min(this->count + 1, impl::max_mean_samples);
   this->value += (sample - this->value) / (this->count + 1);
@@ -34,11 +42,28 @@
       this->cold.add(took_ms);
       break;
     case warmth::presumed:
-      this->presumed_warm_fraction.add(took_ms < (this->warm_ms() + this->cold_ms()) / 2 ? 1 : 0);
+      if (this->is_like_warm(took_ms)) {
+        this->presumed_warm_fraction.add(1);
+      } else {
+        this->presumed_warm_fraction.add(0);
+        this->cold.add(took_ms);
+      }
       break;
   }
 }
 
+bool work_estimate::is_like_warm(double took_ms) const noexcept {
+  return took_ms < (this->warm_ms() + this->cold_ms()) / 2;
+}
+
+double work_estimate::typical_ms(warmth expected, double took_ms) const noexcept {
+  const bool is_warm = expected == warmth::presumed ? this->is_like_warm(took_ms) : expected == warmth::known;
+  if ((is_warm ? this->warm : this->cold).count < impl::min_typical_samples) {
+    return took_ms;
+  }
+  return is_warm ? this->warm_ms() : this->cold_ms();
+}
+
 double work_estimate::expected_ms(warmth expected) const noexcept {
   switch (expected) {
     case warmth::known:
--- a/packages/settings/include/zinnia/settings/service_settings.hpp
+++ b/packages/settings/include/zinnia/settings/service_settings.hpp
@@ -27,13 +27,13 @@
   std::int64_t ramp_step_percent{25};
   std::int64_t ramp_interval_ms{10'000};
   std::int64_t lookup_lifetime_ms{2'000};
-  std::int64_t own_domain_weight{16};
-  std::int64_t own_region_weight{4};
+  std::int64_t own_domain_weight{1};
+  std::int64_t own_region_weight{1};
   std::int64_t other_region_weight{1};
   std::int64_t domain_transfer_us_per_kib{2'000};
   std::int64_t region_transfer_us_per_kib{2'000};
   std::int64_t miss_penalty_percent{300};
-  std::int64_t homes_per_object{2};
+  std::int64_t homes_per_object{3};
   std::int64_t leave_homes{static_cast<std::int64_t>(spillover_policy::while_spare)};
   std::int64_t remembered_objects{40};
   std::int64_t overcommit_requests{1};
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 flatc --cpp -o packages/membership/src/generated packages/membership/beat.fbs
+flatc --cpp -o packages/membership/src/generated packages/membership/notices.fbs
 flatc --cpp -o packages/store/src/generated packages/store/news.fbs
