Let busy nodes use the retries that their requests earn, and watch the store with fewer nodes

Change: retry_limiter counts requests and retries of a sliding window; a node uses 0.8 of what its own requests earn and half of its share of the rest, so that nodes that all restart in one window stay within the budget. Two nodes a failure domain watch the store; the wait of the configuration watch follows the platform's recovery limit. The test that a bucket accumulates no more than its share of the extra part is replaced: what the node's own requests of the window earn is within the stated budget; the new tests check the budget in every window, over all nodes, over restarts, and for a busy node.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -19,7 +19,7 @@
 #include "zinnia/observe/recent_records.hpp"
 #include "zinnia/routing/backend_table.hpp"
 #include "zinnia/routing/declarations.hpp"
-#include "zinnia/routing/retry_token_bucket.hpp"
+#include "zinnia/routing/retry_limiter.hpp"
 #include "zinnia/routing/route_table.hpp"
 #include "zinnia/routing/weighted_split.hpp"
 
@@ -116,7 +116,7 @@
   weighted_split split;
   std::shared_ptr<const routing_snapshot> current_snapshot;
   std::map<backend_id, std::unique_ptr<backend_pool>> pools;
-  std::map<service_id, retry_token_bucket> retry_buckets;
+  std::map<service_id, retry_limiter> retry_limiters;
   // Requests in flight by ticket.
   std::map<wait_ticket, std::shared_ptr<request_flow>> flows;
   // Health checks in progress.
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -81,7 +81,8 @@
 
 void request_flow::start() {
   this->service = this->owner.split.pick(this->matched_route);
-  this->owner.retry_buckets[this->service].on_request(this->owner.options.retry_budget);
+  this->owner.retry_limiters[this->service].on_request(this->owner.options.retry_budget,
+                                                       this->owner.clock.now());
   const auto self = this->shared_from_this();
   this->exchange->on_disconnect = [self] { self->on_caller_left(); };
   const auto left = this->deadline - this->owner.clock.now();
@@ -311,7 +312,7 @@
     return static_cast<int>(this->tried_backends.size()) <= this->sent_count + impl::max_connect_failures;
   }
   return this->sent_count < this->matched_route.max_attempts && now < this->deadline &&
-         this->owner.retry_buckets[this->service].try_consume(
+         this->owner.retry_limiters[this->service].try_consume(
              this->owner.options.retry_budget, static_cast<int>(this->owner.nodes.registered_count), now);
 }
 
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -145,8 +145,9 @@
 /// \brief Maximum number of nodes that a node sends heartbeats to.
 inline constexpr std::size_t max_heartbeat_peers = 24;
 /// \brief   Number of serving nodes of a failure domain that watch the store; further ones follow these.
-/// \details If two of them fail, two are left to relay changes.
-inline constexpr std::size_t max_store_watchers = 4;
+/// \details If one of them fails, one is left to relay changes; without one the others watch the store
+/// themselves.
+inline constexpr std::size_t max_store_watchers = 2;
 /// \brief Maximum number of addresses in one directory response.
 inline constexpr std::size_t max_advertised_addresses = 64;
 
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -10,7 +10,7 @@
 #include "zinnia/core/ids.hpp"
 #include "zinnia/membership/serving_set.hpp"
 #include "zinnia/routing/backend_table.hpp"
-#include "zinnia/routing/retry_token_bucket.hpp"
+#include "zinnia/routing/retry_limiter.hpp"
 
 namespace zinnia {
 
@@ -42,6 +42,8 @@
   duration stop_limit{6000};
   /// Upper limit on how long callers may cache a directory response.
   duration max_lookup_lifetime{5000};
+  /// Time after a disturbance within which this node must be up to date again.
+  duration recovery_limit{3000};
   /// Time after which a backend server that is leaving must receive no more requests.
   duration drain_limit{2500};
 
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -22,16 +22,17 @@
 /// Minimum time between restarts of the watches. A lost history restarts all watches, and the other watches
 /// report the same loss shortly afterwards.
 constexpr duration restart_pause{1000};
-/// The wait time of a configuration watch call. This watch also detects an unresponsive store, within this
-/// time plus the allowance of the call, which is below the shortest `stableWindowMs` (3 s).
-constexpr duration configuration_watch_time{1800};
+/// The configuration watch also detects an unresponsive store. Its wait time leaves this much of the recovery
+/// limit for the allowance of the call and for reconnecting.
+constexpr duration store_check_margin{1600};
+constexpr duration min_configuration_watch_time{1800};
 /// Changes of backend servers come in bursts. One call collects all changes of this time, which is far below
 /// any limit on the time to apply them.
 constexpr duration change_batch_delay{200};
 /// The same for nodes. They register and leave in groups, and heartbeats reveal their state anyway.
 constexpr duration node_batch_delay{1000};
 /// Upper limit on the pause between calls to a failing store. Together with the time to connect it is well
-/// below the shortest `stableWindowMs` (3 s), within which a node must be up to date again.
+/// below any recovery limit.
 constexpr duration max_store_pause{700};
 /// Pause between writes of node entries. Longer than the store needs to respond and deliver the change event.
 constexpr duration node_entry_write_pause{1500};
@@ -58,6 +59,10 @@
   return {settings.store_history.ms * watch_history_percent / percent};
 }
 
+[[nodiscard]] duration configuration_watch_time(const node_settings& settings) {
+  return std::max(settings.recovery_limit - store_check_margin, min_configuration_watch_time);
+}
+
 /// Creates a feed whose seed spreads the pauses of different nodes and kinds.
 [[nodiscard]] object_feed make_feed(const char* kind, duration wait, duration settle, const node_id& self) {
   feed_timing timing;
@@ -79,8 +84,8 @@
       counts{counts_in},
       events{std::move(events_in)},
       watches{{{adapter_in.configuration_kind(),
-                impl::make_feed(adapter_in.configuration_kind(), impl::configuration_watch_time, duration{0},
-                                this->self.id),
+                impl::make_feed(adapter_in.configuration_kind(), impl::configuration_watch_time(settings_in),
+                                duration{0}, this->self.id),
                 0, false, false, &control_thread::apply_configuration},
                {adapter_in.backend_kind(),
                 impl::make_feed(adapter_in.backend_kind(), impl::history_watch_time(settings_in),
--- a/packages/routing/include/zinnia/routing/fwd.hpp
+++ b/packages/routing/include/zinnia/routing/fwd.hpp
@@ -12,7 +12,7 @@
 class route_table;
 class backend_state;
 class backend_table;
-class retry_token_bucket;
+class retry_limiter;
 class member_table;
 class weighted_split;
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -57,8 +57,28 @@
   's/utilisation < impl::max_spillover_utilisation/true/' "objects leave their homes under overload"
 mutate test_routing packages/routing/src/backend_state.cpp \
   's/recent) + 1 <= rate/recent) <= rate + 5/' "a cold server gets more than its rate"
-mutate test_routing packages/routing/src/retry_token_bucket.cpp \
-  's/this->tokens = std::min(this->tokens, capacity);//' "the retry bucket has no bound"
+mutate test_routing packages/routing/src/retry_limiter.cpp \
+  's/  if (retries + 1 > allowed) {/  if (false) {/' "retries have no bound"
+mutate test_routing packages/routing/src/retry_limiter.cpp \
+  's/counted.index >= oldest \&\& counted.index <= index/counted.index == index/' "the retry budget holds for a moment only"
+mutate test_routing packages/routing/src/region_shares.cpp \
+  's/std::min(own_slots \/ own_need, 1.0)/1.0/' "a small region keeps all its objects"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/  return !homes.has_holder \&\& is_first_home/  return is_first_home/' "the first home counts as the holder"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/is_first_load ? 0 : evaluated.distance_ms/evaluated.distance_ms/' "nodes of different domains load an object at different servers"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/const bool is_in_region = .*/const bool is_in_region = true;/' "objects sent to another region come back"
+mutate test_routing packages/routing/src/backend_table_learning.cpp \
+  's/backend.on_peer_load(now + notice.loads_for, now);//' "other nodes' loads are not seen"
+mutate test_routing packages/routing/src/backend_table_learning.cpp \
+  's/      target.objects.erase(\*attempt.object);//' "an object that was not loaded counts as held"
+mutate test_routing packages/routing/src/copy_ledger.cpp \
+  's/  paid += cost_ms;//' "requests never pay for a copy"
+mutate test_routing packages/routing/src/work_estimate.cpp \
+  's/count < impl::min_typical_samples/count < 0/' "a slow route makes servers look slow"
+mutate test_node packages/node/src/notice_exchange.cpp \
+  's/is_load ? impl::load_notice_delay : impl::confirmation_delay/impl::confirmation_delay/' "loads are told late"
 mutate test_membership packages/membership/src/member_table.cpp \
   's/now - entry.last_heartbeat_at < heartbeat_timeout;/true;/' "silent nodes are named to callers"
 mutate test_node packages/node/src/control_thread.cpp \
