Hold an object at two shared homes at most, and relieve a busy region at one home elsewhere

Change: at most two shared homes hold an object; the best server of the other regions gets a copy when what the object's requests wait, more than there, pays for it.

--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -183,6 +183,7 @@
   struct home_members {
     member_list shared;
     const group_member* in_domain{nullptr};
+    const group_member* relief{nullptr};
     // True if any of them holds the object or is loading it.
     bool has_holder{false};
   };
--- a/packages/routing/include/zinnia/routing/object_homes.hpp
+++ b/packages/routing/include/zinnia/routing/object_homes.hpp
@@ -19,6 +19,7 @@
   /// Greater than 0.
   double weight{1};
   bool is_in_own_domain{false};
+  bool is_in_own_region{false};
 };
 
 /// \brief The homes of an object, as indexes into the candidates.
@@ -28,6 +29,9 @@
   std::vector<std::size_t> shared;
   /// The best server of the node's failure domain; the same at all nodes of that domain.
   std::optional<std::size_t> in_domain;
+  /// The best server of the other regions, which relieves the shared homes while the own region is busier than others;
+  /// the same at all nodes of the region. Empty if it is a shared home.
+  std::optional<std::size_t> relief;
 };
 
 /// \brief   Ranks the candidates for an object by weighted rendezvous hashing.
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -27,6 +27,9 @@
 /// Fraction of a cold server's request rate that the node warming it uses. The rest is a margin for a second
 /// node that may warm it for a short time.
 constexpr double cold_rate_fraction = 0.8;
+/// Upper limit on the shared homes that hold an object: more copies would push other objects out of the
+/// servers' memory while the service is busy.
+constexpr std::ptrdiff_t max_shared_copies = 2;
 /// Utilisation of a service below which objects may spill over to servers other than their homes. Above it
 /// the extra misses would cause further misses.
 constexpr double max_spillover_utilisation = 0.6;
@@ -264,8 +267,8 @@
     const auto& backend = *member->backend;
     if (!backend.is_cold(context.now)) {
       const auto& domain = context.domains[member->domain];
-      candidates.push_back(
-          {backend.hash(), domain.slot_weight * std::max(backend.declared().slots, 1), domain.is_own});
+      candidates.push_back({backend.hash(), domain.slot_weight * std::max(backend.declared().slots, 1),
+                            domain.is_own, domain.is_own_region});
       warm_members.push_back(member);
     }
   }
@@ -280,6 +283,7 @@
     homes.shared.push_back(note_holder(warm_members[index]));
   }
   homes.in_domain = ranking.in_domain ? note_holder(warm_members[*ranking.in_domain]) : nullptr;
+  homes.relief = ranking.relief ? note_holder(warm_members[*ranking.relief]) : nullptr;
   return homes;
 }
 
@@ -376,6 +380,18 @@
       return near;
     }
   }
+  if (const auto relief = evaluate_copy(homes.relief)) {
+    const double saved_ms = best.busy_ms + best.distance_ms - relief->busy_ms - relief->distance_ms;
+    if (saved_ms > 0 && this->copies.pay(object ^ relief->member->backend->hash(), saved_ms, price_ms)) {
+      return relief;
+    }
+  }
+  const auto holders = std::count_if(homes.shared.begin(), homes.shared.end(), [&](const auto* member) {
+    return member->backend->objects.contains(object);
+  });
+  if (holders >= impl::max_shared_copies) {
+    return std::nullopt;
+  }
   std::optional<candidate> least_busy;
   for (const auto* const member : homes.shared) {
     const auto evaluated = evaluate_copy(member);
@@ -436,8 +452,10 @@
     }
   };
   consider_all(homes.shared.empty() ? eligible : homes.shared);
-  if (homes.in_domain != nullptr && homes.in_domain->backend->objects.contains(*request.object)) {
-    consider(*homes.in_domain);
+  for (const auto* const member : {homes.in_domain, homes.relief}) {
+    if (member != nullptr && member->backend->objects.contains(*request.object)) {
+      consider(*member);
+    }
   }
   if (!best && group.settings.allow_spillover && utilisation < impl::max_spillover_utilisation) {
     // The homes cannot respond in time, but the service has spare capacity.
--- a/packages/routing/src/object_homes.cpp
+++ b/packages/routing/src/object_homes.cpp
@@ -14,6 +14,7 @@
   best.reserve(shared_count + 1);
   object_homes homes;
   double best_in_domain = 0;
+  double best_elsewhere = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const auto& candidate = candidates[i];
     const double score = rendezvous_score(candidate.hash, object, candidate.weight);
@@ -21,6 +22,10 @@
       best_in_domain = score;
       homes.in_domain = i;
     }
+    if (!candidate.is_in_own_region && (!homes.relief || score > best_elsewhere)) {
+      best_elsewhere = score;
+      homes.relief = i;
+    }
     if (best.size() == shared_count && (best.empty() || score <= best.back().first)) {
       continue;
     }
@@ -33,6 +38,9 @@
   }
   for (const auto& [score, index] : best) {
     homes.shared.push_back(index);
+    if (homes.relief == index) {
+      homes.relief.reset();
+    }
   }
   return homes;
 }
--- a/packages/routing/tests/object_homes_test.cpp
+++ b/packages/routing/tests/object_homes_test.cpp
@@ -58,7 +58,7 @@
 [[nodiscard]] std::vector<home_candidate> make_candidates(int count) {
   std::vector<home_candidate> candidates;
   for (int i = 0; i < count; ++i) {
-    candidates.push_back({stable_hash("server" + std::to_string(i)), 1, i % 2 == 0});
+    candidates.push_back({stable_hash("server" + std::to_string(i)), 1, i % 2 == 0, false});
   }
   return candidates;
 }
@@ -94,6 +94,24 @@
   }
 }
 
+TEST(object_homes, relief_is_a_server_of_another_region) {
+  auto candidates = make_candidates(20);
+  for (std::size_t i = 0; i < 10; ++i) {
+    candidates[i].is_in_own_region = true;
+  }
+  for (std::uint64_t object = 1; object < 200; ++object) {
+    const auto homes = rank_homes(candidates, object, 2);
+    const bool is_shared = std::any_of(homes.shared.begin(), homes.shared.end(), [&](std::size_t index) {
+      return !candidates[index].is_in_own_region;
+    });
+    ASSERT_TRUE(homes.relief || is_shared);
+    if (homes.relief) {
+      EXPECT_FALSE(candidates[*homes.relief].is_in_own_region);
+      EXPECT_EQ(std::count(homes.shared.begin(), homes.shared.end(), *homes.relief), 0);
+    }
+  }
+}
+
 TEST(object_homes, follow_the_weights) {
   auto candidates = make_candidates(2);
   candidates[0].weight = 3;
--- a/packages/routing/tests/routing_components_test.cpp
+++ b/packages/routing/tests/routing_components_test.cpp
@@ -154,7 +154,8 @@
   std::vector<std::int64_t> retries;
 
   /// Checks the budget in every window; returns the largest number of retries in one.
-  std::int64_t check(const retry_budget_settings& budget, double extra, std::int64_t length_ms) const {
+  [[nodiscard]] std::int64_t check(const retry_budget_settings& budget, double extra,
+                                   std::int64_t length_ms) const {
     std::int64_t most = 0;
     for (std::int64_t start = 0; start + budget.window.ms <= length_ms; start += 100) {
       const auto count = [&](const std::vector<std::int64_t>& times) {
@@ -189,7 +190,7 @@
       all.retries.push_back(now);
     }
   }
-  all.check(budget, budget.extra_per_window, length_ms);
+  static_cast<void>(all.check(budget, budget.extra_per_window, length_ms));
   EXPECT_GT(all.retries.size(), all.requests.size() / 10) << "a useful fraction of the budget is spent";
 }
 
@@ -211,7 +212,7 @@
       all.retries.push_back(now);
     }
   }
-  all.check(budget, budget.extra_per_window, length_ms);
+  static_cast<void>(all.check(budget, budget.extra_per_window, length_ms));
 }
 
 /// Load: few of many nodes carry the callers, and their servers shed. What their requests earn is theirs to
