--- a/bench/tests/simulation_test.cpp
+++ b/bench/tests/simulation_test.cpp
@@ -57,6 +57,19 @@
                            return name;
                          });
 
+/// Load: no server holds any object. Nodes that tell each other which servers load objects do not load them
+/// again.
+TEST(cold_start, notices_between_nodes_earn_callers_more) {
+  auto input = load_scenario("cold-start");
+  input.length_s = 5;
+  input.notices = false;
+  const auto without = simulate(input, policy::zinniafield, 1);
+  input.notices = true;
+  const auto with = simulate(input, policy::zinniafield, 1);
+  EXPECT_GT(with.credit_fraction(), without.credit_fraction());
+  EXPECT_GT(with.warm_runs, without.warm_runs);
+}
+
 TEST(scenario, reading_a_missing_file_is_an_error) {
   EXPECT_FALSE(read_scenario("/no/such/file"));
 }
