Split placement's candidates from the choice between them

Change: homes, the cost of a server and copies move to backend_table_candidates.cpp; scripts/mutations.sh takes a filter. No decision changes.

--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -168,7 +168,7 @@
     double stable_transfer_ms{0};
     // Weight of one slot when homes of objects are chosen.
     double slot_weight{1};
-    bool is_own{false};
+    bool is_own_domain{false};
     bool is_own_region{false};
   };
   /// A request and the values that are the same for all servers, computed once.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Breaks the decisions on purpose, one line at a time in a copy of the sources, and checks that a test notices.
-# Usage: scripts/mutations.sh   Prints a line a mutation; exit code 1 if one survives.
+# Usage: scripts/mutations.sh [TEXT]   Prints a line a mutation; exit code 1 if one survives. With TEXT, only mutations
+# whose test, file or description contains it.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 copy="$(mktemp -d)"
@@ -8,9 +9,11 @@
 git ls-files | tar cf - -T - | tar xf - -C "$copy"
 cmake -G Ninja -S "$copy" -B "$copy/build" >/dev/null || exit 1
 survivors=0
+filter="${1:-}"
 
 mutate() {  # mutate TEST FILE SED WHAT
   local test="$1" file="$copy/$2" expression="$3" what="$4"
+  [[ "$test $2 $what" == *"$filter"* ]] || return 0
   cp "$file" "$file.kept"
   sed -i "$expression" "$file"
   if cmp -s "$file" "$file.kept"; then
@@ -63,11 +66,11 @@
   's/counted.index >= oldest \&\& counted.index <= index/counted.index == index/' "the retry budget holds for a moment only"
 mutate test_routing packages/routing/src/region_shares.cpp \
   's/std::min(own_slots \/ own_need, 1.0)/1.0/' "a small region keeps all its objects"
-mutate test_routing packages/routing/src/backend_table.cpp \
+mutate test_routing packages/routing/src/backend_table_candidates.cpp \
   's/  return !homes.has_holder \&\& is_first_home/  return is_first_home/' "the first home counts as the holder"
-mutate test_routing packages/routing/src/backend_table.cpp \
+mutate test_routing packages/routing/src/backend_table_candidates.cpp \
   's/is_first_load ? 0 : evaluated.distance_ms/evaluated.distance_ms/' "nodes of different domains load an object at different servers"
-mutate test_routing packages/routing/src/backend_table.cpp \
+mutate test_routing packages/routing/src/backend_table_candidates.cpp \
   's/const bool is_in_region = .*/const bool is_in_region = true;/' "objects sent to another region come back"
 mutate test_routing packages/routing/src/backend_table_learning.cpp \
   's/backend.on_peer_load(now + notice.loads_for, now);//' "other nodes' loads are not seen"
@@ -97,7 +100,7 @@
   's/    pool->set_endpoint(address);//' "requests go to a server's old address"
 mutate test_gateway packages/gateway/src/gateway.cpp \
   's/^  if (problem) {/  if (false) {/' "an unreadable address is used as 0.0.0.0"
-mutate test_routing packages/routing/src/backend_table.cpp \
+mutate test_routing packages/routing/src/backend_table_candidates.cpp \
   's/std::max(learned_slowness, impl::assumed_cold_slowness)/learned_slowness * impl::assumed_cold_slowness/' "the slowness of a cold server counts twice"
 mutate test_routing packages/routing/src/backend_table.cpp \
   's/    this->regions_by_domain = \*snapshot.regions;//' "a new failure domain stays unknown to placement"
