--- a/packages/routing/include/zinnia/routing/object_homes.hpp
+++ b/packages/routing/include/zinnia/routing/object_homes.hpp
@@ -29,8 +29,8 @@
   std::vector<std::size_t> shared;
   /// The best server of the node's failure domain; the same at all nodes of that domain.
   std::optional<std::size_t> in_domain;
-  /// The best server of the other regions, which relieves the shared homes while the own region is busier than others;
-  /// the same at all nodes of the region. Empty if it is a shared home.
+  /// The best server of the other regions, which relieves the shared homes while the own region is busier
+  /// than others; the same at all nodes of the region. Empty if it is a shared home.
   std::optional<std::size_t> relief;
 };
 
