Say what the copy ledger counts now, and reflow three comments

Cause: the ledger's comment told of distance only and of a bound that its price no longer gives. Change: comments only.

--- a/packages/http/include/zinnia/http/socket_options.hpp
+++ b/packages/http/include/zinnia/http/socket_options.hpp
@@ -11,9 +11,7 @@
 void set_tcp_options(int descriptor) noexcept;
 
 /// \brief   Sets the options on a connection from a caller.
-/// \details Without `TCP_USER_TIMEOUT`, which would also reset a caller that acknowledges probes but has
-/// paused
-///          reading.
+/// \details Without `TCP_USER_TIMEOUT`, which would also reset a caller that has paused reading.
 void set_caller_tcp_options(int descriptor) noexcept;
 
 /// \brief Returns how many sent bytes the peer has not acknowledged; 0 if the system does not tell.
--- a/packages/membership/include/zinnia/membership/holder_notice_codec.hpp
+++ b/packages/membership/include/zinnia/membership/holder_notice_codec.hpp
@@ -19,9 +19,8 @@
 [[nodiscard]] std::string encode_holder_notices(std::span<const holder_notice> notices);
 
 /// \brief   Decodes a datagram from an untrusted sender.
-/// \details Fails with `reason::malformed_frame` if the datagram is not valid, has too many notices, or names
-/// a
-///          load time of over a minute.
+/// \details Fails with `reason::malformed_frame` if the datagram is not valid, has too many notices, or has
+///          a load time of over a minute.
 [[nodiscard]] result<std::vector<holder_notice>> decode_holder_notices(std::string_view datagram);
 
 }  // namespace zinnia
--- a/packages/routing/include/zinnia/routing/copy_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/copy_ledger.hpp
@@ -1,4 +1,4 @@
-// When an object is worth a copy at a nearer backend server.
+// When an object is worth a copy at another backend server.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -8,17 +8,14 @@
 
 namespace zinnia {
 
-/// \brief   Collects, for each object, what requests have paid for the distance to its holder. Not
-/// thread-safe.
+/// \brief   Collects what the requests for each object have paid for distance and load. Not thread-safe.
 ///
-/// \details A nearer copy costs one slow request. It is made once the object's requests have paid as much for
-/// the
-///          distance, so at most twice the least possible cost is paid, whatever the demand turns out to be.
-///          The price varies from object to object, so that a change of the costs moves objects a few at a
-///          time.
+/// \details A copy costs one slow request, and memory of a server. It is made once the object's requests have
+///          paid a multiple of that price. The multiple varies from object to object, so that a change of the
+///          costs moves objects a few at a time.
 class copy_ledger {
  public:
-  /// \brief Adds the cost of one request's distance, in ms.
+  /// \brief Adds what one request would have saved with the copy, in ms.
   /// \param price Cost of making the copy, in ms.
   /// \return True if the object has paid for its copy; its account then starts anew.
   [[nodiscard]] bool pay(std::uint64_t object, double cost_ms, double price);
