Read the rate limit that a backend server names, and log and count it

Nodes now decode it with the server's load into one backend_statement; backend_limit_named and backend_limit_ended say when a node heard of it, zinnia_backends_limited how many servers it knows to be limited, zinnia_limited_sends_total how many requests it sent them. Statements count only in a response that the server itself signed or refused.

Placement does not look at the limit yet: what reaches the servers is unchanged.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -96,6 +96,8 @@
   void release_connection(const backend_state& backend, std::shared_ptr<backend_connection> connection);
   /// Returns the number of connections that this node may have to the backend server.
   [[nodiscard]] std::size_t connection_limit(const backend_state& backend) const;
+  /// Applies what a backend server says about itself in a response, and logs a change of its rate limit.
+  void apply_statement(backend_state& sender, const backend_statement& statement);
   /// Sends queued requests while the backend server has room.
   void dispatch_waiting(const std::shared_ptr<backend_state>& backend);
   /// Places queued requests again that have waited longer than expected.
--- a/packages/gateway/include/zinnia/gateway/header_field_names.hpp
+++ b/packages/gateway/include/zinnia/gateway/header_field_names.hpp
@@ -19,6 +19,8 @@
   std::string did_not_run{"X-Did-Not-Run"};
   /// Running requests, waiting requests and slots of the backend server, separated by commas.
   std::string backend_load{"X-Backend-Load"};
+  /// Requests per second that the backend server accepts from all nodes together, a decimal number.
+  std::string backend_rate_limit{"X-Backend-Rate-Limit"};
   /// In health check responses: the instance that responded.
   std::string backend_id{"X-Backend-Id"};
   /// In health check responses: milliseconds for which the instance is still cold.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,6 +1,8 @@
 // Request admission, connection pools, dispatch of queued requests and health checks.
 #include "zinnia/gateway/gateway.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <chrono>
@@ -151,6 +153,20 @@
                   impl::min_connections);
 }
 
+void gateway::apply_statement(backend_state& sender, const backend_statement& statement) {
+  const auto& id = sender.declared().id;
+  const auto previous = sender.rate_limit();
+  sender.on_statement(statement, this->clock.now());
+  const auto current = sender.rate_limit();
+  if (current && current != previous) {
+    log_line{log_level::info, "backend_limit_named"}
+        .field("backend", id.str())
+        .field("per_second", absl::StrCat(*current));
+  } else if (previous && !current) {
+    log_line{log_level::info, "backend_limit_ended"}.field("backend", id.str());
+  }
+}
+
 void gateway::dispatch_waiting(const std::shared_ptr<backend_state>& backend) {
   const auto now = this->clock.now();
   while (!backend->queue.empty() && this->backends.is_eligible(*backend, now) &&
@@ -250,10 +266,12 @@
 
 std::vector<gauge> gateway::gauges() const {
   std::int64_t suspended = 0;
+  std::int64_t limited = 0;
   std::int64_t waiting = 0;
   std::int64_t in_flight = 0;
   for (const auto& backend : this->backends.all()) {
     suspended += backend->is_suspended() ? 1 : 0;
+    limited += backend->rate_limit() ? 1 : 0;
     waiting += static_cast<std::int64_t>(backend->queue.size());
     in_flight += backend->in_flight();
   }
@@ -261,6 +279,7 @@
           {"zinnia_requests_waiting", "", waiting},
           {"zinnia_backend_requests", "", in_flight},
           {"zinnia_backends_suspended", "", suspended},
+          {"zinnia_backends_limited", "", limited},
           {"zinnia_nodes_registered", "", static_cast<std::int64_t>(this->nodes.registered_count)},
           {"zinnia_nodes_serving", "", static_cast<std::int64_t>(this->nodes.serving.size())},
           {"zinnia_log_lines_dropped", "", static_cast<std::int64_t>(dropped_log_lines())},
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 
+#include "statement_decoding.hpp"
 #include "zinnia/observe/log.hpp"
 
 namespace zinnia {
@@ -45,6 +46,12 @@
   const auto& field_names = this->owner.options.field_names;
   const auto instance = find_field(head.fields, field_names.backend_id);
   this->healthy = head.status == impl::status_ok && instance == this->backend->declared().id.str();
+  if (instance == this->backend->declared().id.str()) {
+    auto statement = decode_statement(head, field_names, this->backend->declared().id);
+    // The reported load includes this check, which is not a request of this node.
+    statement.load.reset();
+    this->owner.apply_statement(*this->backend, statement);
+  }
   if (const auto left = find_field(head.fields, field_names.cold_left_ms)) {
     this->cold_left = duration{parse_number(*left).value_or(0)};
   }
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -1,14 +1,13 @@
 // Handles one request: placement, attempts, retries, the response and the request's record.
 #include "request_flow.hpp"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
-#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <chrono>
 
+#include "statement_decoding.hpp"
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/observe/log.hpp"
 
@@ -31,23 +30,11 @@
 /// Largest Retry-After as a fraction of the request's remaining time; callers ignore longer waits.
 constexpr double max_retry_after_fraction = 0.3;
 
+constexpr int status_misdirected = 421;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
-/// Parses "running,waiting,slots"; returns nullopt if the text is malformed.
-[[nodiscard]] std::optional<load_report> parse_load(std::string_view text) {
-  const std::vector<absl::string_view> parts =
-      absl::StrSplit(absl::string_view{text.data(), text.size()}, ',');
-  load_report report;
-  constexpr std::size_t part_count = 3;
-  if (parts.size() != part_count || !absl::SimpleAtoi(parts[0], &report.running) ||
-      !absl::SimpleAtoi(parts[1], &report.waiting) || !absl::SimpleAtoi(parts[2], &report.slots)) {
-    return std::nullopt;
-  }
-  return report;
-}
-
 }  // namespace
 }  // namespace impl
 
@@ -192,6 +179,7 @@
     return;
   }
   this->sent_at = this->owner.clock.now();
+  this->owner.counts.add(counter::limited_sends, target->rate_limit() ? 1 : 0);
   this->owner.backends.record_send(this->decision, this->service, this->object_hash, this->sent_at);
   ++this->sent_count;
   this->response = {};
@@ -202,10 +190,14 @@
 
 void request_flow::on_head(const response_head& head) {
   this->response = head;
-  if (const auto load = find_field(head.fields, this->owner.options.field_names.backend_load)) {
-    if (const auto report = impl::parse_load(*load)) {
-      this->decision.target->on_report(*report, this->owner.clock.now());
-    }
+  const auto& field_names = this->owner.options.field_names;
+  // Another instance at the address makes statements about itself, and bytes without a stamp may be anyone's.
+  const bool is_from_target = find_field(head.fields, field_names.response_stamp).has_value() ||
+                              (find_field(head.fields, field_names.did_not_run).has_value() &&
+                               head.status != impl::status_misdirected);
+  if (is_from_target) {
+    auto& target = *this->decision.target;
+    this->owner.apply_statement(target, decode_statement(head, field_names, target.declared().id));
   }
 }
 
--- /dev/null
+++ b/packages/gateway/tests/statement_decoding_test.cpp
@@ -0,0 +1,48 @@
+// What backend servers say about themselves, well formed and not.
+#include "statement_decoding.hpp"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+using namespace zinnia;
+
+namespace {
+
+[[nodiscard]] backend_statement decode(const header_fields& fields) {
+  header_field_names field_names;
+  field_names.backend_load = "Load";
+  field_names.backend_rate_limit = "Limit";
+  response_head head;
+  head.status = 200;
+  head.fields = fields;
+  return decode_statement(head, field_names, backend_id{"a"});
+}
+
+TEST(statement_decoding, a_response_without_statements_states_nothing) {
+  const auto statement = decode({});
+  EXPECT_FALSE(statement.load);
+  EXPECT_FALSE(statement.rate_limit);
+  EXPECT_FALSE(statement.is_rate_limit_unreadable);
+}
+
+TEST(statement_decoding, reads_load_and_rate_limit) {
+  const auto statement = decode({{"Load", "3,1,4"}, {"limit", "5.4"}});
+  ASSERT_TRUE(statement.load);
+  EXPECT_EQ(statement.load->running, 3);
+  EXPECT_EQ(statement.load->waiting, 1);
+  EXPECT_EQ(statement.load->slots, 4);
+  EXPECT_EQ(statement.rate_limit, 5.4);
+  EXPECT_EQ(decode({{"Limit", "0"}}).rate_limit, 0.0);
+  EXPECT_EQ(decode({{"Limit", "12"}}).rate_limit, 12.0);
+}
+
+TEST(statement_decoding, an_unreadable_rate_limit_is_no_limit_and_no_end_of_one) {
+  for (const char* const text : {"", "many", "-1", "nan", "inf", "1e300", "3 a second", "1,5"}) {
+    const auto statement = decode({{"Limit", text}});
+    EXPECT_FALSE(statement.rate_limit) << text;
+    EXPECT_TRUE(statement.is_rate_limit_unreadable) << text;
+  }
+}
+
+}  // namespace
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -27,6 +27,8 @@
   settings_rejected,
   /// Bytes of response bodies that backend servers sent.
   answer_bytes,
+  /// Requests sent to backend servers that had named a rate limit.
+  limited_sends,
   count,
 };
 
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -3,23 +3,18 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/routing/backend_statement.hpp"
 #include "zinnia/routing/declarations.hpp"
 #include "zinnia/routing/lru_object_set.hpp"
 #include "zinnia/routing/wait_queue.hpp"
 
 namespace zinnia {
 
-/// \brief Load that a backend server reports with a response, in requests.
-struct load_report {
-  int running{0};
-  int waiting{0};
-  int slots{1};
-};
-
 /// \brief Result of one request to a backend server, as used for health tracking.
 enum class backend_outcome : unsigned char {
   responded,
@@ -67,6 +62,14 @@
   [[nodiscard]] int in_flight() const noexcept { return this->own_in_flight; }
   /// \}
 
+  /// \name Statements
+  /// \{
+  /// \brief Applies what the server said about itself in a response.
+  void on_statement(const backend_statement& statement, time_point now);
+  /// \brief Requests per second that the server accepts from all nodes together; empty if it names no limit.
+  [[nodiscard]] std::optional<double> rate_limit() const noexcept { return this->stated_rate_limit; }
+  /// \}
+
   /// \name Health
   /// \{
   /// \param expected Expected time from sending the request to the response.
@@ -114,6 +117,7 @@
   // Other nodes' requests that make the server load an object, since its last report: the times of their
   // ends.
   std::vector<time_point> peer_loads;
+  std::optional<double> stated_rate_limit;
   backend_availability availability{backend_availability::available};
   bool health_check_running{false};
   time_point next_check_at;
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -61,6 +61,7 @@
     this->other_nodes_load_average = 0;
     this->failure_average = 0;
     this->slowness_average = 1;
+    this->stated_rate_limit.reset();
   }
   this->declaration = declaration_in;
   this->cold_until = std::max(this->cold_until, declaration_in.cold_until);
@@ -87,6 +88,15 @@
   }
 }
 
+void backend_state::on_statement(const backend_statement& statement, time_point now) {
+  if (statement.load) {
+    this->on_report(*statement.load, now);
+  }
+  if (!statement.is_rate_limit_unreadable) {
+    this->stated_rate_limit = statement.rate_limit;
+  }
+}
+
 void backend_state::on_peer_load(time_point loaded_at, time_point now) {
   std::erase_if(this->peer_loads, [now](time_point ends) { return ends <= now; });
   this->peer_loads.push_back(loaded_at);
