Leave a server alone while it says that it is busy

What callers would have seen: requests refused by a server that had asked for a pause, and retries spent on it. A 503 with Retry-After only raised the server's failure ratio, which fades within seconds; the next requests went there again.

Change: a 503's Retry-After, in seconds and fractions, is one more statement of the server. Until it is over the server is not in use: nothing is placed there, what waits is placed again, no health check is sent. Nodes return up to a tenth of the time (1 s at most) later, each with one request first. A time beyond 60 s is cut to 60 s, a text that is no time is ignored, both are logged. If all servers of a service are busy, callers are refused at once (backend-busy) with the time until the first is back, as far as they would wait.

Not shown by a soak yet.

--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -19,6 +19,7 @@
   // During placement.
   no_backend,
   backend_limited,
+  backend_busy,
   wait_exceeds_deadline,
   deadline_passed,
   // During forwarding to a backend server.
--- a/packages/core/src/enum_names.cpp
+++ b/packages/core/src/enum_names.cpp
@@ -19,6 +19,7 @@
     "memory-short",
     "no-backend",
     "backend-limited",
+    "backend-busy",
     "wait-exceeds-deadline",
     "deadline-passed",
     "connect-failed",
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -158,6 +158,7 @@
   const auto& id = sender.declared().id;
   const auto previous = sender.rate_limit();
   const bool was_leaving = sender.is_leaving();
+  const bool was_busy = sender.is_busy(this->clock.now());
   sender.on_statement(statement, this->clock.now());
   const auto current = sender.rate_limit();
   if (current && current != previous) {
@@ -172,13 +173,20 @@
     log_line{log_level::info, "backend_leaving"}.field("backend", id.str());
     this->note_withheld(sender);
   }
+  if (statement.busy_for && !was_busy) {
+    log_line{log_level::info, "backend_busy"}
+        .field("backend", id.str())
+        .field("busy_ms", statement.busy_for->ms);
+    this->note_withheld(sender);
+  }
 }
 
 void gateway::note_withheld(const backend_state& sender) {
   const auto& service = sender.declared().service;
   const auto& all = this->backends.all();
+  const auto now = this->clock.now();
   const bool is_last = std::none_of(all.begin(), all.end(), [&](const auto& backend) {
-    return backend->declared().service == service && this->backends.is_in_use(*backend);
+    return backend->declared().service == service && this->backends.is_in_use(*backend, now);
   });
   if (is_last) {
     this->counts.add(counter::services_without_backend);
@@ -228,7 +236,7 @@
 void gateway::tick() {
   const auto now = this->clock.now();
   for (const auto& backend : this->backends.all()) {
-    if (!backend->queue.empty() && !this->backends.is_in_use(*backend)) {
+    if (!backend->queue.empty() && !this->backends.is_in_use(*backend, now)) {
       this->reassign_waiting(backend);
     } else if (!backend->queue.empty()) {
       this->dispatch_waiting(backend);
@@ -289,12 +297,14 @@
 
 std::vector<gauge> gateway::gauges() const {
   std::int64_t suspended = 0;
+  std::int64_t busy = 0;
   std::int64_t leaving = 0;
   std::int64_t limited = 0;
   std::int64_t waiting = 0;
   std::int64_t in_flight = 0;
   for (const auto& backend : this->backends.all()) {
     suspended += backend->is_suspended() ? 1 : 0;
+    busy += backend->is_busy(this->clock.now()) ? 1 : 0;
     leaving += backend->is_leaving() ? 1 : 0;
     limited += backend->rate_limit() ? 1 : 0;
     waiting += static_cast<std::int64_t>(backend->queue.size());
@@ -304,6 +314,7 @@
           {"zinnia_requests_waiting", "", waiting},
           {"zinnia_backend_requests", "", in_flight},
           {"zinnia_backends_suspended", "", suspended},
+          {"zinnia_backends_busy", "", busy},
           {"zinnia_backends_leaving", "", leaving},
           {"zinnia_backends_limited", "", limited},
           {"zinnia_nodes_registered", "", static_cast<std::int64_t>(this->nodes.registered_count)},
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -294,7 +294,7 @@
   } else {
     this->end_without_response(attempt.failure_reason);
   }
-  if (!this->owner.backends.is_in_use(*target)) {
+  if (!this->owner.backends.is_in_use(*target, this->owner.clock.now())) {
     this->owner.reassign_waiting(target);
   }
   this->owner.dispatch_waiting(target);
--- a/packages/gateway/src/statement_decoding.cpp
+++ b/packages/gateway/src/statement_decoding.cpp
@@ -4,6 +4,8 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,16 @@
 constexpr double min_rate_limit = 0;
 constexpr double max_rate_limit = 1'000'000;
 
+constexpr int status_unavailable = 503;
+constexpr std::string_view retry_after_field = "Retry-After";
+/// Bounds of the time for which a busy server may refuse requests in advance, in seconds. A longer time is
+/// cut to the largest: the server can say so again.
+constexpr double min_busy_s = 0;
+constexpr double max_busy_s = 60;
+/// Largest time that is read at all, in seconds.
+constexpr double max_readable_busy_s = 1e9;
+constexpr double ms_per_second = 1000;
+
 /// The only value with which a server says that it is not about to stop.
 constexpr std::string_view not_leaving = "0";
 
@@ -44,6 +56,27 @@
   return value;
 }
 
+void log_unreadable(const backend_id& sender, std::string_view field, std::string_view value,
+                    std::string_view allowed) {
+  log_line{log_level::warn, "backend_statement_unreadable"}
+      .field("backend", sender.str())
+      .field("field", field)
+      .field("value", value)
+      .field("allowed", allowed);
+}
+
+/// Returns for how long a busy server wants no requests; nullopt if the text is malformed.
+[[nodiscard]] std::optional<duration> decode_busy_time(std::string_view text, const backend_id& sender) {
+  const auto seconds = parse_decimal(text, min_busy_s, max_readable_busy_s);
+  if (!seconds || *seconds > max_busy_s) {
+    log_unreadable(sender, retry_after_field, text, "0 to 60 seconds");
+  }
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return duration{static_cast<std::int64_t>(std::ceil(std::min(*seconds, max_busy_s) * ms_per_second))};
+}
+
 }  // namespace
 }  // namespace impl
 
@@ -58,15 +91,16 @@
   if (limit) {
     statement.rate_limit = impl::parse_decimal(*limit, impl::min_rate_limit, impl::max_rate_limit);
     if (!statement.rate_limit) {
-      log_line{log_level::warn, "backend_statement_unreadable"}
-          .field("backend", sender.str())
-          .field("field", field_names.backend_rate_limit)
-          .field("value", *limit)
-          .field("allowed", "0 to 1000000 requests per second");
+      impl::log_unreadable(sender, field_names.backend_rate_limit, *limit,
+                           "0 to 1000000 requests per second");
     }
   }
   const auto leaving = find_field(response.fields, field_names.backend_leaving);
   statement.is_leaving = leaving && *leaving != impl::not_leaving;
+  const auto retry_after = find_field(response.fields, impl::retry_after_field);
+  if (response.status == impl::status_unavailable && retry_after) {
+    statement.busy_for = impl::decode_busy_time(*retry_after, sender);
+  }
   return statement;
 }
 
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -293,6 +293,22 @@
   EXPECT_TRUE(client.read_all().starts_with("HTTP/1.1 200"));
 }
 
+TEST_F(gateway_contract, a_server_that_says_it_is_busy_gets_no_more_requests) {
+  const scripted_tcp_server busy{
+      [](int) { return make_response(503, "Not-Run: 1\r\nRetry-After: 30\r\n", ""); }};
+  this->route_with(request_kind::unsafe);
+  this->add("a", busy.port());
+  this->start();
+  for (int i = 0; i < 5; ++i) {
+    const auto response = this->send_request("POST");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503")) << response;
+    EXPECT_NE(response.find("Retry-After: "), std::string::npos) << response;
+  }
+  EXPECT_EQ(busy.requests(), 1);
+  EXPECT_EQ(this->counts.value(counter::services_without_backend), 1U);
+  EXPECT_GE(this->counts.refusals_for(reason::backend_busy), 4U);
+}
+
 /// The entry of the server stays as it is: nodes hear of the leaving from the response alone.
 TEST_F(gateway_contract, a_server_that_says_it_is_leaving_gets_no_more_requests) {
   const std::vector<std::pair<const char*, scripted_response>> cases{
@@ -306,9 +322,9 @@
   this->route_with(request_kind::unsafe);
   this->start();
   std::uint64_t sequence = 1;
-  for (const auto& [name, response] : cases) {
-    servers.push_back(
-        std::make_unique<scripted_tcp_server>([&response = response](int) { return response; }));
+  for (const auto& item : cases) {
+    const std::string name{item.first};
+    servers.push_back(std::make_unique<scripted_tcp_server>([&item](int) { return item.second; }));
     std::promise<void> applied;
     boost::asio::post(this->context, [&] {
       this->snapshot.backends.clear();
--- a/packages/gateway/tests/statement_decoding_test.cpp
+++ b/packages/gateway/tests/statement_decoding_test.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-[[nodiscard]] backend_statement decode(const header_fields& fields) {
+[[nodiscard]] backend_statement decode(const header_fields& fields, int status = 200) {
   header_field_names field_names;
   field_names.backend_load = "Load";
   field_names.backend_rate_limit = "Limit";
   field_names.backend_leaving = "Leaving";
   response_head head;
-  head.status = 200;
+  head.status = status;
   head.fields = fields;
   return decode_statement(head, field_names, backend_id{"a"});
 }
@@ -53,4 +53,17 @@
   EXPECT_FALSE(decode({{"Leaving", "0"}}).is_leaving);
 }
 
+TEST(statement_decoding, a_refusal_says_for_how_long_the_server_is_busy) {
+  const auto busy_for = [](const char* text) { return decode({{"Retry-After", text}}, 503).busy_for; };
+  EXPECT_EQ(busy_for("5"), duration{5000});
+  EXPECT_EQ(busy_for("0.25"), duration{250});
+  EXPECT_EQ(busy_for("0"), duration{0});
+  EXPECT_EQ(busy_for("86400"), duration{60'000}) << "cut to the largest time";
+  for (const char* const text : {"", "-1", "nan", "inf", "soon", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    EXPECT_FALSE(busy_for(text)) << text;
+  }
+  EXPECT_FALSE(decode({{"Retry-After", "5"}}, 200).busy_for);
+  EXPECT_FALSE(decode({}, 503).busy_for);
+}
+
 }  // namespace
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -78,12 +78,19 @@
   /// \brief True once the server has said that it is leaving; it stays so until the server starts again.
   [[nodiscard]] bool is_leaving() const noexcept { return this->leaving; }
   void set_leaving() noexcept { this->leaving = true; }
+  /// \brief True while the server wants no requests because it said that it was busy.
+  [[nodiscard]] bool is_busy(time_point now) const noexcept { return now < this->busy_until; }
+  /// \brief End of that time; in the past for a server that is not busy.
+  [[nodiscard]] time_point busy_end() const noexcept { return this->busy_until; }
+  /// \brief False while the server is busy, and afterwards until the one request that is sent first is
+  /// answered.
+  [[nodiscard]] bool admits_after_busy(time_point now) const noexcept {
+    return !this->is_busy(now) && (!this->returns_from_busy || this->own_in_flight == 0);
+  }
   [[nodiscard]] bool within_rate_limit(time_point now) const noexcept {
     return this->rate_share.permits(now);
   }
-  void set_standing(const node_standing& standing, time_point now) noexcept {
-    this->rate_share.set_standing(standing, now);
-  }
+  void set_standing(const node_standing& standing, time_point now) noexcept;
   /// \}
 
   /// \name Health
@@ -135,6 +142,11 @@
   std::vector<time_point> peer_loads;
   rate_limit_share rate_share;
   bool leaving{false};
+  time_point busy_until;
+  // No request has been answered since the server was busy.
+  bool returns_from_busy{false};
+  // Differs from node to node.
+  std::uint64_t node_phase{0};
   backend_availability availability{backend_availability::available};
   bool health_check_running{false};
   time_point next_check_at;
--- a/packages/routing/include/zinnia/routing/backend_statement.hpp
+++ b/packages/routing/include/zinnia/routing/backend_statement.hpp
@@ -3,6 +3,8 @@
 
 #include <optional>
 
+#include "zinnia/core/clock.hpp"
+
 namespace zinnia {
 
 /// \brief Load that a backend server reports with a response, in requests.
@@ -23,6 +25,8 @@
   bool names_no_rate_limit{false};
   /// The server is about to stop and wants no more requests.
   bool is_leaving{false};
+  /// The server refused a request because it is busy, and wants none from this node for so long.
+  std::optional<duration> busy_for;
 };
 
 }  // namespace zinnia
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -136,8 +136,8 @@
   [[nodiscard]] const service_declaration* service(const service_id& id) const;
   /// \brief Returns the effective settings of a service at this node; defaults for an unknown service.
   [[nodiscard]] const placement_settings& settings_of(const service_id& id) const;
-  /// \brief Returns true if the server is not suspended, draining, leaving, evacuated or closed.
-  [[nodiscard]] bool is_in_use(const backend_state& backend) const;
+  /// \brief Returns true if the server is not suspended, draining, leaving, busy, evacuated or closed.
+  [[nodiscard]] bool is_in_use(const backend_state& backend, time_point now) const;
   /// \brief Returns true if the server may get a new request now: it is in use, its rate limit permits
   /// another
   ///        request, and if it is cold, this node warms it and its request rate permits another request.
@@ -237,8 +237,9 @@
   /// Refuses a request for which no server is eligible.
   [[nodiscard]] placement_decision refuse_without_backend(const service_group& group,
                                                           const request_context& context) const;
-  /// Returns true if nothing but its rate limit keeps the server from getting new requests now.
-  [[nodiscard]] bool is_only_rate_limited(const backend_state& backend, time_point now) const;
+  /// True if the server is suspended, draining, leaving, evacuated or closed: no time is known at which that
+  /// ends.
+  [[nodiscard]] bool is_withdrawn(const backend_state& backend) const;
   [[nodiscard]] placement_decision refuse(reason refusal_reason, duration retry_after, int candidates) const;
   /// If a move sends this request to another region and `among` has servers there, keeps only those.
   void apply_traffic_moves(const placement_request& request, member_list& among) const;
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -30,6 +30,9 @@
 /// Weight of a shed request in the failure ratio; a failed one counts 1.
 constexpr double shed_failure_weight = 0.5;
 constexpr duration one_second{1000};
+/// Part of a server's busy time, and the longest time, over which nodes return to it.
+constexpr std::int64_t busy_spread_divisor = 10;
+constexpr std::int64_t max_busy_spread_ms = 1000;
 
 [[nodiscard]] double failure_weight(backend_outcome outcome) noexcept {
   switch (outcome) {
@@ -63,6 +66,8 @@
     this->slowness_average = 1;
     this->rate_share.reset();
     this->leaving = false;
+    this->busy_until = {};
+    this->returns_from_busy = false;
   }
   this->declaration = declaration_in;
   this->cold_until = std::max(this->cold_until, declaration_in.cold_until);
@@ -100,6 +105,20 @@
     this->rate_share.on_no_limit(now);
   }
   this->leaving = this->leaving || statement.is_leaving;
+  if (statement.busy_for) {
+    // Nodes return at different times, up to a tenth of the busy time later.
+    const auto spread =
+        std::min(statement.busy_for->ms / impl::busy_spread_divisor, impl::max_busy_spread_ms);
+    const auto delay_ms =
+        static_cast<std::int64_t>(this->node_phase % static_cast<std::uint64_t>(spread + 1));
+    this->busy_until = std::max(this->busy_until, now + *statement.busy_for + duration{delay_ms});
+    this->returns_from_busy = true;
+  }
+}
+
+void backend_state::set_standing(const node_standing& standing, time_point now) noexcept {
+  this->node_phase = standing.phase;
+  this->rate_share.set_standing(standing, now);
 }
 
 void backend_state::on_peer_load(time_point loaded_at, time_point now) {
@@ -145,6 +164,10 @@
     this->consecutive_no_responses = 0;
   }
   this->last_outcome_at = now;
+  const bool was_answered = outcome == backend_outcome::responded || outcome == backend_outcome::bad_response;
+  if (was_answered && !this->is_busy(now)) {
+    this->returns_from_busy = false;
+  }
   if (outcome == backend_outcome::no_response &&
       ++this->consecutive_no_responses >= impl::no_responses_before_suspension) {
     this->suspend(impl::initial_check_pause, now);
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -179,14 +179,18 @@
       .first->second;
 }
 
-bool backend_table::is_in_use(const backend_state& backend) const {
+bool backend_table::is_withdrawn(const backend_state& backend) const {
   const auto& declared = backend.declared();
-  return !backend.is_suspended() && !backend.is_leaving() && declared.mode == backend_mode::ready &&
-         !this->evacuated.contains(declared.domain) && !this->shifts.closed_backends.contains(declared.id);
+  return backend.is_suspended() || backend.is_leaving() || declared.mode != backend_mode::ready ||
+         this->evacuated.contains(declared.domain) || this->shifts.closed_backends.contains(declared.id);
+}
+
+bool backend_table::is_in_use(const backend_state& backend, time_point now) const {
+  return !this->is_withdrawn(backend) && !backend.is_busy(now);
 }
 
 bool backend_table::is_eligible(const backend_state& backend, time_point now) const {
-  if (!this->is_in_use(backend) || !backend.within_rate_limit(now)) {
+  if (this->is_withdrawn(backend) || !backend.admits_after_busy(now) || !backend.within_rate_limit(now)) {
     return false;
   }
   if (!backend.is_cold(now)) {
@@ -197,10 +201,6 @@
          backend.within_cold_rate(service->cold_requests_per_second * impl::cold_rate_fraction, now);
 }
 
-bool backend_table::is_only_rate_limited(const backend_state& backend, time_point now) const {
-  return this->is_in_use(backend) && !backend.is_cold(now) && !backend.within_rate_limit(now);
-}
-
 backend_table::request_context backend_table::make_context(const service_group& group,
                                                            const placement_request& request, time_point now) {
   request_context context{request, this->estimate(*request.matched_route, request.service), now, {}};
@@ -278,14 +278,22 @@
 
 placement_decision backend_table::refuse_without_backend(const service_group& group,
                                                          const request_context& context) const {
-  auto next_send_at = far_future;
+  auto eligible_at = far_future;
+  auto why = reason::no_backend;
   for (const auto& member : group.members) {
-    if (context.domains[member.domain].allowed && this->is_only_rate_limited(*member.backend, context.now)) {
-      next_send_at = std::min(next_send_at, member.backend->next_send_at(context.now));
+    const auto& backend = *member.backend;
+    if (!context.domains[member.domain].allowed || this->is_withdrawn(backend) ||
+        backend.is_cold(context.now)) {
+      continue;
+    }
+    const auto at = std::max(backend.busy_end(), backend.next_send_at(context.now));
+    if (at < eligible_at) {
+      eligible_at = at;
+      why = backend.admits_after_busy(context.now) ? reason::backend_limited : reason::backend_busy;
     }
   }
-  return next_send_at == far_future ? this->refuse(reason::no_backend, impl::max_retry_after, 0)
-                                    : this->refuse(reason::backend_limited, next_send_at - context.now, 0);
+  const auto retry_after = why == reason::no_backend ? impl::max_retry_after : eligible_at - context.now;
+  return this->refuse(why, retry_after, 0);
 }
 
 placement_decision backend_table::choose(const placement_request& request, time_point now) {
@@ -377,8 +385,8 @@
   std::vector<std::shared_ptr<backend_state>> due;
   for (const auto& [id, backend] : this->backends) {
     const auto& declared = backend->declared();
-    if (backend->needs_health_check(now) && !backend->is_leaving() && declared.mode == backend_mode::ready &&
-        !this->evacuated.contains(declared.domain)) {
+    if (backend->needs_health_check(now) && !backend->is_leaving() && !backend->is_busy(now) &&
+        declared.mode == backend_mode::ready && !this->evacuated.contains(declared.domain)) {
       due.push_back(backend);
     }
   }
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -326,6 +326,50 @@
   EXPECT_EQ(this->chosen(1), "a");
 }
 
+TEST_F(placement, a_busy_server_gets_nothing_until_its_time_is_over_and_then_one_request_first) {
+  this->add("a", near_a);
+  this->apply();
+  const auto& server = this->table.find(backend_id{"a"});
+  backend_statement statement;
+  statement.busy_for = duration{5000};
+  server->on_statement(statement, this->now);
+  const auto refused = this->table.choose(this->request(1), this->now);
+  EXPECT_EQ(refused.action, placement_action::refuse);
+  EXPECT_EQ(refused.refusal_reason, reason::backend_busy);
+  this->now = this->now + duration{4999};
+  EXPECT_EQ(this->chosen(1), "");
+  const auto ends_in = this->table.choose(this->request(1), this->now).retry_after;
+  EXPECT_LE(ends_in, duration{501}) << "the end of the busy time";
+  // Nodes return up to a tenth of the time later.
+  this->now = this->now + duration{501};
+  ASSERT_EQ(this->chosen(1), "a");
+  server->on_sent(this->now);
+  EXPECT_EQ(this->chosen(2), "") << "one request first";
+  server->on_ended(backend_outcome::responded, duration{50}, duration{50}, this->now);
+  EXPECT_EQ(this->chosen(2), "a");
+  server->on_sent(this->now);
+  EXPECT_EQ(this->chosen(2), "a");
+}
+
+TEST_F(placement, a_busy_server_that_repeats_it_stays_out) {
+  this->add("a", near_a);
+  this->apply();
+  const auto& server = this->table.find(backend_id{"a"});
+  backend_statement statement;
+  statement.busy_for = duration{1000};
+  for (int i = 0; i < 5; ++i) {
+    server->on_sent(this->now);
+    server->on_statement(statement, this->now);
+    server->on_ended(backend_outcome::shed, duration{1}, duration{50}, this->now);
+    EXPECT_EQ(this->chosen(1), "");
+    this->now = this->now + duration{1100};
+    ASSERT_EQ(this->chosen(1), "a");
+    server->on_sent(this->now);
+    EXPECT_EQ(this->chosen(1), "") << "still one request at a time";
+    server->on_abandoned();
+  }
+}
+
 TEST_F(placement, a_cold_server_is_warmed_by_one_node_within_its_rate) {
   auto& cold = this->add("cold", near_a);
   cold.cold_until = this->now + duration{3000};
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -51,7 +51,7 @@
 mutate test_routing packages/routing/src/snapshot_builder.cpp \
   's/declaration.version <= this->state.version/false/' "an older configuration comes into force"
 mutate test_routing packages/routing/src/backend_table.cpp \
-  's/declared.mode != backend_mode::ready/false/' "a draining server gets requests"
+  's/declared.mode != backend_mode::ready ||/false ||/' "a draining server gets requests"
 mutate test_routing packages/routing/src/backend_table.cpp \
   's/this->evacuated.contains(declared.domain)/false/' "an emptied failure domain gets requests"
 mutate test_routing packages/routing/src/backend_table.cpp \
@@ -63,7 +63,11 @@
 mutate test_gateway packages/routing/src/rate_limit_share.cpp \
   's/near_fraction \/ impl::count_large_shares(limit, standing)/near_fraction/' "each node uses the whole rate limit"
 mutate test_gateway packages/routing/src/backend_table.cpp \
-  's/!backend.is_leaving() \&\& declared.mode/declared.mode/' "a server that says it is leaving gets requests"
+  's/ || backend.is_leaving() || / || /' "a server that says it is leaving gets requests"
+mutate test_gateway packages/routing/src/backend_table.cpp \
+  's/!backend.admits_after_busy(now) || //' "a server that says it is busy gets requests"
+mutate test_routing packages/routing/include/zinnia/routing/backend_state.hpp \
+  's/(!this->returns_from_busy || this->own_in_flight == 0)/true/' "all requests return to a busy server at once"
 mutate test_routing packages/routing/src/backend_table.cpp \
   's/        backend->set_leaving();//' "a server that has left is used again when its entry returns"
 mutate test_routing packages/routing/src/rate_limit_share.cpp \
