Let a health check's response end no limit, and reflow comments

Nothing says that responses to health checks name a server's limit; a check of a limited server that was suspended would have ended the limit at this node, with requests up to the next response. Comments that the formatter had broken up are rewrapped.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -96,7 +96,7 @@
   void release_connection(const backend_state& backend, std::shared_ptr<backend_connection> connection);
   /// Returns the number of connections that this node may have to the backend server.
   [[nodiscard]] std::size_t connection_limit(const backend_state& backend) const;
-  /// Applies what a backend server says about itself in a response, and logs a change of its rate limit.
+  /// Applies what a backend server says about itself in a response, and logs what that changes.
   void apply_statement(backend_state& sender, const backend_statement& statement);
   /// Logs and counts it if a server's own statement has taken the last server of its service out of use.
   void note_withheld(const backend_state& sender);
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -50,6 +50,8 @@
     auto statement = decode_statement(head, field_names, this->backend->declared().id);
     // The reported load includes this check, which is not a request of this node.
     statement.load.reset();
+    // Nor need the response to a check name the limit on requests.
+    statement.names_no_rate_limit = false;
     this->owner.apply_statement(*this->backend, statement);
   }
   if (const auto left = find_field(head.fields, field_names.cold_left_ms)) {
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -82,8 +82,8 @@
   [[nodiscard]] bool is_busy(time_point now) const noexcept { return now < this->busy_until; }
   /// \brief End of that time; in the past for a server that is not busy.
   [[nodiscard]] time_point busy_end() const noexcept { return this->busy_until; }
-  /// \brief False while the server is busy, and afterwards until the one request that is sent first is
-  /// answered.
+  /// \brief False while the server is busy. Afterwards one request is admitted, and others once it is
+  ///        answered.
   [[nodiscard]] bool admits_after_busy(time_point now) const noexcept {
     return !this->is_busy(now) && (!this->returns_from_busy || this->own_in_flight == 0);
   }
--- a/packages/routing/include/zinnia/routing/backend_statement.hpp
+++ b/packages/routing/include/zinnia/routing/backend_statement.hpp
@@ -14,12 +14,11 @@
   int slots{1};
 };
 
-/// \brief   A server's statements in one response. They are about the server, not about the request.
-/// \details A statement holds until a later response of the server makes another or leaves it out.
+/// \brief A server's statements in one response. They are about the server, not about the request.
 struct backend_statement {
   std::optional<load_report> load;
-  /// Requests per second that the server accepts from all nodes together, above 0; empty if the response
-  /// names no limit.
+  /// Requests per second that the server accepts from all nodes together; empty if the response names no
+  /// limit or one that cannot be read.
   std::optional<double> rate_limit;
   /// The response names no limit, which ends an earlier one. False also for a limit that cannot be read.
   bool names_no_rate_limit{false};
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -99,12 +99,10 @@
   /// \brief Applies a snapshot. Keeps the state of servers that remain declared.
   void apply(const routing_snapshot& snapshot, time_point now);
   /// \brief Applies the nodes that send requests to the same servers. Decides which cold servers this node
-  /// warms
-  ///        (each is warmed by one of the nearest nodes), and its part of each server's rate limit.
+  ///        warms (each is warmed by one of the nearest nodes), and its part of each server's rate limit.
   /// \param alive Nodes that are alive, including this one.
   /// \param regions_with_nodes Regions with registered nodes, alive or not. Only these nodes warm the
-  /// region's
-  ///                           servers or have large parts of their limits.
+  ///                           region's servers or have large parts of their limits.
   void set_nodes(const std::map<node_id, location>& alive, const std::set<region_id>& regions_with_nodes,
                  const node_id& self, time_point now);
 
@@ -139,8 +137,7 @@
   /// \brief Returns true if the server is not suspended, draining, leaving, busy, evacuated or closed.
   [[nodiscard]] bool is_in_use(const backend_state& backend, time_point now) const;
   /// \brief Returns true if the server may get a new request now: it is in use, its rate limit permits
-  /// another
-  ///        request, and if it is cold, this node warms it and its request rate permits another request.
+  ///        another request, and if it is cold, this node warms it and its request rate permits another one.
   [[nodiscard]] bool is_eligible(const backend_state& backend, time_point now) const;
 
  private:
@@ -237,8 +234,7 @@
   /// Refuses a request for which no server is eligible.
   [[nodiscard]] placement_decision refuse_without_backend(const service_group& group,
                                                           const request_context& context) const;
-  /// True if the server is suspended, draining, leaving, evacuated or closed: no time is known at which that
-  /// ends.
+  /// True if the server is suspended, draining, leaving, evacuated or closed, for an unknown time.
   [[nodiscard]] bool is_withdrawn(const backend_state& backend) const;
   [[nodiscard]] placement_decision refuse(reason refusal_reason, duration retry_after, int candidates) const;
   /// If a move sends this request to another region and `among` has servers there, keeps only those.
--- a/packages/routing/include/zinnia/routing/rate_limit_share.hpp
+++ b/packages/routing/include/zinnia/routing/rate_limit_share.hpp
@@ -23,25 +23,22 @@
 /// \brief Returns true if the node is one of the nearest, which divide most of a limit.
 [[nodiscard]] bool has_large_share(double limit_per_second, const node_standing& standing) noexcept;
 
-/// \brief   Returns the requests per second that a node may send of a limit that holds for all nodes
-/// together. \details The nearest nodes divide most of the limit evenly; as many of them as leaves each a
-/// useful rate. The
-///          other nodes divide the rest, so that they notice when the limit ends. Nodes that agree on the
+/// \brief   Returns how many requests per second of a limit for all nodes together one node may send.
+/// \details The nearest nodes divide most of the limit evenly; as many of them as leaves each a useful rate.
+///          The other nodes divide the rest, so that they notice when the limit ends. Nodes that agree on the
 ///          standing of all keep to the limit without messages between them.
 [[nodiscard]] double share_of_rate(double limit_per_second, const node_standing& standing) noexcept;
 
 /// \brief   Admits requests to one backend server while the server names a limit. Not thread safe.
 /// \details A token bucket that starts empty: nodes hear of a limit at about the same time, and one request
-/// from
-///          each of many nodes at once would exceed it. For the same reason a node with a small share may
-///          send only in a short window of each period in which it earns a token.
+///          from each of many nodes at once would exceed it. For the same reason a node with a small share
+///          may send only in a short window of each period in which it earns a token.
 class rate_limit_share {
  public:
   /// \brief Records a response that names a limit.
   void on_limit(double limit_per_second, time_point now) noexcept;
   /// \brief Records a response that names no limit. Ends the limit unless one was named a moment ago:
-  /// responses on
-  ///        different connections can overtake each other.
+  ///        responses on different connections can overtake each other.
   void on_no_limit(time_point now) noexcept;
   /// \brief Forgets the limit, for a server that starts again.
   void reset() noexcept { this->limit_per_second.reset(); }
