Let servers of the soak state limits, leaving and busy times

Now one or two at a time name a limit of 1 to 9 requests a second, say that they are leaving, or refuse everything with Retry-After, for 8 s, beside all other faults. A node is judged while it has run without interruption since it was told; the summary counts the requests judged.

The soak waits until a node handles SIGTERM before it sends one; the check on the exit status is as it was.

--- a/soak/backend.cpp
+++ b/soak/backend.cpp
@@ -24,6 +24,11 @@
   return found == request.headers.end() ? std::string{} : found->second;
 }
 
+/// Returns the node that sent a request: callers put its number before the first hyphen of the request id.
+[[nodiscard]] std::string sending_node(const std::string& request_id) {
+  return request_id.substr(0, request_id.find('-'));
+}
+
 }  // namespace
 }  // namespace impl
 
@@ -68,6 +73,34 @@
                    {"sequence", this->generation}});
 }
 
+void backend::set_statement(const own_statement& statement, statement_monitor::is_calm_predicate is_calm) {
+  const absl::MutexLock lock{&this->mutex};
+  this->statements.begin(statement, std::move(is_calm), soak_clock::now());
+}
+
+std::vector<std::string> backend::check_statement() {
+  const absl::MutexLock lock{&this->mutex};
+  return this->statements.check();
+}
+
+std::size_t backend::judged_requests() {
+  const absl::MutexLock lock{&this->mutex};
+  return this->statements.judged_requests();
+}
+
+void backend::add_statement(standins::server_response& response, const std::string& node) {
+  const auto& statement = this->statements.statement();
+  if (statement.rate_limit) {
+    response.headers["Server-Limit"] = absl::StrCat(*statement.rate_limit);
+  }
+  if (statement.is_leaving) {
+    response.headers["Server-Leaving"] = "1";
+  }
+  if (statement.rate_limit || statement.is_leaving || statement.busy_s) {
+    this->statements.on_response(node, soak_clock::now());
+  }
+}
+
 std::string backend::load_report() const {
   return absl::StrCat(std::min(this->running_requests, impl::slot_count), ",",
                       std::max(this->running_requests - impl::slot_count, 0), ",", impl::slot_count);
@@ -84,15 +117,26 @@
               "",
               false};
     }
+    const auto request_id = impl::header_field(request, "request-id");
     const auto expected_instance = impl::header_field(request, "expect-instance");
     const bool is_other_instance = !expected_instance.empty() && expected_instance != own_instance;
-    if (is_other_instance || this->running_requests >= impl::slot_count + impl::queue_capacity) {
-      return {is_other_instance ? impl::status_misdirected_request : impl::status_service_unavailable,
-              {{"Not-Executed", "1"},
-               {"Request-Id", impl::header_field(request, "request-id")},
-               {"Server-Load", this->load_report()}},
-              "",
-              false};
+    if (!is_other_instance) {
+      this->statements.on_request(impl::sending_node(request_id), soak_clock::now());
+    }
+    const auto busy_s = this->statements.statement().busy_s;
+    if (is_other_instance || busy_s || this->running_requests >= impl::slot_count + impl::queue_capacity) {
+      standins::server_response refusal{
+          is_other_instance ? impl::status_misdirected_request : impl::status_service_unavailable,
+          {{"Not-Executed", "1"}, {"Request-Id", request_id}, {"Server-Load", this->load_report()}},
+          "",
+          false};
+      if (!is_other_instance) {
+        this->add_statement(refusal, impl::sending_node(request_id));
+      }
+      if (!is_other_instance && busy_s) {
+        refusal.headers["Retry-After"] = std::to_string(*busy_s);
+      }
+      return refusal;
     }
     ++this->running_requests;
   }
@@ -102,10 +146,13 @@
   std::this_thread::sleep_for(this->is_slow ? impl::slow_work_time : impl::work_time);
   const absl::MutexLock lock{&this->mutex};
   --this->running_requests;
-  return {impl::status_ok,
-          {{"Request-Id", request_id}, {"Server-Stamp", stamp}, {"Server-Load", this->load_report()}},
-          expected_body(request_id),
-          this->drops_responses.load()};
+  standins::server_response response{
+      impl::status_ok,
+      {{"Request-Id", request_id}, {"Server-Stamp", stamp}, {"Server-Load", this->load_report()}},
+      expected_body(request_id),
+      this->drops_responses.load()};
+  this->add_statement(response, impl::sending_node(request_id));
+  return response;
 }
 
 }  // namespace zinnia::soak
--- a/soak/backend.hpp
+++ b/soak/backend.hpp
@@ -6,10 +6,12 @@
 
 #include <atomic>
 #include <string>
+#include <vector>
 
 #include "request_history.hpp"
 #include "standins/platform_store.hpp"
 #include "standins/threaded_http_server.hpp"
+#include "statement_monitor.hpp"
 
 namespace zinnia::soak {
 
@@ -25,6 +27,11 @@
   void set_draining(bool draining_in);
   /// \brief Replaces the registered instance by a new one at the same address.
   void replace_instance();
+  /// \brief Makes the server say this about itself in all responses, or nothing.
+  void set_statement(const own_statement& statement, statement_monitor::is_calm_predicate is_calm);
+  /// \brief Returns what nodes did against the server's statement.
+  [[nodiscard]] std::vector<std::string> check_statement();
+  [[nodiscard]] std::size_t judged_requests();
   /// \brief If set, the server executes requests but closes their connections instead of responding.
   void set_dropping_responses(bool drop) { this->drops_responses = drop; }
   void set_slow(bool slow) { this->is_slow = slow; }
@@ -33,6 +40,8 @@
   [[nodiscard]] standins::server_response handle(const standins::server_request& request);
   void write_entry();
   [[nodiscard]] std::string load_report() const;
+  /// Adds the server's statement to the response to a node.
+  void add_statement(standins::server_response& response, const std::string& node);
 
   request_history& history;
   standins::platform_store& store;
@@ -43,6 +52,7 @@
   int generation{0};
   int running_requests{0};
   bool is_draining{false};
+  statement_monitor statements;
   std::uint16_t advertised_port{0};
   std::atomic<bool> drops_responses{false};
   std::atomic<bool> is_slow{false};
--- a/soak/fault_soak.cpp
+++ b/soak/fault_soak.cpp
@@ -45,6 +45,9 @@
 constexpr int caller_timeout_ms = 3000;
 constexpr int callers_per_node = 3;
 constexpr int route_count = 12;
+/// How long a backend server makes a statement, and the most servers that do at once.
+constexpr milliseconds statement_time{8000};
+constexpr std::size_t max_statements = 2;
 
 struct soak_options {
   std::string program;
@@ -64,9 +67,10 @@
     this->last_fault_end = clock::now();
     --this->active_faults;
   }
-  /// \brief Returns true if no fault was active from `fault_effect_margin` before `from` until now.
-  [[nodiscard]] bool was_fault_free_since(clock::time_point from) const {
-    return this->active_faults == 0 && this->last_fault_end.load() + fault_effect_margin < from;
+  /// \brief Returns true if no fault was active from `margin` before `from` until now.
+  [[nodiscard]] bool was_fault_free_since(clock::time_point from,
+                                          milliseconds margin = fault_effect_margin) const {
+    return this->active_faults == 0 && this->last_fault_end.load() + margin < from;
   }
 
  private:
@@ -80,11 +84,17 @@
   std::unique_ptr<fault_proxy> store_proxy;
   /// Faults that may interrupt requests; a stop by SIGTERM may not.
   fault_window unplanned_faults;
+  /// Everything that interrupts the process, planned or not: it may forget what backend servers told it.
+  fault_window interruptions;
   std::atomic<bool> restarting{false};
 };
 
 struct backend_under_test {
   std::unique_ptr<backend> server;
+  /// While the server makes a statement, it gets no other faults.
+  std::atomic<bool> makes_statement{false};
+  /// Faults of the server and its link.
+  std::atomic<int> active_faults{0};
   std::unique_ptr<fault_proxy> proxy;
 };
 
@@ -127,7 +137,8 @@
     }
     this->stop_all_nodes();
     const auto violations = this->history.check_at_end();
-    std::cout << "seed " << this->options.seed << ": " << this->history.summary() << '\n';
+    std::cout << "seed " << this->options.seed << ": " << this->history.summary()
+              << ", judged by a server's statement: " << this->judged_requests << '\n';
     for (const auto& violation : violations) {
       std::cout << "BROKEN " << violation << '\n';
     }
@@ -139,14 +150,19 @@
     const char* name;
     void (soak_run::*inject)();
   };
-  static const std::array<fault, 14> faults;
+  static const std::array<fault, 15> faults;
 
   [[nodiscard]] std::size_t random_below(std::size_t bound) { return this->random() % bound; }
   [[nodiscard]] node_under_test& random_node() {
     return *this->nodes.at(this->random_below(this->nodes.size()));
   }
+  /// Returns a server that makes no statement; there are always more servers than threads that make some.
   [[nodiscard]] backend_under_test& random_backend() {
-    return *this->backends.at(this->random_below(this->backends.size()));
+    std::size_t index = this->random_below(this->backends.size());
+    while (this->backends.at(index)->makes_statement) {
+      index = (index + 1) % this->backends.size();
+    }
+    return *this->backends.at(index);
   }
   void log_event(const std::string& text) const {
     const std::chrono::duration<double> elapsed = clock::now() - this->started_at;
@@ -266,9 +282,13 @@
     }
   }
   void stop_and_start(node_under_test& node, int signal) {
+    node.interruptions.begin();
     if (signal == SIGKILL) {
       node.unplanned_faults.begin();
     }
+    if (signal == SIGTERM && !node.process->wait_until_handled(SIGTERM, stop_timeout_ms)) {
+      this->history.add_violation(node.process->options().name + " does not handle SIGTERM");
+    }
     node.process->signal(signal);
     const auto status = node.process->wait_for_exit(stop_timeout_ms + stop_margin_ms);
     if (!status) {
@@ -279,6 +299,7 @@
       this->history.add_violation(absl::StrCat(node.process->options().name, " ended with status ", *status));
     }
     node.process->start();
+    node.interruptions.end();
     if (signal == SIGKILL) {
       node.unplanned_faults.end();
     }
@@ -286,9 +307,11 @@
   void pause_node() {
     auto& node = this->random_node();
     node.unplanned_faults.begin();
+    node.interruptions.begin();
     node.process->signal(SIGSTOP);
     std::this_thread::sleep_for(milliseconds{100 + this->random_below(2000)});
     node.process->signal(SIGCONT);
+    node.interruptions.end();
     node.unplanned_faults.end();
   }
   void reload_settings() { this->random_node().process->signal(SIGHUP); }
@@ -300,12 +323,26 @@
     this->inject_link_fault(this->store_side_faults, *this->random_node().store_proxy);
   }
   void inject_backend_link_fault() {
-    this->inject_link_fault(this->backend_faults, *this->random_backend().proxy);
+    auto& selected = this->random_backend();
+    const auto state = this->random_fault_state();
+    this->apply_temporarily(
+        this->backend_faults, 2000,
+        [&] {
+          ++selected.active_faults;
+          selected.proxy->set_state(state);
+        },
+        [&selected] {
+          selected.proxy->set_state(link_state::open);
+          --selected.active_faults;
+        });
   }
-  void inject_link_fault(fault_window& scope, fault_proxy& proxy) {
+  [[nodiscard]] link_state random_fault_state() {
     constexpr std::array<link_state, 4> states{link_state::slow, link_state::reset, link_state::stalled,
                                                link_state::stalled_responses};
-    const auto state = states.at(this->random_below(states.size()));
+    return states.at(this->random_below(states.size()));
+  }
+  void inject_link_fault(fault_window& scope, fault_proxy& proxy) {
+    const auto state = this->random_fault_state();
     this->apply_temporarily(
         scope, 2000, [&] { proxy.set_state(state); }, [&proxy] { proxy.set_state(link_state::open); });
   }
@@ -331,16 +368,62 @@
     this->backend_faults.end();
   }
   void degrade_backend() {
-    auto* const server = this->random_backend().server.get();
+    auto& selected = this->random_backend();
     const bool is_slow = this->random_below(2) == 0;
     this->apply_temporarily(
         this->backend_faults, 1500,
-        [&] { is_slow ? server->set_slow(true) : server->set_dropping_responses(true); },
-        [server] {
-          server->set_slow(false);
-          server->set_dropping_responses(false);
+        [&] {
+          ++selected.active_faults;
+          is_slow ? selected.server->set_slow(true) : selected.server->set_dropping_responses(true);
+        },
+        [&selected] {
+          selected.server->set_slow(false);
+          selected.server->set_dropping_responses(false);
+          --selected.active_faults;
         });
   }
+  /// A server names a limit, says that it is leaving, or refuses everything because it is busy. It is
+  /// replaced by a new instance afterwards if it left.
+  void make_statement() {
+    if (this->active_statements >= std::min(max_statements, this->backends.size() / 4)) {
+      return;
+    }
+    auto& selected = this->random_backend();
+    if (selected.active_faults > 0) {
+      return;
+    }
+    ++this->active_statements;
+    selected.makes_statement = true;
+    const std::array<own_statement, 3> statements{
+        {{.rate_limit = 1 + static_cast<double>(this->random_below(80)) / 10},
+         {.is_leaving = true},
+         {.busy_s = 1 + static_cast<int>(this->random_below(5))}}};
+    const auto& statement = statements.at(this->random_below(statements.size()));
+    selected.server->set_statement(
+        statement, [this](const auto& node, auto since) { return this->is_calm(node, since); });
+    this->fault_threads.emplace_back([this, &selected, is_leaving = statement.is_leaving] {
+      std::this_thread::sleep_for(statement_time);
+      this->judged_requests += selected.server->judged_requests();
+      for (const auto& violation : selected.server->check_statement()) {
+        this->history.add_violation(violation);
+      }
+      selected.server->set_statement({}, {});
+      if (is_leaving) {
+        selected.server->replace_instance();
+      }
+      selected.makes_statement = false;
+      --this->active_statements;
+    });
+  }
+  /// \param node "q" and the node's number, as in request ids.
+  [[nodiscard]] bool is_calm(const std::string& node, clock::time_point since) const {
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      if (node == absl::StrCat("q", i)) {
+        return this->nodes[i]->interruptions.was_fault_free_since(since, milliseconds{0});
+      }
+    }
+    return false;
+  }
 
   // Recovery and shutdown.
 
@@ -427,11 +510,14 @@
   std::vector<std::unique_ptr<node_under_test>> nodes;
   std::vector<std::thread> caller_threads;
   std::vector<std::thread> fault_threads;
+  std::atomic<std::size_t> active_statements{0};
+  // Requests that arrived at servers after they had told the node something of themselves.
+  std::atomic<std::size_t> judged_requests{0};
   std::atomic<bool> stopping{false};
   int configuration_number{1};
 };
 
-const std::array<soak_run::fault, 14> soak_run::faults{
+const std::array<soak_run::fault, 15> soak_run::faults{
     {{"kill a node", &soak_run::kill_node},
      {"stop a node", &soak_run::stop_node},
      {"stop all nodes", &soak_run::restart_all_nodes},
@@ -445,7 +531,8 @@
      {"configuration", &soak_run::change_configuration},
      {"drain a backend server", &soak_run::drain_backend},
      {"replace a backend server", &soak_run::replace_backend},
-     {"slow a backend server or drop its responses", &soak_run::degrade_backend}}};
+     {"slow a backend server or drop its responses", &soak_run::degrade_backend},
+     {"a backend server's statement", &soak_run::make_statement}}};
 
 }  // namespace
 }  // namespace zinnia::soak
--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -12,7 +12,9 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
+#include <fstream>
 #include <iostream>
 #include <thread>
 #include <vector>
@@ -37,6 +39,20 @@
          std::to_string(1 + process_id % octet_values) + '.' + std::to_string(1 + node_index);
 }
 
+/// Returns true if the process has a handler for the signal.
+[[nodiscard]] bool handles_signal(pid_t pid, int number) {
+  std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
+  const std::string name = "SigCgt:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(name)) {
+      constexpr int hexadecimal = 16;
+      const auto mask = std::strtoull(line.c_str() + name.size(), nullptr, hexadecimal);
+      return (mask >> (number - 1) & 1) != 0;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 }  // namespace impl
 
@@ -121,6 +137,20 @@
   }
 }
 
+bool node_process::wait_until_handled(int number, int timeout_ms) const {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds{timeout_ms};
+  while (std::chrono::steady_clock::now() < end) {
+    {
+      const absl::MutexLock lock{&this->mutex};
+      if (this->pid <= 0 || impl::handles_signal(this->pid, number)) {
+        return true;
+      }
+    }
+    std::this_thread::sleep_for(impl::exit_poll_interval);
+  }
+  return false;
+}
+
 std::optional<int> node_process::wait_for_exit(int timeout_ms) {
   const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds{timeout_ms};
   while (true) {
--- a/soak/node_process.hpp
+++ b/soak/node_process.hpp
@@ -52,6 +52,10 @@
 
   void start();
   void signal(int number) const;
+  /// \brief   Waits until the process handles the signal, or has ended.
+  /// \details Until then a signal ends a process that has not begun to work; its status is that of the
+  /// signal. \returns False if it does not within `timeout_ms`.
+  [[nodiscard]] bool wait_until_handled(int number, int timeout_ms) const;
   /// \brief   Waits for the process to end.
   /// \returns The status that `waitpid` reports (0 if no process is running), or nullopt if the process still
   ///          runs after `timeout_ms`.
