Bound what a node reads of a response that never ends

What callers would have seen: a node that is killed for its memory, with all requests in it, because one server sent bytes without end until its caller closed.

Cause: the head of a response has a limit, what follows had none. Part of a chunk's size or extension or of a trailer is kept until the parser can use it; a body that cannot be forwarded (no stamp, a refusal that may have run) is held until the response ends; interim responses are skipped without end.

Evidence: endless_response.ends_the_request_and_is_hardly_read, twelve kinds of bytes through a gateway. Before: for chunk size, chunk extension, trailers, one trailer field and the body that cannot be forwarded the server got rid of 256 MB, where the test stops it; interim responses took 89 MB until the deadline (504). Head, field, status line, no HTTP at all, a body beyond its length and one where none is due were bounded before.

Change: 64 KB of input that the parser cannot use end the attempt, as do 16 responses before the one that is due; a body that cannot be forwarded ends it after 64 KB. The attempt is classified as before: a safe request goes to another server within the budget. After: all twelve are read less than 16 MB and end at once. test_http 26 and test_gateway 24 tests pass.

Callers' bytes: by reading, 256 KB of input pause a connection and its header timeout ends it; not tested here.

--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -214,10 +214,16 @@
     this->exchange->write(piece);
   } else {
     this->held_body += piece;
-    if (this->held_body.size() > impl::max_held_response_bytes &&
-        classify_response(this->response, this->owner.options.field_names).can_forward) {
-      this->commit();
+  }
+  if (!this->committed && this->held_body.size() > impl::max_held_response_bytes) {
+    const auto attempt = classify_response(this->response, this->owner.options.field_names);
+    if (!attempt.can_forward) {
+      // The rest of the response would be of no use.
+      this->connection->cancel();
+      this->on_end({false, attempt.run_verdict, attempt.failure_reason, true});
+      return;
     }
+    this->commit();
   }
   if (this->committed && this->connection != nullptr && this->exchange->is_congested()) {
     this->connection->set_paused(true);
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -113,6 +113,8 @@
   bool discarding_response{false};
   // A response was discarded during this call, so the connection is not reused.
   bool response_discarded{false};
+  // Responses to the current request's connection that were not its final response.
+  int skipped_responses{0};
   bool any_byte_received{false};
   bool read_active{false};
   bool paused{false};
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -24,6 +24,10 @@
 /// Subtracted from a stated timeout, so that no request crosses the backend server's close on the wire.
 constexpr duration idle_timeout_margin{1500};
 constexpr std::uint32_t max_response_header_bytes = 64 << 10;
+/// Input that the parser cannot use yet, such as part of a chunk extension or a trailer.
+constexpr std::size_t max_unparsed_bytes = 64 << 10;
+/// Interim responses (1xx) and responses to other requests before the response to a request.
+constexpr int max_skipped_responses = 16;
 constexpr int first_final_status = 200;
 
 [[nodiscard]] std::array<char, 64 << 10>& response_buffer() {
@@ -66,6 +70,7 @@
   this->request_written = false;
   this->any_byte_received = false;
   this->response_discarded = false;
+  this->skipped_responses = 0;
   this->paused = false;
   this->connect_duration.reset();
   this->started_at = this->clock.now();
@@ -190,10 +195,17 @@
       return;
     }
     if (progress == parse_progress::needs_more) {
+      if (this->input.size() > impl::max_unparsed_bytes) {
+        this->fail(verdict::may_have_run, reason::backend_error);
+      }
       return;
     }
     if (this->discarding_response || this->parser->head().status < impl::first_final_status) {
       this->response_discarded = this->response_discarded || this->discarding_response;
+      if (++this->skipped_responses > impl::max_skipped_responses) {
+        this->fail(verdict::may_have_run, reason::backend_error);
+        return;
+      }
       this->make_parser();
       continue;
     }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -44,6 +44,12 @@
   's/this->input.empty() \&\& !this->parser/!this->parser/' "a connection with leftover bytes is kept"
 mutate test_http packages/http/src/caller_connection.cpp \
   's/is_last \&\& (this->draining/false \&\& (this->draining/' "a drained connection is not closed"
+mutate test_gateway packages/http/src/backend_connection.cpp \
+  's/this->input.size() > impl::max_unparsed_bytes/false/' "a chunk extension without end is kept in memory"
+mutate test_gateway packages/http/src/backend_connection.cpp \
+  's/++this->skipped_responses > impl::max_skipped_responses/false/' "interim responses are read without end"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/    if (!attempt.can_forward) {/    if (false) {/' "a body that is of no use is read without end"
 mutate test_store packages/store/src/object_feed.cpp \
   's/cached.version >= object.version/false/' "an object goes back to an older version"
 mutate test_store packages/store/src/object_feed.cpp \
