Move the fault proxy from the soak to the stand-ins

It knows nothing of the soak: a TCP proxy that delays, resets or stalls its connections, of use to any test. The soak's tests pass.

--- a/soak/fault_soak.cpp
+++ b/soak/fault_soak.cpp
@@ -20,13 +20,15 @@
 
 #include "backend.hpp"
 #include "caller.hpp"
-#include "fault_proxy.hpp"
 #include "node_process.hpp"
+#include "standins/fault_proxy.hpp"
 #include "zinnia/store/http_call.hpp"
 
 namespace zinnia::soak {
 namespace {
 
+using standins::fault_proxy;
+using standins::link_state;
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
--- a/soak/fault_proxy.cpp
+++ b/standins/fault_proxy.cpp
@@ -1,5 +1,5 @@
 // Each connection has two loops that read and forward, one per direction.
-#include "fault_proxy.hpp"
+#include "standins/fault_proxy.hpp"
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -7,7 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <chrono>
 
-namespace zinnia::soak {
+namespace zinnia::standins {
 namespace impl {
 namespace {
 
@@ -134,4 +134,4 @@
       });
 }
 
-}  // namespace zinnia::soak
+}  // namespace zinnia::standins
--- a/soak/fault_proxy.hpp
+++ b/standins/fault_proxy.hpp
@@ -10,7 +10,7 @@
 #include <set>
 #include <string>
 
-namespace zinnia::soak {
+namespace zinnia::standins {
 
 enum class link_state : unsigned char {
   open,
@@ -50,4 +50,4 @@
   std::set<std::shared_ptr<proxied_connection>> connections;
 };
 
-}  // namespace zinnia::soak
+}  // namespace zinnia::standins
