--- a/packages/core/include/zinnia/core/rendezvous.hpp
+++ b/packages/core/include/zinnia/core/rendezvous.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace zinnia {
 
@@ -11,6 +12,6 @@
 [[nodiscard]] std::uint64_t rendezvous_weight(const std::string& candidate, const std::string& item) noexcept;
 
 /// \brief Returns a 64-bit hash that is stable across machines and versions.
-[[nodiscard]] std::uint64_t stable_hash(const std::string& text) noexcept;
+[[nodiscard]] std::uint64_t stable_hash(std::string_view text) noexcept;
 
 }  // namespace zinnia
--- a/packages/core/src/rendezvous.cpp
+++ b/packages/core/src/rendezvous.cpp
@@ -5,7 +5,7 @@
 
 namespace zinnia {
 
-std::uint64_t stable_hash(const std::string& text) noexcept {
+std::uint64_t stable_hash(std::string_view text) noexcept {
   return XXH64(text.data(), text.size(), 0);
 }
 
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "request_fingerprint.hpp"
 #include "statement_decoding.hpp"
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/observe/log.hpp"
@@ -60,6 +61,7 @@
   }
   this->exchange->set_deadline(this->deadline);
   const auto key = find_field(fields, field_names.object_key);
+  this->fingerprint = fingerprint_of(this->exchange->head(), this->exchange->body(), key);
   if (this->matched_route.sticky && key) {
     this->object_hash =
         stable_hash(absl::StrCat(this->matched_route.prefix, absl::string_view{key->data(), key->size()}));
@@ -448,6 +450,7 @@
       .field("service", this->service.str())
       .field("priority", this->matched_route.priority)
       .field("object", this->object_hash ? absl::StrCat(absl::Hex(*this->object_hash, absl::kZeroPad16)) : "")
+      .field("fingerprint", absl::StrCat(absl::Hex(this->fingerprint.count(), absl::kZeroPad16)))
       .field("status", status)
       .field("verdict", to_string(this->run_verdict))
       .field("reason", to_string(why))
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -11,6 +11,7 @@
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/backend_connection.hpp"
 #include "zinnia/observe/json_object.hpp"
+#include "zinnia/routing/crash_report.hpp"
 
 namespace zinnia {
 
@@ -76,6 +77,7 @@
   std::string request_id;
   // Hash of the route's prefix and the object key; nullopt if the route is not sticky or there is no key.
   std::optional<std::uint64_t> object_hash;
+  request_fingerprint fingerprint;
   bool idempotent{true};
   time_point arrived_at;
   time_point deadline;
