--- a/standins/scripted_tcp_server.cpp
+++ b/standins/scripted_tcp_server.cpp
@@ -26,6 +26,11 @@
   return false;
 }
 
+void reset_on_close(int connection) {
+  const linger without_delay{1, 0};
+  setsockopt(connection, SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
+}
+
 /// Returns the length of the first request including its body, or 0 if its head is incomplete.
 [[nodiscard]] std::size_t request_length(const std::string& bytes) {
   const auto head_end = bytes.find("\r\n\r\n");
@@ -65,12 +70,22 @@
   ::close(this->listening_socket);
 }
 
+void scripted_tcp_server::crash() {
+  // The port is closed before any connection is reset, so that nobody who sees a reset can still connect.
+  ::shutdown(this->listening_socket, SHUT_RDWR);
+  this->crashed = true;
+  this->stopping = true;
+}
+
 void scripted_tcp_server::accept_connections() {
   while (impl::wait_readable(this->listening_socket, this->stopping)) {
     const int connection = ::accept(this->listening_socket, nullptr, nullptr);
     if (connection >= 0) {
       this->connection_threads.emplace_back([this, connection] {
         this->serve(connection);
+        if (this->crashed) {
+          impl::reset_on_close(connection);
+        }
         ::close(connection);
       });
     }
@@ -96,11 +111,14 @@
     }
     bytes.erase(0, length);
     const auto response = this->script(this->request_count.fetch_add(1));
+    if (response.crash) {
+      this->crash();
+      return;
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds{response.delay_ms});
     ::send(connection, response.reply.data(), response.reply.size(), MSG_NOSIGNAL);
     if (response.reset) {
-      const linger reset_on_close{1, 0};
-      setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
+      impl::reset_on_close(connection);
     }
     if (!response.keep_open) {
       return;
--- a/standins/scripted_tcp_server.hpp
+++ b/standins/scripted_tcp_server.hpp
@@ -20,6 +20,8 @@
   int delay_ms{0};
   /// Closes the connection with a TCP reset.
   bool reset{false};
+  /// Stops listening and resets all connections, as when the process ends; nothing is sent.
+  bool crash{false};
 };
 
 /// \brief   Listens on a loopback port and responds to the n-th request with `script(n)`.
@@ -37,9 +39,12 @@
   [[nodiscard]] std::uint16_t port() const noexcept { return this->bound_port; }
   /// \brief Returns the number of complete requests received.
   [[nodiscard]] int requests() const noexcept { return this->request_count.load(); }
+  /// \brief True once a request has crashed the server.
+  [[nodiscard]] bool has_crashed() const noexcept { return this->crashed.load(); }
 
  private:
   void accept_connections();
+  void crash();
   void serve(int connection);
 
   std::function<scripted_response(int)> script;
@@ -47,6 +52,7 @@
   std::uint16_t bound_port{0};
   std::atomic<int> request_count{0};
   std::atomic<bool> stopping{false};
+  std::atomic<bool> crashed{false};
   /// Started and joined only by `accept_thread`.
   std::vector<std::thread> connection_threads;
   std::thread accept_thread;
