Keep quarantined requests in the platform's store

Change: the node that quarantines a request creates one small object in the store, and removes it if the request is answered after all.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -47,6 +47,9 @@
   std::function<void(const std::vector<crash_report>&)> send_crash_reports;
   /// Sends reports to a few other nodes, to others each time. May be empty.
   std::function<void(const std::vector<crash_report>&)> repeat_crash_reports;
+  /// Called for each request that this node has quarantined, or released because a server answered it (level
+  /// 0). May be empty.
+  std::function<void(const crash_report&)> on_quarantine_change;
   /// Limit for the reports that are repeated at a time.
   std::size_t max_repeated_reports{30};
 };
@@ -120,8 +123,11 @@
   void on_request_lost(backend_state& backend, const lost_request& lost);
   /// Records that no process listens at the server's address.
   void on_backend_crashed(backend_state& backend);
-  /// Logs newly quarantined requests, refuses those that wait, and tells other nodes.
-  void publish_crashes();
+  /// Logs quarantined and released requests, refuses those that wait, and tells other nodes.
+  /// \param found_here False if other nodes have reported the changes.
+  void publish_crashes(bool found_here);
+  /// Refuses the requests with this fingerprint that wait.
+  void refuse_waiting(request_fingerprint request);
   void tick();
   /// Closes expired idle connections and removes the pools of servers that no longer exist.
   void clean_up_pools();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -82,7 +82,7 @@
   for (const auto& report : reports) {
     this->crashes.apply(report, this->clock.now());
   }
-  this->publish_crashes();
+  this->publish_crashes(false);
 }
 
 void gateway::on_request_lost(backend_state& backend, const lost_request& lost) {
@@ -92,7 +92,7 @@
     backend.request_health_check(now);
     this->start_health_checks();
   }
-  this->publish_crashes();
+  this->publish_crashes(true);
 }
 
 void gateway::on_backend_crashed(backend_state& backend) {
@@ -103,33 +103,45 @@
   }
   backend.suspend_until_checked(now);
   this->crashes.on_crashed(backend.hash(), now);
-  this->publish_crashes();
+  this->publish_crashes(true);
 }
 
-void gateway::publish_crashes() {
+void gateway::publish_crashes(bool found_here) {
   const auto reports = this->crashes.take_reports();
   if (!reports.empty() && this->options.send_crash_reports) {
     this->options.send_crash_reports(reports);
   }
-  for (const auto& report : this->crashes.take_quarantined()) {
-    const auto found = this->backends.find_by_hash(report.backend);
-    this->counts.add(counter::requests_quarantined);
-    log_line{log_level::warn, "request_quarantined"}
-        .field("fingerprint", absl::StrCat(absl::Hex(report.request.count(), absl::kZeroPad16)))
-        .field("last_crashed", found == nullptr ? "" : found->declared().id.str())
-        .field("crashed_ms_ago", report.age.ms);
-    std::vector<std::shared_ptr<request_flow>> waiting;
-    for (const auto& [ticket, flow] : this->flows) {
-      if (flow->is_waiting(report.request)) {
-        waiting.push_back(flow);
-      }
+  for (const auto& change : this->crashes.take_quarantine_changes()) {
+    const bool is_release = change.level == 0;
+    const auto crashed = this->backends.find_by_hash(change.backend);
+    log_line{log_level::warn, is_release ? "request_released" : "request_quarantined"}
+        .field("fingerprint", absl::StrCat(absl::Hex(change.request.count(), absl::kZeroPad16)))
+        .field("crashes", change.crashes)
+        .field("last_crashed", crashed == nullptr ? "" : crashed->declared().id.str())
+        .field("crashed_ms_ago", change.age.ms)
+        .field("found_here", found_here ? 1 : 0);
+    if (!is_release) {
+      this->counts.add(counter::requests_quarantined);
+      this->refuse_waiting(change.request);
     }
-    for (const auto& flow : waiting) {
-      static_cast<void>(flow->refuse_if_quarantined());
+    if (found_here && this->options.on_quarantine_change) {
+      this->options.on_quarantine_change(change);
     }
   }
 }
 
+void gateway::refuse_waiting(request_fingerprint request) {
+  std::vector<std::shared_ptr<request_flow>> waiting;
+  for (const auto& [ticket, flow] : this->flows) {
+    if (flow->is_waiting(request)) {
+      waiting.push_back(flow);
+    }
+  }
+  for (const auto& flow : waiting) {
+    static_cast<void>(flow->refuse_if_quarantined());
+  }
+}
+
 void gateway::handle(const std::shared_ptr<caller_exchange>& exchange) {
   this->counts.add(counter::requests);
   const auto& head = exchange->head();
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -306,7 +306,7 @@
   this->run_verdict = combine(this->run_verdict, attempt.run_verdict);
   if (attempt.outcome == backend_outcome::responded) {
     this->owner.crashes.on_answered(this->fingerprint, this->owner.clock.now());
-    this->owner.publish_crashes();
+    this->owner.publish_crashes(true);
   } else if (attempt.outcome == backend_outcome::no_response) {
     this->owner.on_request_lost(*target, {this->fingerprint, this->crash_level, this->sent_at});
   } else if (end.connection_refused) {
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -15,6 +15,7 @@
 #include "zinnia/membership/member_table.hpp"
 #include "zinnia/node/deployment.hpp"
 #include "zinnia/observe/metrics.hpp"
+#include "zinnia/routing/crash_report.hpp"
 #include "zinnia/routing/snapshot_builder.hpp"
 #include "zinnia/store/async_http_client.hpp"
 #include "zinnia/store/change_relay_buffer.hpp"
@@ -42,6 +43,8 @@
   std::function<void(const std::vector<shift_progress>&)> on_shift_progress;
   /// There are new changes to relay, or this node has started or stopped relaying.
   std::function<void()> on_relay_update;
+  /// Quarantined requests that the store has kept.
+  std::function<void(const std::vector<crash_report>&)> on_stored_quarantines;
 };
 
 /// \brief   Watches the store and the other nodes on a thread of its own, from construction to destruction.
@@ -63,6 +66,8 @@
   void begin_leaving();
   /// \brief Requests a check of the settings file without waiting for the next periodic one. Any thread.
   void reload_settings();
+  /// \brief Stores a quarantined request, or removes one that was answered (level 0). Any thread.
+  void save_quarantine(const crash_report& report);
   /// \brief The store's changes that this node relays to other nodes. Any thread.
   [[nodiscard]] const change_relay_buffer& relayed_changes() const noexcept { return this->changes_to_relay; }
 
@@ -133,6 +138,7 @@
   std::array<watched_kind, 5> watches;
   snapshot_builder builder;
   member_table members;
+  std::unique_ptr<class quarantine_store> quarantines;
   membership_view published_nodes;
   std::unique_ptr<class load_meter> meter;
   std::unique_ptr<class heartbeat_socket> heartbeats;
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -7,6 +7,7 @@
 #include "change_relay_client.hpp"
 #include "heartbeat_socket.hpp"
 #include "load_meter.hpp"
+#include "quarantine_store.hpp"
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/membership/member_codec.hpp"
 #include "zinnia/observe/log.hpp"
@@ -105,6 +106,12 @@
                 0, false, false, &control_thread::apply_node}}},
       builder{settings_in.regions},
       members{this->self.id},
+      quarantines{std::make_unique<quarantine_store>(this->calls, adapter_in.store(), this->counts,
+                                                     [this](const auto& reports) {
+                                                       if (this->events.on_stored_quarantines) {
+                                                         this->events.on_stored_quarantines(reports);
+                                                       }
+                                                     })},
       meter{std::make_unique<load_meter>()},
       heartbeats{std::make_unique<heartbeat_socket>(ip_endpoint{settings_in.ip, settings_in.peer_port})},
       changes_to_relay{this->watches.size()},
@@ -134,11 +141,19 @@
   this->calls.wake();
 }
 
+void control_thread::save_quarantine(const crash_report& report) {
+  this->quarantines->save(report);
+  this->calls.wake();
+}
+
 void control_thread::run() {
   while (!this->stopping) {
     const auto now = this->clock.now();
     this->follow_change_relay(now);
     this->issue_calls(now);
+    if (!this->configuration_watch().feed.is_failing()) {
+      this->quarantines->issue_calls(now);
+    }
     this->maintain_registration(now);
     this->remove_expired_nodes(now);
     this->send_heartbeats(now);
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -154,6 +154,7 @@
   };
   chosen.send_crash_reports = [this](const auto& reports) { this->notices.send(reports); };
   chosen.repeat_crash_reports = [this](const auto& reports) { this->notices.repeat(reports); };
+  chosen.on_quarantine_change = [this](const auto& change) { this->control->save_quarantine(change); };
   chosen.max_repeated_reports = max_notices_per_datagram;
   return chosen;
 }
@@ -217,6 +218,9 @@
   handlers.on_relay_update = [this] {
     boost::asio::post(this->context, [this] { this->relay_server->respond_to_held_requests(); });
   };
+  handlers.on_stored_quarantines = [this](const std::vector<crash_report>& stored) {
+    boost::asio::post(this->context, [this, stored] { this->traffic.apply_crash_reports(stored); });
+  };
   handlers.on_shift_progress = [this](const std::vector<shift_progress>& shifts) {
     boost::asio::post(this->context, [this, shifts] { this->progress = shifts; });
   };
--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -86,8 +86,12 @@
   [[nodiscard]] std::vector<crash_report> reports_to_repeat(std::size_t max_count, time_point now);
   /// \}
 
-  /// \brief Returns and clears the requests that have been quarantined since the last call.
-  [[nodiscard]] std::vector<crash_report> take_quarantined() { return std::exchange(this->quarantined, {}); }
+  /// \brief Returns and clears the requests that have been quarantined, or released by an answer (level 0),
+  /// since the
+  ///        last call.
+  [[nodiscard]] std::vector<crash_report> take_quarantine_changes() {
+    return std::exchange(this->quarantine_changes, {});
+  }
   /// \brief Returns the number of requests that are remembered with this level or a higher one.
   [[nodiscard]] std::size_t count_from_level(int min_level, time_point now) const noexcept;
 
@@ -156,7 +160,7 @@
   // only after the answer that clears the request.
   std::vector<answer> answers = std::vector<answer>(answer_slots);
   std::vector<crash_report> outgoing;
-  std::vector<crash_report> quarantined;
+  std::vector<crash_report> quarantine_changes;
   time_point next_repetition_at;
   // The request that was repeated last.
   std::uint64_t repeated_last{0};
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -103,7 +103,11 @@
       found->second.first_at > answered_at + impl::report_delay) {
     return false;
   }
+  const bool was_quarantined = found->second.level >= quarantine_level;
   found->second = {0, true, 0, answered_at, answered_at, 0, {}};
+  if (was_quarantined) {
+    this->quarantine_changes.push_back({request});
+  }
   return true;
 }
 
@@ -208,7 +212,7 @@
   known.backend = crashed.backend;
   known.at = at;
   if (level == quarantine_level && current < quarantine_level) {
-    this->quarantined.push_back(make_report(crashed.request, known, now));
+    this->quarantine_changes.push_back(make_report(crashed.request, known, now));
   }
   return level > current || level == quarantine_level;
 }
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -54,8 +54,8 @@
     EXPECT_EQ(this->level(deadly), crashes);
   }
   EXPECT_EQ(this->ledger.quarantine_left(deadly, term, this->now), term);
-  EXPECT_EQ(this->ledger.take_quarantined().size(), 1U);
-  EXPECT_TRUE(this->ledger.take_quarantined().empty());
+  EXPECT_EQ(this->ledger.take_quarantine_changes().size(), 1U);
+  EXPECT_TRUE(this->ledger.take_quarantine_changes().empty());
 }
 
 TEST_F(crash_ledger_test, does_not_condemn_the_requests_of_a_failure_domain_that_loses_power) {
--- a/packages/store/include/zinnia/store/store_protocol.hpp
+++ b/packages/store/include/zinnia/store/store_protocol.hpp
@@ -21,6 +21,9 @@
   unknown,
 };
 
+/// \brief For `remove_call`: the object is removed whatever its version.
+inline constexpr object_version any_version{};
+
 /// \brief   Builds calls to an object store and decodes the responses. Stateless; a platform adapter
 ///          implements it.
 /// \details Objects have a kind, a name, a JSON document and a version that increases over the whole store.
@@ -57,6 +60,8 @@
 /// The operators' settings, in the single object `settings_name`.
 inline constexpr const char* settings = "zinnia-settings";
 inline constexpr const char* settings_name = "main";
+/// Requests that crash backend servers; one object for each, named by its fingerprint.
+inline constexpr const char* quarantines = "zinnia-quarantines";
 }  // namespace object_kinds
 
 }  // namespace zinnia
