Keep crash reports that come before the first configuration

Callers saw: nodes that had just started crashed servers with a request that was quarantined, although the store and the other nodes had told them of it.

Nodes' logs show the stored quarantine read at 33.17 s, ready at the same moment, and the request quarantined only after it had crashed three servers more, at 34.66 s.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -41,6 +41,8 @@
       backends{this->options.own_location, this->options.regions},
       records{this->options.fate_records},
       tick_timer{context_in} {
+  // Reports may come before the first snapshot.
+  this->crashes.set_longest_term(placement_settings{}.crash_quarantine);
   this->tick();
 }
 
--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -168,6 +168,7 @@
   boot_clock clock;
   std::vector<std::unique_ptr<scripted_tcp_server>> servers;
   boost::asio::io_context context;
+  metrics early_counts;
   std::vector<std::unique_ptr<node>> nodes;
   std::thread thread;
 };
@@ -228,6 +229,16 @@
   EXPECT_EQ(this->crashed_servers(), crashed_before);
 }
 
+TEST_F(crashing_request, is_refused_by_a_node_that_was_told_before_its_first_configuration) {
+  gateway told{this->context, this->clock, this->early_counts, {}};
+  told.apply_crash_reports({{request_fingerprint{1}, 2, 3, 3, duration{100}, duration{900}}});
+  told.apply(std::make_shared<const routing_snapshot>(this->make_snapshot(request_kind::safe)));
+  const auto gauges = told.gauges();
+  EXPECT_TRUE(std::any_of(gauges.begin(), gauges.end(), [](const gauge& sample) {
+    return sample.name == "zinnia_requests_quarantined" && sample.value == 1;
+  }));
+}
+
 TEST_F(crashing_request, does_not_make_nodes_refuse_the_fifty_others_at_the_server) {
   constexpr int others = 50;
   // The first server keeps requests until all have come and then crashes; the second one answers.
