Let a request crash servers in the soak

One request comes to all nodes in turn throughout a run and crashes each server that receives it. Checked: no more than three sends by nodes that have run for three seconds, later than three seconds after the third crash; no other request gets the Retry-After of a quarantine.

The fault proxy can refuse connections as a server does whose process has ended. It keeps its port meanwhile: closing and binding it again failed once it was taken.

--- a/soak/backend.cpp
+++ b/soak/backend.cpp
@@ -1,6 +1,8 @@
 // Registers the backend server in the store and handles its requests.
 #include "backend.hpp"
 
+#include "deadly_request.hpp"
+
 #include <absl/strings/str_cat.h>
 
 #include <chrono>
@@ -138,6 +140,10 @@
       }
       return refusal;
     }
+    if (request.path == deadly_path) {
+      this->on_deadly_request(impl::sending_node(request_id));
+      return {impl::status_service_unavailable, {}, "", true};
+    }
     ++this->running_requests;
   }
   const auto request_id = impl::header_field(request, "request-id");
--- a/soak/backend.hpp
+++ b/soak/backend.hpp
@@ -5,6 +5,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
   /// \brief If set, the server executes requests but closes their connections instead of responding.
   void set_dropping_responses(bool drop) { this->drops_responses = drop; }
   void set_slow(bool slow) { this->is_slow = slow; }
+  /// \brief Called with the node that sends the request that crashes servers. Set before the server is
+  /// registered.
+  std::function<void(const std::string& node)> on_deadly_request;
 
  private:
   [[nodiscard]] standins::server_response handle(const standins::server_request& request);
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -1,6 +1,7 @@
 // Uses blocking sockets, with poll for the timeout.
 #include "caller.hpp"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -91,6 +92,8 @@
   }
   const auto& head = parser.head();
   result.status = head.status;
+  const std::string retry_after{find_field(head.fields, "Retry-After").value_or("0")};
+  static_cast<void>(absl::SimpleAtod(retry_after, &result.retry_after_s));
   result.stamp = std::string{find_field(head.fields, "Server-Stamp").value_or("")};
   if (equals_ignoring_case(find_field(head.fields, "Connection").value_or(""), "close")) {
     this->disconnect();
--- a/soak/fault_soak.cpp
+++ b/soak/fault_soak.cpp
@@ -20,6 +20,7 @@
 
 #include "backend.hpp"
 #include "caller.hpp"
+#include "deadly_request.hpp"
 #include "node_process.hpp"
 #include "standins/fault_proxy.hpp"
 #include "zinnia/store/http_call.hpp"
@@ -50,6 +51,12 @@
 /// How long a backend server makes a statement, and the most servers that do at once.
 constexpr milliseconds statement_time{8000};
 constexpr std::size_t max_statements = 2;
+/// How long a server is down after the request that crashes servers.
+constexpr milliseconds crashed_time{1500};
+/// Longest pause of a caller between two such requests.
+constexpr std::size_t max_deadly_pause_ms = 400;
+/// A Retry-After in seconds that only quarantined requests get.
+constexpr double min_quarantine_s = 30;
 
 struct soak_options {
   std::string program;
@@ -123,6 +130,7 @@
         this->caller_threads.emplace_back([this, node, index] { this->run_caller(node, index); });
       }
     }
+    this->caller_threads.emplace_back([this] { this->send_deadly_requests(); });
     const auto end = clock::now() + std::chrono::seconds{this->options.seconds};
     while (clock::now() < end) {
       const auto& selected = faults.at(this->random_below(faults.size()));
@@ -138,9 +146,16 @@
       thread.join();
     }
     this->stop_all_nodes();
+    for (auto& thread : this->crash_threads) {
+      thread.join();
+    }
+    if (const auto broken = this->deadly.check()) {
+      this->history.add_violation(*broken);
+    }
     const auto violations = this->history.check_at_end();
     std::cout << "seed " << this->options.seed << ": " << this->history.summary()
-              << ", judged by a server's statement: " << this->judged_requests << '\n';
+              << ", judged by a server's statement: " << this->judged_requests
+              << ", servers crashed by a request: " << this->deadly.crashes() << '\n';
     for (const auto& violation : violations) {
       std::cout << "BROKEN " << violation << '\n';
     }
@@ -180,6 +195,9 @@
       created->server = std::make_unique<backend>(this->history, this->store, "b" + std::to_string(i),
                                                   i % 2 == 0 ? "a" : "b");
       created->proxy = std::make_unique<fault_proxy>(this->context, loopback, created->server->port());
+      created->server->on_deadly_request = [this, crashed = created.get()](const std::string& node) {
+        this->crash(*crashed, node);
+      };
       created->server->register_at(created->proxy->port());
       this->backends.push_back(std::move(created));
     }
@@ -243,10 +261,43 @@
       result.was_fault_free = node.unplanned_faults.was_fault_free_since(sent_at) &&
                               this->backend_faults.was_fault_free_since(sent_at);
       this->history.on_request_finished(request.id, result);
+      if (result.retry_after_s >= min_quarantine_s) {
+        this->history.add_violation(
+            absl::StrCat("request ", request.id, ": was quarantined and never crashed a server"));
+      }
       std::this_thread::sleep_for(milliseconds{generator() % 30});
     }
   }
 
+  /// Sends the same request to all nodes in turn, with pauses, until the run stops.
+  void send_deadly_requests() {
+    std::mt19937_64 generator{this->options.seed};
+    for (std::size_t i = 0; !this->stopping; ++i) {
+      const auto node = generator() % this->nodes.size();
+      caller client{this->history, this->nodes.at(node)->caller_proxy->port()};
+      const sent_request request{absl::StrCat("q", node, "-deadly-", i), "GET", deadly_path, "", true};
+      this->history.on_request_finished(request.id,
+                                        client.send_request(request, caller_deadline_ms, caller_timeout_ms));
+      std::this_thread::sleep_for(milliseconds{generator() % max_deadly_pause_ms});
+    }
+  }
+  /// The server is down for a while and starts again as a new instance.
+  void crash(backend_under_test& crashed, const std::string& node) {
+    this->deadly.on_crash(
+        node, [this](const auto& id, auto since) { return this->is_calm(id, since); }, clock::now());
+    ++crashed.active_faults;
+    this->backend_faults.begin();
+    crashed.proxy->set_state(link_state::refused);
+    const absl::MutexLock lock{&this->crash_mutex};
+    this->crash_threads.emplace_back([this, &crashed] {
+      std::this_thread::sleep_for(crashed_time);
+      crashed.server->replace_instance();
+      crashed.proxy->set_state(link_state::open);
+      this->backend_faults.end();
+      --crashed.active_faults;
+    });
+  }
+
   // Faults. A fault with a duration ends in its own thread while later faults are injected.
 
   /// Calls `begin` now, and `end` after a random duration from 100 ms up to `max_extra_ms` more.
@@ -512,6 +563,9 @@
   std::vector<std::unique_ptr<node_under_test>> nodes;
   std::vector<std::thread> caller_threads;
   std::vector<std::thread> fault_threads;
+  deadly_request deadly;
+  absl::Mutex crash_mutex;
+  std::vector<std::thread> crash_threads;
   std::atomic<std::size_t> active_statements{0};
   // Requests that arrived at servers after they had told the node something of themselves.
   std::atomic<std::size_t> judged_requests{0};
--- a/soak/request_history.hpp
+++ b/soak/request_history.hpp
@@ -28,6 +28,8 @@
   /// The Server-Stamp of the backend server's response; empty if the node itself responded.
   std::string stamp;
   std::string body;
+  /// The Retry-After of the response, in seconds; 0 without one.
+  double retry_after_s{0};
   /// The connection was lost; false if the caller gave up.
   bool connection_lost{false};
   /// No fault affected the node or a backend server from shortly before the request was sent to its end.
--- a/standins/fault_proxy.cpp
+++ b/standins/fault_proxy.cpp
@@ -1,6 +1,8 @@
 // Each connection has two loops that read and forward, one per direction.
 #include "standins/fault_proxy.hpp"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -39,14 +41,31 @@
                          std::uint16_t target_port)
     : context{context_in},
       target{impl::asio::ip::make_address_v4(target_ip), target_port},
-      listener{context_in, {impl::asio::ip::address_v4::loopback(), 0}} {
+      listener{context_in} {
+  const impl::tcp::endpoint any{impl::asio::ip::address_v4::loopback(), 0};
+  // A listener keeps its port after `link_state::refused` only if it was bound to that port explicitly. The
+  // first socket holds the port until then.
+  impl::tcp::acceptor chosen{context_in, any.protocol()};
+  chosen.set_option(impl::tcp::acceptor::reuse_address{true});
+  chosen.bind(any);
+  this->listener.open(any.protocol());
+  this->listener.set_option(impl::tcp::acceptor::reuse_address{true});
+  this->listener.bind(chosen.local_endpoint());
+  this->listener.listen();
   this->accept();
 }
 
 void fault_proxy::set_state(link_state state_in) {
-  this->state = state_in;
-  if (state_in == link_state::reset) {
-    impl::asio::post(this->context, [this] {
+  const auto previous = this->state.exchange(state_in);
+  if (previous == link_state::refused && state_in != link_state::refused) {
+    impl::asio::post(this->context, [this] { this->reopen(); });
+  }
+  if (state_in == link_state::reset || state_in == link_state::refused) {
+    impl::asio::post(this->context, [this, state_in] {
+      if (state_in == link_state::refused) {
+        // Stops listening and keeps the port, which the kernel could give to somebody else.
+        ::shutdown(this->listener.native_handle(), SHUT_RDWR);
+      }
       for (const auto& connection : this->connections) {
         reset_connection(*connection);
       }
@@ -55,6 +74,11 @@
   }
 }
 
+void fault_proxy::reopen() {
+  this->listener.listen();
+  this->accept();
+}
+
 void fault_proxy::reset_connection(proxied_connection& connection) {
   for (auto& peer_socket : connection.sockets) {
     impl::error_code ignored;  // The socket may be closed already.
--- a/standins/fault_proxy.hpp
+++ b/standins/fault_proxy.hpp
@@ -18,6 +18,8 @@
   slow,
   /// Existing and new connections are reset.
   reset,
+  /// As when the target's process has ended: existing connections are reset and new ones refused.
+  refused,
   /// No data is forwarded. Connections stay open, and the pending data is forwarded once the state changes.
   stalled,
   /// Like `stalled`, but only for data sent by the target.
@@ -37,6 +39,8 @@
  private:
   struct proxied_connection;
 
+  /// Listens again after `link_state::refused`.
+  void reopen();
   void accept();
   void read_next(const std::shared_ptr<proxied_connection>& connection, bool from_target);
   void forward(const std::shared_ptr<proxied_connection>& connection, bool from_target,
