--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -7,7 +7,9 @@
 #include <iostream>
 
 #include "zinnia/membership/heartbeat_codec.hpp"
+#include "zinnia/membership/holder_notice_codec.hpp"
 #include "zinnia/routing/backend_table.hpp"
+#include "zinnia/routing/crash_ledger.hpp"
 #include "zinnia/routing/snapshot_builder.hpp"
 
 namespace {
@@ -96,6 +98,35 @@
             << " | " << list_peers_us << " |\n";
 }
 
+void measure_crash_ledger(int count) {
+  constexpr duration term{600'000};
+  constexpr int calls = 20'000;
+  const time_point now{1'000'000};
+  crash_ledger ledger;
+  ledger.set_longest_term(term);
+  const auto report_at = [](int i) {
+    const auto number = static_cast<std::uint64_t>(i);
+    return crash_report{request_fingerprint{number}, number, 3, 3, duration{10}, duration{900}};
+  };
+  for (int i = 0; i < count; ++i) {
+    ledger.apply(report_at(i), now);
+  }
+  static_cast<void>(ledger.take_reports());
+  int found = 0;
+  const double look_up_us = time_us(calls, [&](int i) {
+    found += ledger.level(request_fingerprint{static_cast<std::uint64_t>(i) << 20U}, term, now);
+  });
+  const double answer_us = time_us(calls, [&](int i) {
+    ledger.on_answered(request_fingerprint{static_cast<std::uint64_t>(i) << 20U}, now);
+  });
+  const double known_report_us = time_us(calls, [&](int i) { ledger.apply(report_at(i % count), now); });
+  const auto datagram = encode_crash_reports(std::vector<crash_report>(1, report_at(1)));
+  const auto full_datagram =
+      encode_crash_reports(std::vector<crash_report>(max_notices_per_datagram, report_at(1)));
+  std::cout << "| " << count << " | " << look_up_us << " | " << answer_us << " | " << known_report_us << " | "
+            << datagram.size() << ", " << full_datagram.size() << " |" << (found < 0 ? "!" : "") << '\n';
+}
+
 }  // namespace
 
 int main() {
@@ -110,5 +141,11 @@
   for (const int count : {9, 89, 192, 1000, 6900}) {
     measure_nodes(count);
   }
+  std::cout << "\n| requests remembered | us to look one up | us for an answer | us for a known report | "
+               "bytes for 1, 30 "
+               "reports |\n|---|---|---|---|---|\n";
+  for (const int count : {1, 30, 1024}) {
+    measure_crash_ledger(count);
+  }
   return 0;
 }
--- a/packages/node/src/notice_exchange.cpp
+++ b/packages/node/src/notice_exchange.cpp
@@ -21,9 +21,11 @@
 /// The same for a notice that only confirms what a server holds.
 constexpr duration confirmation_delay{1000};
 constexpr std::size_t max_datagram_bytes = 2048;
-/// Peers to which reports are repeated at a time: with one repetition a second, a node that starts again
-/// hears from its peers, however many, four times a second on average.
-constexpr std::size_t peers_per_repetition = 4;
+/// Peers to which reports are repeated at a time, at most: with one repetition a second, a node that starts
+/// again hears from its peers, however many, four times a second on average.
+constexpr std::size_t max_peers_per_repetition = 4;
+/// Bytes of one repetition to all its peers, unless a single datagram is larger.
+constexpr std::size_t max_repetition_bytes = 1'200;
 
 }  // namespace
 }  // namespace impl
@@ -103,7 +105,9 @@
   }
   const auto datagram =
       encode_crash_reports(reports.first(std::min(reports.size(), max_notices_per_datagram)));
-  const auto count = std::min(this->peers.size(), impl::peers_per_repetition);
+  const auto affordable = std::clamp<std::size_t>(impl::max_repetition_bytes / datagram.size(), 1,
+                                                  impl::max_peers_per_repetition);
+  const auto count = std::min(this->peers.size(), affordable);
   for (std::size_t i = 0; i < count; ++i) {
     this->send_datagram(datagram, this->peers[this->repeated_to++ % this->peers.size()]);
   }
