Do not report a later crash at the same level

Cause: nodes that had heard of different last crashes of a quarantined request took over each other's, as a received time always seems later by its delay, and passed it on each time, for ever.

Change: only a higher level is news; the term of a quarantine counts from the crash that caused it.

Also: lines in scripts/mutations.sh that break the new decisions.

--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -202,8 +202,9 @@
       this->lower_bystanders(crashed.backend, known.crashes);
     }
   }
-  const bool is_known = level == current && (crashed.backend == known.backend || at <= known.at);
-  if (is_known || level < current) {
+  // A later crash at the same level is not news: nodes would report their different last crashes to each
+  // other for ever.
+  if (level <= current) {
     return false;
   }
   known.first_at = current > 0 ? std::min(known.first_at, first_at) : first_at;
@@ -211,10 +212,10 @@
   known.answered = false;
   known.backend = crashed.backend;
   known.at = at;
-  if (level == quarantine_level && current < quarantine_level) {
+  if (level == quarantine_level) {
     this->quarantine_changes.push_back(make_report(crashed.request, known, now));
   }
-  return level > current || level == quarantine_level;
+  return true;
 }
 
 crash_ledger::record& crash_ledger::find_or_add(request_fingerprint request, time_point now) {
--- a/packages/routing/tests/crash_ledger_random_test.cpp
+++ b/packages/routing/tests/crash_ledger_random_test.cpp
@@ -72,6 +72,9 @@
   // Sent by nodes that have run for long enough, later than `settling` after the third crash.
   int late_sends{0};
   int condemned_innocents{0};
+  int lost_requests{0};
+  // Sent to all other nodes, without repetitions.
+  int reports{0};
 
  private:
   struct node {
@@ -112,6 +115,7 @@
     auto& crashed = this->servers[index];
     for (auto& each : this->attempts) {
       if (each.server_id == crashed.id) {
+        ++this->lost_requests;
         each.lost = true;
         each.ends_at = this->now + duration{static_cast<std::int64_t>(this->below(60))};
       }
@@ -228,6 +232,7 @@
   void exchange_reports() {
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
       for (const auto& report : this->nodes[i].ledger.take_reports()) {
+        ++this->reports;
         for (std::size_t to = 0; to < this->nodes.size(); ++to) {
           if (to != i) {
             this->post(to, report);
@@ -287,6 +292,10 @@
       walked.run(steps);
       EXPECT_GE(walked.crashes_by_deadly, 3) << each.name << ", seed " << seed;
       EXPECT_LE(walked.late_sends, max_later_sends) << each.name << ", seed " << seed;
+      // Each node reports three levels and their end at most, with as much again for objections.
+      EXPECT_LE(walked.reports,
+                8 * static_cast<int>(each.options.nodes) * (walked.lost_requests + walked.crashes_by_deadly))
+          << each.name << ", seed " << seed;
       EXPECT_EQ(walked.condemned_innocents, 0) << each.name << ", seed " << seed;
     }
   }
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -214,6 +214,35 @@
   EXPECT_EQ((this->now + this->ledger.quarantine_left(deadly, term, this->now)).ms, ends_at.ms);
 }
 
+TEST_F(crash_ledger_test, nodes_that_know_different_last_crashes_do_not_report_to_each_other_for_ever) {
+  constexpr std::size_t nodes = 4;
+  std::vector<crash_ledger> ledgers(nodes);
+  std::vector<std::pair<std::size_t, crash_report>> sent;
+  for (std::size_t i = 0; i < nodes; ++i) {
+    ledgers[i].set_longest_term(term);
+    ledgers[i].apply({deadly, 10 + i, 3, 3, duration{static_cast<std::int64_t>(i)}, duration{900}},
+                     this->now);
+  }
+  std::size_t total = 0;
+  for (int round = 0; round < 100; ++round) {
+    for (std::size_t i = 0; i < nodes; ++i) {
+      for (const auto& report : ledgers[i].take_reports()) {
+        sent.emplace_back(i, report);
+      }
+    }
+    total += sent.size();
+    this->advance(60);
+    for (const auto& [from, report] : std::exchange(sent, {})) {
+      for (std::size_t to = 0; to < nodes; ++to) {
+        if (to != from) {
+          ledgers[to].apply(report, this->now);
+        }
+      }
+    }
+  }
+  EXPECT_LE(total, 2 * nodes);
+}
+
 TEST_F(crash_ledger_test, remembers_nothing_with_a_term_of_0) {
   this->ledger.set_longest_term(duration{0});
   for (std::uint64_t backend = 0; backend < 5; ++backend) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -134,5 +134,47 @@
   's/  if (shift.kind == shift_kind::drain_domain) {/  if (false) {/' "a domain drain follows another place's ramp"
 mutate test_node packages/node/src/control_thread.cpp \
   's/      this->removal_sent = false;//' "a failed removal of the own entry is not repeated"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/  if (left <= duration{0}) {/  if (true) {/' "a quarantined request is sent"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/    this->respond_unavailable(reason::request_quarantined, left);/    this->fail(impl::status_bad_gateway, reason::request_quarantined);/' "a quarantined request that did not run is said to have run"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/    this->owner.on_request_lost(\*target,.*/    ;/' "a lost request is never suspected"
+mutate test_gateway packages/gateway/src/gateway.cpp \
+  's/    this->options.send_crash_reports(reports);/    ;/' "other nodes are not told of crashes"
+mutate test_gateway packages/gateway/src/gateway.cpp \
+  's/    this->options.repeat_crash_reports(repeated);/    ;/' "a node that starts is not told of quarantines"
+mutate test_gateway packages/gateway/src/gateway.cpp \
+  's/  this->crashes.set_longest_term(placement_settings{}.*//' "reports before the first configuration are lost"
+mutate test_gateway packages/gateway/src/health_check.cpp \
+  's/  } else if (end.complete) {/  } else if (false) {/' "a server that answers its check stays under suspicion"
+mutate test_gateway packages/http/src/backend_connection.cpp \
+  's/ec == boost::asio::error::connection_refused/false/' "a refused connection does not show a crash"
+mutate test_gateway packages/gateway/src/request_fingerprint.cpp \
+  's/ body};/ ""};/' "requests with other bodies are the same"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/    if (known.crashes < known_crash->most_crashes) {/    if (false) {/' "bystanders of a crash are raised"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/      this->lower_bystanders(crashed.backend, known.crashes);//' "bystanders stay raised when the crash is explained"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/  const int level_before = .*/  const int level_before = this->level(lost.request, this->longest_term, now);/' "servers that crash together count one after the other"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/  if (this->clear(request, now)) {/  if (false) {/' "an answer clears nothing"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/    this->object(report.request, now);/    ;/' "a node that knows of an answer does not object"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/  return age < term \* 2 \&\& known.level >= quarantine_level ? quarantine_level - 1 : 0;/  return 0;/' "a quarantine that has ended is forgotten at once"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/  if (age < term) {/  if (true) {/' "a quarantine never ends"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/  if (this->records.size() >= max_requests) {/  if (false) {/' "remembered requests are not bounded"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/  if (waiting.size() < impl::max_lost_per_backend) {/  if (true) {/' "lost requests of a server are not bounded"
+mutate test_node packages/node/src/notice_exchange.cpp \
+  's/this->peers\[this->repeated_to++ % this->peers.size()\]/this->peers[i]/' "reports are repeated to the same nodes always"
+mutate test_node packages/node/src/quarantine_store.cpp \
+  's/  if (is_pending \&\& ++written.attempts < impl::max_attempts) {/  if (false) {/' "a quarantine that could not be stored is given up"
+mutate test_node packages/node/src/quarantine_store.cpp \
+  's/    } else if (report->age < impl::max_age) {/    } else if (true) {/' "quarantines are read from the store for ever"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
