Tell nodes that stand by of crashes

Cause: crash reports went to the nodes that get holder notices, which are the serving ones. Callers may still reach the others, by an address that they keep.

Change: reports go to all alive nodes.

Evidence: the log of the node has no report until it starts again and reads the store.

--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -42,8 +42,8 @@
 constexpr std::size_t max_internal_connections = 200;
 /// Connection limit of the directory listener.
 constexpr std::size_t max_directory_connections = 800;
-/// Upper limit on the nodes that one node sends holder notices to, so that their number stays proportional to
-/// the number of nodes.
+/// Upper limit on the nodes that one node sends holder notices or crash reports to, so that their number
+/// stays proportional to the number of nodes.
 constexpr std::size_t max_notice_peers = 64;
 /// The process ends by itself this long before it would be killed.
 constexpr duration stop_margin{700};
@@ -78,8 +78,8 @@
   [[nodiscard]] gateway_options options();
   [[nodiscard]] control_events events();
   [[nodiscard]] member self() const;
-  /// Addresses of the serving nodes that this node sends holder notices to.
-  [[nodiscard]] std::vector<ip_endpoint> notice_peers() const;
+  /// Addresses of the nodes that this node sends notices to.
+  [[nodiscard]] std::vector<ip_endpoint> notice_peers(bool only_serving) const;
   [[nodiscard]] bool listen();
   void respond_to_directory_query(const std::shared_ptr<caller_exchange>& exchange);
   void respond_to_readiness_check(const std::shared_ptr<caller_exchange>& exchange);
@@ -159,10 +159,10 @@
   return chosen;
 }
 
-std::vector<ip_endpoint> node::notice_peers() const {
+std::vector<ip_endpoint> node::notice_peers(bool only_serving) const {
   std::vector<std::pair<std::uint64_t, ip_endpoint>> ranked;
   for (const auto& [id, known] : this->alive) {
-    if (known.serves && id != this->settings.node) {
+    if ((known.serves || !only_serving) && id != this->settings.node) {
       ranked.emplace_back(rendezvous_weight(this->settings.node.str(), id.str()),
                           ip_endpoint{known.peer_address.ip, known.notice_port});
     }
@@ -201,7 +201,8 @@
   handlers.on_nodes = [this](const membership_view& nodes) {
     boost::asio::post(this->context, [this, nodes] {
       this->alive = nodes.alive;
-      this->notices.set_peers(this->notice_peers());
+      // Callers may still reach a node that no longer serves or stands by.
+      this->notices.set_peers(this->notice_peers(true), this->notice_peers(false));
       std::map<node_id, location> serving;
       for (const auto& [id, known] : this->alive) {
         if (known.serves) {
--- a/packages/node/src/notice_exchange.cpp
+++ b/packages/node/src/notice_exchange.cpp
@@ -27,6 +27,19 @@
 /// Bytes of one repetition to all its peers, unless a single datagram is larger.
 constexpr std::size_t max_repetition_bytes = 1'200;
 
+/// Leaves out addresses that cannot be read or have no port.
+[[nodiscard]] std::vector<udp::endpoint> to_endpoints(const std::vector<ip_endpoint>& addresses) {
+  std::vector<udp::endpoint> endpoints;
+  for (const auto& address : addresses) {
+    error_code problem;
+    const auto ip = boost::asio::ip::make_address_v4(address.ip, problem);
+    if (!problem && address.port != 0) {
+      endpoints.emplace_back(ip, address.port);
+    }
+  }
+  return endpoints;
+}
+
 }  // namespace
 }  // namespace impl
 
@@ -55,15 +68,10 @@
   this->receive_next();
 }
 
-void notice_exchange::set_peers(const std::vector<ip_endpoint>& peers_in) {
-  this->peers.clear();
-  for (const auto& peer : peers_in) {
-    impl::error_code problem;
-    const auto ip = boost::asio::ip::make_address_v4(peer.ip, problem);
-    if (!problem && peer.port != 0) {
-      this->peers.emplace_back(ip, peer.port);
-    }
-  }
+void notice_exchange::set_peers(const std::vector<ip_endpoint>& holder_peers_in,
+                                const std::vector<ip_endpoint>& report_peers_in) {
+  this->holder_peers = impl::to_endpoints(holder_peers_in);
+  this->report_peers = impl::to_endpoints(report_peers_in);
 }
 
 void notice_exchange::offer(std::vector<holder_notice> notices, time_point now) {
@@ -83,7 +91,7 @@
   for (std::size_t first = 0; first < notices.size(); first += max_notices_per_datagram) {
     const auto count = std::min(max_notices_per_datagram, notices.size() - first);
     const auto datagram = encode_holder_notices(std::span{notices}.subspan(first, count));
-    for (const auto& peer : this->peers) {
+    for (const auto& peer : this->holder_peers) {
       this->send_datagram(datagram, peer);
     }
   }
@@ -93,7 +101,7 @@
   for (std::size_t first = 0; first < reports.size(); first += max_notices_per_datagram) {
     const auto count = std::min(max_notices_per_datagram, reports.size() - first);
     const auto datagram = encode_crash_reports(reports.subspan(first, count));
-    for (const auto& peer : this->peers) {
+    for (const auto& peer : this->report_peers) {
       this->send_datagram(datagram, peer);
     }
   }
@@ -107,9 +115,9 @@
       encode_crash_reports(reports.first(std::min(reports.size(), max_notices_per_datagram)));
   const auto affordable = std::clamp<std::size_t>(impl::max_repetition_bytes / datagram.size(), 1,
                                                   impl::max_peers_per_repetition);
-  const auto count = std::min(this->peers.size(), affordable);
+  const auto count = std::min(this->report_peers.size(), affordable);
   for (std::size_t i = 0; i < count; ++i) {
-    this->send_datagram(datagram, this->peers[this->repeated_to++ % this->peers.size()]);
+    this->send_datagram(datagram, this->report_peers[this->repeated_to++ % this->report_peers.size()]);
   }
 }
 
--- a/packages/node/src/notice_exchange.hpp
+++ b/packages/node/src/notice_exchange.hpp
@@ -1,4 +1,4 @@
-// Sends this node's holder notices and crash reports to the other serving nodes and receives theirs.
+// Sends this node's holder notices and crash reports to other nodes and receives theirs.
 #pragma once
 
 #include <array>
@@ -28,10 +28,13 @@
 
   /// \brief Returns the bound port, or 0 if the socket could not be opened.
   [[nodiscard]] std::uint16_t port() const noexcept { return this->bound_port; }
-  void set_peers(const std::vector<ip_endpoint>& peers_in);
+  /// \param holder_peers_in Nodes that get holder notices.
+  /// \param report_peers_in Nodes that get crash reports.
+  void set_peers(const std::vector<ip_endpoint>& holder_peers_in,
+                 const std::vector<ip_endpoint>& report_peers_in);
   /// \brief Adds notices to those that wait, and sends all when they are due. Called every few milliseconds.
   void offer(std::vector<holder_notice> notices, time_point now);
-  /// \brief Sends reports to all peers at once.
+  /// \brief Sends reports to all their peers at once.
   void send(std::span<const crash_report> reports);
   /// \brief Sends reports to a few peers, to others each time.
   void repeat(std::span<const crash_report> reports);
@@ -46,7 +49,8 @@
   std::uint16_t bound_port{0};
   metrics& counts;
   notice_handler on_notices;
-  std::vector<boost::asio::ip::udp::endpoint> peers;
+  std::vector<boost::asio::ip::udp::endpoint> holder_peers;
+  std::vector<boost::asio::ip::udp::endpoint> report_peers;
   // Counts the peers to which reports were repeated.
   std::size_t repeated_to{0};
   std::vector<holder_notice> waiting;
--- a/packages/node/tests/notice_exchange_test.cpp
+++ b/packages/node/tests/notice_exchange_test.cpp
@@ -30,7 +30,7 @@
 };
 
 TEST_F(notice_exchange_test, load_notices_wait_briefly_and_confirmations_longer) {
-  this->sender.set_peers({{"127.0.0.1", this->receiver.port()}, {"127.0.0.1", 0}, {"unreadable", 5}});
+  this->sender.set_peers({{"127.0.0.1", this->receiver.port()}, {"127.0.0.1", 0}, {"unreadable", 5}}, {});
   this->sender.offer({{1, 2, duration{0}}}, time_point{1'000});
   this->sender.offer({}, time_point{1'900});
   this->sender.offer({{3, 4, duration{240}}}, time_point{1'910});
@@ -45,7 +45,7 @@
 }
 
 TEST_F(notice_exchange_test, many_notices_take_several_datagrams) {
-  this->sender.set_peers({{"127.0.0.1", this->receiver.port()}});
+  this->sender.set_peers({{"127.0.0.1", this->receiver.port()}}, {});
   std::vector<holder_notice> notices;
   for (std::uint64_t i = 0; i < 3 * max_notices_per_datagram; ++i) {
     notices.push_back({i, i, duration{1}});
@@ -60,7 +60,7 @@
   constexpr std::size_t other_peers = 7;
   std::vector<ip_endpoint> peers(other_peers, {"127.0.0.1", this->sender.port()});
   peers.push_back({"127.0.0.1", this->receiver.port()});
-  this->sender.set_peers(peers);
+  this->sender.set_peers({}, peers);
   const std::vector<crash_report> sent{{request_fingerprint{1}, 2, 3, 4, duration{5}, duration{6}}};
   this->sender.send(sent);
   while (this->reports.empty()) {
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -272,6 +272,14 @@
   EXPECT_EQ(this->ledger.count_from_level(0, this->now), crash_ledger::max_requests);
 }
 
+TEST_F(crash_ledger_test, keeps_a_bounded_number_of_requests_that_one_server_has_lost) {
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    this->ledger.on_lost(1, this->sent_now(request_fingerprint{i}), this->now);
+  }
+  this->ledger.on_crashed(1, this->now);
+  EXPECT_EQ(this->ledger.count_from_level(0, this->now), 256U);
+}
+
 TEST_F(crash_ledger_test, forwards_first_crashes_of_other_nodes_within_a_limit_and_later_ones_always) {
   for (std::uint64_t i = 0; i < 100; ++i) {
     this->ledger.apply({request_fingerprint{100 + i}, 50 + i, 1, 1, duration{5}, duration{5}}, this->now);
