Log it when a better explanation ends a quarantine

A quarantined request that turns out to be a bystander was lowered without a word: its callers were served again and the log still said that it was refused. It now gives request_released as an answer does; the test looks at the changes.

--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -86,9 +86,9 @@
   [[nodiscard]] std::vector<crash_report> reports_to_repeat(std::size_t max_count, time_point now);
   /// \}
 
-  /// \brief Returns and clears the requests that have been quarantined, or released by an answer (level 0),
-  /// since the
-  ///        last call.
+  /// \brief Returns and clears the requests that have been quarantined since the last call, and those that
+  /// are
+  ///        not any more (level 0) because of an answer or a better explanation.
   [[nodiscard]] std::vector<crash_report> take_quarantine_changes() {
     return std::exchange(this->quarantine_changes, {});
   }
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -165,6 +165,9 @@
 void crash_ledger::lower_bystanders(std::uint64_t backend, int most_crashes) {
   for (auto& [request, known] : this->records) {
     if (known.backend == backend && known.level > 0 && known.crashes < most_crashes) {
+      if (known.level == quarantine_level) {
+        this->quarantine_changes.push_back({request_fingerprint{request}});
+      }
       --known.level;
       known.backend = 0;
     }
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -93,11 +93,16 @@
 }
 
 TEST_F(crash_ledger_test, lowers_a_bystander_when_another_node_explains_the_crash) {
-  this->crash(1, {this->sent_now(innocent)});
-  this->crash(2, {this->sent_now(innocent)});
+  for (std::uint64_t backend = 1; backend <= 3; ++backend) {
+    this->crash(backend, {this->sent_now(innocent)});
+  }
+  EXPECT_TRUE(this->is_quarantined(innocent));
+  this->ledger.apply({deadly, 3, 3, 4, duration{10}, duration{300}}, this->now);
   EXPECT_EQ(this->level(innocent), 2);
-  this->ledger.apply({deadly, 2, 3, 3, duration{10}, duration{300}}, this->now);
-  EXPECT_EQ(this->level(innocent), 1);
+  const auto changes = this->ledger.take_quarantine_changes();
+  ASSERT_EQ(changes.size(), 3U);
+  EXPECT_EQ(changes[1].request, innocent);
+  EXPECT_EQ(changes[1].level, 0);
   EXPECT_TRUE(this->is_quarantined(deadly));
 }
 
