Move how a request ends to a file of its own

Refusals, failures, the deadline, a caller that leaves and the record are now in request_flow_end.cpp; nothing else changes.

--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -1,8 +1,7 @@
-// Handles one request: placement, attempts, retries, the response and the request's record.
+// Handles one request: placement, attempts, retries and the forwarded response.
 #include "request_flow.hpp"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
 
 #include <algorithm>
 #include <chrono>
@@ -10,7 +9,6 @@
 #include "request_fingerprint.hpp"
 #include "statement_decoding.hpp"
 #include "zinnia/core/rendezvous.hpp"
-#include "zinnia/observe/log.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -21,20 +19,11 @@
 constexpr std::size_t max_held_response_bytes = 64 << 10;
 /// A request is retried after up to this many failed connects, which do not count as attempts.
 constexpr int max_connect_failures = 2;
-/// Interval between checks of a response that the caller is still reading after the deadline.
-constexpr std::chrono::milliseconds late_read_check_period{250};
 /// Time in ms that a queued request waits beyond the expected wait before it is placed again.
 constexpr duration overdue_slack{40};
-/// Retry-After, in ms, if no attempt ran, for instance because a server had no room: about the time that one
-/// request takes.
-constexpr duration shed_retry_after{100};
-/// Largest Retry-After as a fraction of the request's remaining time; callers ignore longer waits.
-constexpr double max_retry_after_fraction = 0.3;
 
 constexpr int status_misdirected = 421;
 constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
 
 }  // namespace
 }  // namespace impl
@@ -134,22 +123,6 @@
   }
 }
 
-bool request_flow::refuse_if_quarantined() {
-  const auto left = this->owner.crashes.quarantine_left(
-      this->fingerprint, this->owner.backends.settings_of(this->service).crash_quarantine,
-      this->owner.clock.now());
-  if (left <= duration{0}) {
-    return false;
-  }
-  if (this->run_verdict == verdict::did_not_run) {
-    this->leave_queue();
-    this->respond_unavailable(reason::request_quarantined, left);
-  } else {
-    this->fail(impl::status_bad_gateway, reason::request_quarantined);
-  }
-  return true;
-}
-
 void request_flow::send_waiting() {
   this->queued = false;
   this->queue_wait = this->queue_wait + (this->owner.clock.now() - this->placed_at);
@@ -355,155 +328,4 @@
              this->owner.options.retry_budget, static_cast<int>(this->owner.nodes.registered_count), now);
 }
 
-header_fields request_flow::make_own_fields() const {
-  header_fields fields;
-  if (!this->request_id.empty()) {
-    fields.push_back({this->owner.options.field_names.request_id, this->request_id});
-  }
-  return fields;
-}
-
-void request_flow::end_without_response(reason why) {
-  if (this->run_verdict == verdict::did_not_run) {
-    this->refuse(why, impl::shed_retry_after);
-  } else {
-    this->fail(impl::status_bad_gateway, why);
-  }
-}
-
-void request_flow::refuse(reason why, duration retry_after) {
-  this->leave_queue();
-  const auto left = this->deadline - this->owner.clock.now();
-  const auto max_wait =
-      static_cast<std::int64_t>(static_cast<double>(left.ms) * impl::max_retry_after_fraction);
-  const auto wait = std::clamp<std::int64_t>(retry_after.ms, 0, std::max<std::int64_t>(max_wait, 0));
-  // Spread over 50 % to 148 % by a hash of the request id, so that callers refused together do not retry
-  // together.
-  constexpr std::uint64_t spread_percent = 50;
-  constexpr std::int64_t percent = 100;
-  const auto extra = static_cast<std::int64_t>(stable_hash(this->request_id) % spread_percent);
-  this->respond_unavailable(
-      why, {wait * (percent - static_cast<std::int64_t>(spread_percent) + 2 * extra) / percent});
-}
-
-void request_flow::respond_unavailable(reason why, duration retry_after) {
-  auto fields = this->make_own_fields();
-  constexpr double ms_per_second = 1000;
-  fields.push_back(
-      {"Retry-After", absl::StrFormat("%.3f", static_cast<double>(retry_after.ms) / ms_per_second)});
-  this->exchange->respond(impl::status_unavailable, fields, "");
-  this->owner.counts.record_refusal(why);
-  this->close(impl::status_unavailable, why);
-}
-
-void request_flow::fail(int status, reason why) {
-  this->leave_queue();
-  this->exchange->respond(status, this->make_own_fields(), "");
-  this->owner.counts.record_refusal(why);
-  this->close(status, why);
-}
-
-void request_flow::on_deadline() {
-  if (this->closed) {
-    return;
-  }
-  if (this->committed && this->exchange->has_unsent_output()) {
-    // The caller is still reading what arrived in time. Its connection closes if it makes no progress.
-    this->start_deadline_timer(impl::late_read_check_period);
-    return;
-  }
-  if (this->has_active_call()) {
-    this->abandon_call();
-    this->run_verdict = combine(this->run_verdict, verdict::may_have_run);
-    if (this->committed) {
-      this->exchange->abort();
-      this->close(this->response.status, reason::route_timeout);
-      return;
-    }
-    this->fail(impl::status_gateway_timeout, reason::route_timeout);
-    return;
-  }
-  if (this->run_verdict == verdict::did_not_run) {
-    this->refuse(reason::deadline_passed, duration{0});
-  } else {
-    this->fail(impl::status_gateway_timeout, reason::deadline_passed);
-  }
-}
-
-void request_flow::on_caller_left() {
-  if (this->closed) {
-    return;
-  }
-  this->leave_queue();
-  this->abandon_call();
-  this->owner.counts.add(counter::caller_closed);
-  this->close(0, reason::caller_left);
-}
-
-void request_flow::abandon_call() {
-  if (!this->has_active_call()) {
-    return;
-  }
-  const auto target = this->decision.target;
-  this->connection->cancel();
-  this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
-  target->on_abandoned();
-  absl::StrAppend(&this->attempt_history, this->attempt_history.empty() ? "" : " ",
-                  target->declared().id.str(), "=cancelled");
-  this->owner.dispatch_waiting(target);
-}
-
-void request_flow::leave_queue() {
-  if (this->queued) {
-    this->queued = false;
-    this->decision.target->queue.remove(this->ticket);
-  }
-}
-
-void request_flow::close(int status, reason why) {
-  if (this->closed) {
-    return;
-  }
-  this->closed = true;
-  this->deadline_timer.cancel();
-  const auto took = this->owner.clock.now() - this->arrived_at;
-  this->owner.counts.record(timing::request, took);
-  if (this->queue_wait.ms > 0) {
-    this->owner.counts.record(timing::queue_wait, this->queue_wait);
-  }
-  this->owner.counts.record_verdict(this->run_verdict);
-  const auto record = this->make_record(status, why, took).str();
-  const bool served = is_success(status) && why == reason::none;
-  log_line{served ? log_level::info : log_level::warn, "request_ended"}.merge(record);
-  this->owner.records.add(this->request_id, record);
-  this->owner.buffered_body_bytes -= this->exchange->body().size();
-  this->owner.flows.erase(this->ticket);
-}
-
-json_object request_flow::make_record(int status, reason why, duration took) const {
-  constexpr double percent = 100;
-  json_object record;
-  record.field("request", this->request_id)
-      .field("route", this->matched_route.name)
-      .field("service", this->service.str())
-      .field("priority", this->matched_route.priority)
-      .field("object", this->object_hash ? absl::StrCat(absl::Hex(*this->object_hash, absl::kZeroPad16)) : "")
-      .field("fingerprint", absl::StrCat(absl::Hex(this->fingerprint.count(), absl::kZeroPad16)))
-      .field("status", status)
-      .field("verdict", to_string(this->run_verdict))
-      .field("reason", to_string(why))
-      .field("attempts", this->attempt_history)
-      .field("took_ms", took.ms)
-      .field("waited_ms", this->queue_wait.ms)
-      .field("time_left_ms", (this->deadline - this->arrived_at - took).ms)
-      .field("placed_on", this->decision.target ? this->decision.target->declared().id.str() : "")
-      .field("warmth", static_cast<std::int64_t>(this->decision.expected_warmth))
-      .field("load_percent", static_cast<std::int64_t>(this->decision.load * percent))
-      .field("expected_ms", this->decision.expected_total.ms)
-      .field("candidates", this->decision.candidates)
-      .field("config_version", static_cast<std::int64_t>(this->snapshot->version.count()))
-      .field("snapshot", static_cast<std::int64_t>(this->snapshot->sequence));
-  return record;
-}
-
 }  // namespace zinnia
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -118,7 +118,7 @@
   's/  if (this->phase == connection_phase::open) {/  if (true) {/' "a caller that sends keeps a finished connection open"
 mutate test_http packages/http/src/caller_connection.cpp \
   's/return this->write_active || unacknowledged_bytes.*/return false;/' "a stop does not wait for responses being read"
-mutate test_gateway packages/gateway/src/request_flow.cpp \
+mutate test_gateway packages/gateway/src/request_flow_end.cpp \
   's/this->committed \&\& this->exchange->has_unsent_output()/false/' "a response is cut at the timeout while its caller reads"
 mutate test_gateway packages/gateway/src/gateway.cpp \
   's/    pool->set_endpoint(address);//' "requests go to a server's old address"
@@ -134,9 +134,9 @@
   's/  if (shift.kind == shift_kind::drain_domain) {/  if (false) {/' "a domain drain follows another place's ramp"
 mutate test_node packages/node/src/control_thread.cpp \
   's/      this->removal_sent = false;//' "a failed removal of the own entry is not repeated"
-mutate test_gateway packages/gateway/src/request_flow.cpp \
+mutate test_gateway packages/gateway/src/request_flow_end.cpp \
   's/  if (left <= duration{0}) {/  if (true) {/' "a quarantined request is sent"
-mutate test_gateway packages/gateway/src/request_flow.cpp \
+mutate test_gateway packages/gateway/src/request_flow_end.cpp \
   's/    this->respond_unavailable(reason::request_quarantined, left);/    this->fail(impl::status_bad_gateway, reason::request_quarantined);/' "a quarantined request that did not run is said to have run"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/    this->owner.on_request_lost(\*target,.*/    ;/' "a lost request is never suspected"
