Compare versions of the store over its eras, and hold what a copy undoes

What callers would see: after the store came back from a copy some seconds old, nodes heard of no change until its revisions had passed the old ones, as they drop what is older than they know: drained servers and replaced ones got requests, new routes were not served. Where a change came through, a drain or an evacuation in force ended because the copy did not have it.

Cause: the era that the store names was not read, and revisions of before and after the restore were compared.

Change: a version holds the era in its high bits, put together and taken apart by the adapter. A watch that is answered in another era is listed anew. What the copy would undo is held for five seconds or until somebody writes it again: drains, servers that were gone, evacuations, nodes, the settings tree. Nodes register again at different times, one writes the lost tree again.

Evidence: four tests of the control thread against a stand-in that keeps and restores copies, the random walks of the feed with restores, tests of guard and adapter. scripts/mutations.sh has the lines that put the old comparison back.

--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -20,6 +21,7 @@
 #include "zinnia/store/async_http_client.hpp"
 #include "zinnia/store/change_relay_buffer.hpp"
 #include "zinnia/store/object_feed.hpp"
+#include "zinnia/store/restore_guard.hpp"
 
 namespace zinnia {
 
@@ -80,10 +82,13 @@
     bool call_active{false};
     bool was_failing{false};
     void (control_thread::*apply)(const object_change& change);
+    /// Whether a change that comes from a copy of the store would undo what is in force. Null: never.
+    bool (control_thread::*undoes)(const object_change& change) const;
     /// Changes arrive from another node, and no calls are made to the store.
     bool relayed{false};
     /// Changes from a list that is incomplete. They are relayed once the list is complete.
     std::vector<object_change> unrelayed{};
+    restore_guard guard{};
   };
 
   void run();
@@ -108,6 +113,22 @@
   /// Restarts the other watches if the store's version shows changes that none of them has delivered.
   void restart_silent_watches(object_version store_version);
   void restart_watches(const watched_kind& except);
+
+  // After the store was restored from a copy.
+  void on_store_version(watched_kind& watched, object_version version);
+  /// Applies a change, unless it comes from the copy and would undo what is in force.
+  void apply_or_hold(watched_kind& watched, const object_change& change);
+  /// Applies what was held and has not been written again.
+  void apply_held_changes(time_point now);
+  [[nodiscard]] bool undoes_backend(const object_change& change) const;
+  [[nodiscard]] bool undoes_evacuation(const object_change& change) const;
+  [[nodiscard]] bool undoes_node(const object_change& change) const;
+  [[nodiscard]] bool undoes_tree(const object_change& change) const;
+  /// Writes the settings tree in force to the store if it was lost there; one node does.
+  void rewrite_lost_tree(time_point now);
+  /// How long after a restore this node waits before it registers again, so that not all nodes write at once.
+  [[nodiscard]] duration registration_delay() const;
+
   void apply_backend(const object_change& change);
   /// How long a backend server stays in use after its entry disappeared.
   [[nodiscard]] duration removal_grace() const;
@@ -117,6 +138,7 @@
   void apply_tree(const object_change& change);
   [[nodiscard]] watched_kind& configuration_watch() { return this->watches.front(); }
   [[nodiscard]] watched_kind& backend_watch() { return this->watches[1]; }
+  [[nodiscard]] watched_kind& settings_watch() { return this->watches[3]; }
   [[nodiscard]] watched_kind& node_watch() { return this->watches.back(); }
   void publish(time_point now);
   void maintain_registration(time_point now);
@@ -162,6 +184,14 @@
   time_point restarted_at;
   // When the store last became reachable again.
   time_point store_regained_at;
+  // When a restored store was last noticed; 0 if never.
+  time_point store_restored_at;
+  // The entry of the settings tree in force, as stored; empty if the tree comes from a file.
+  std::string tree_document;
+  bool tree_is_lost{false};
+  // Start times of backend servers that are gone, and evacuations that have ended; the latest ones.
+  std::map<backend_id, std::int64_t> removed_backends;
+  std::set<failure_domain_id> ended_evacuations;
   bool write_active{false};
   bool removal_sent{false};
   std::atomic<bool> ready{false};
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -73,6 +73,9 @@
   return {timing, stable_hash(self.str() + kind)};
 }
 
+/// Backend servers that are gone and remembered, in case a copy of the store still has them.
+constexpr std::size_t max_removed_backends = 512;
+
 }  // namespace
 }  // namespace impl
 
@@ -87,23 +90,23 @@
       watches{{{adapter_in.configuration_kind(),
                 impl::make_feed(adapter_in.configuration_kind(), impl::configuration_watch_time(settings_in),
                                 duration{0}, this->self.id),
-                0, false, false, &control_thread::apply_configuration},
+                0, false, false, &control_thread::apply_configuration, nullptr},
                {adapter_in.backend_kind(),
                 impl::make_feed(adapter_in.backend_kind(), impl::history_watch_time(settings_in),
                                 impl::change_batch_delay, this->self.id),
-                0, false, false, &control_thread::apply_backend},
+                0, false, false, &control_thread::apply_backend, &control_thread::undoes_backend},
                {adapter_in.evacuation_kind(),
                 impl::make_feed(adapter_in.evacuation_kind(), impl::history_watch_time(settings_in),
                                 impl::change_batch_delay, this->self.id),
-                0, false, false, &control_thread::apply_evacuation},
+                0, false, false, &control_thread::apply_evacuation, &control_thread::undoes_evacuation},
                {object_kinds::settings,
                 impl::make_feed(object_kinds::settings, impl::history_watch_time(settings_in), duration{0},
                                 this->self.id),
-                0, false, false, &control_thread::apply_tree},
+                0, false, false, &control_thread::apply_tree, &control_thread::undoes_tree},
                {object_kinds::nodes,
                 impl::make_feed(object_kinds::nodes, impl::history_watch_time(settings_in),
                                 impl::node_batch_delay, this->self.id),
-                0, false, false, &control_thread::apply_node}}},
+                0, false, false, &control_thread::apply_node, &control_thread::undoes_node}}},
       builder{settings_in.regions},
       members{this->self.id},
       quarantines{std::make_unique<quarantine_store>(this->calls, adapter_in.store(), this->counts,
@@ -154,6 +157,8 @@
     if (!this->configuration_watch().feed.is_failing()) {
       this->quarantines->issue_calls(now);
     }
+    this->apply_held_changes(now);
+    this->rewrite_lost_tree(now);
     this->maintain_registration(now);
     this->remove_expired_nodes(now);
     this->send_heartbeats(now);
@@ -169,6 +174,7 @@
   auto next =
       std::min({this->next_heartbeat, this->builder.next_removal(), this->relay_client->next_poll_at()});
   for (const auto& watched : this->watches) {
+    next = std::min(next, watched.guard.next_due());
     if (this->may_call(watched)) {
       next = std::min(next, watched.feed.next_call_at());
     }
@@ -216,6 +222,9 @@
     this->restart_silent_watches(reply.store_version);
   }
   this->log_store_availability(watched, response);
+  if (reply.status == feed_status::ok) {
+    this->on_store_version(watched, reply.store_version);
+  }
   this->apply_changes(watched);
 }
 
@@ -232,7 +241,7 @@
     }
   }
   for (const auto& change : changes) {
-    (this->*watched.apply)(change);
+    this->apply_or_hold(watched, change);
   }
 }
 
@@ -317,6 +326,12 @@
     log_line{log_level::info, "backend_removed"}
         .field("backend", object.name)
         .field("version", object.version.count());
+    if (const auto* const known = this->builder.find_backend(backend_id{object.name})) {
+      this->removed_backends[known->id] = known->started_unix_ms;
+      if (this->removed_backends.size() > impl::max_removed_backends) {
+        this->removed_backends.erase(this->removed_backends.begin());
+      }
+    }
     this->builder.remove_backend(backend_id{object.name}, this->clock.now(), this->removal_grace());
     return;
   }
@@ -370,7 +385,13 @@
   log_line{log_level::info, change.deleted ? "evacuation_ended" : "evacuation_begun"}
       .field("domain", change.object.name)
       .field("version", change.object.version.count());
-  this->builder.set_evacuated(failure_domain_id{change.object.name}, !change.deleted);
+  const failure_domain_id domain{change.object.name};
+  this->builder.set_evacuated(domain, !change.deleted);
+  if (change.deleted) {
+    this->ended_evacuations.insert(domain);
+  } else {
+    this->ended_evacuations.erase(domain);
+  }
 }
 
 void control_thread::apply_tree(const object_change& change) {
@@ -392,6 +413,7 @@
       .field("author", document->author)
       .field("edit", document->edit_id);
   this->builder.set_tree(std::make_shared<const settings_tree>(*tree));
+  this->tree_document = change.object.document;
 }
 
 void control_thread::apply_node(const object_change& change) {
@@ -451,7 +473,7 @@
 
 void control_thread::maintain_registration(time_point now) {
   const auto& feed = this->node_watch().feed;
-  if (!feed.is_complete() || this->write_active || now < this->write_allowed_at) {
+  if (!feed.is_complete() || feed.is_listing() || this->write_active || now < this->write_allowed_at) {
     return;
   }
   const auto own_entry = feed.objects().find(this->self.id.str());
@@ -466,6 +488,9 @@
     return;
   }
   const auto document = encode_member(this->self);
+  if (!is_present && now < this->store_restored_at + this->registration_delay()) {
+    return;
+  }
   if (!is_present) {
     this->write_node_entry(
         this->adapter.store().create_call(object_kinds::nodes, this->self.id.str(), document), "register",
@@ -481,7 +506,8 @@
 }
 
 void control_thread::remove_expired_nodes(time_point now) {
-  if (now < this->next_expiry_check || this->write_active || this->leaving) {
+  if (now < this->next_expiry_check || this->write_active || this->leaving ||
+      this->node_watch().feed.is_listing()) {
     return;
   }
   this->next_expiry_check = now + impl::expiry_check_period;
--- a/packages/node/src/control_thread_relay.cpp
+++ b/packages/node/src/control_thread_relay.cpp
@@ -85,6 +85,9 @@
       this->cancel_call(watched);
     }
     watched.relayed = is_relayed;
+    if (is_relayed) {
+      this->on_store_version(watched, replies[i].store_version);
+    }
     this->apply_changes(watched);
   }
 }
--- /dev/null
+++ b/packages/node/src/control_thread_restore.cpp
@@ -0,0 +1,140 @@
+// What the control thread does when the store comes back from a copy that lacks the last seconds.
+#include <algorithm>
+
+#include "zinnia/core/rendezvous.hpp"
+#include "zinnia/node/control_thread.hpp"
+#include "zinnia/observe/log.hpp"
+#include "zinnia/store/store_era.hpp"
+
+namespace zinnia {
+namespace impl {
+namespace {
+
+/// How long operators and backend servers may take to write again what the copy lacks: a few of a server's
+/// heartbeats.
+constexpr duration rewrite_time{5000};
+/// Time in which each node registers again on average, so that many nodes don't exceed the store's rate of
+/// writes.
+constexpr duration registration_interval{10};
+constexpr duration max_registration_delay{60'000};
+
+}  // namespace
+}  // namespace impl
+
+duration control_thread::registration_delay() const {
+  if (this->store_restored_at.ms == 0) {
+    return {};
+  }
+  const auto nodes =
+      static_cast<std::int64_t>(std::max<std::size_t>(this->published_nodes.registered_count, 1));
+  const auto all = std::min(impl::registration_interval * nodes, impl::max_registration_delay);
+  return {
+      static_cast<std::int64_t>(stable_hash(this->self.id.str()) % static_cast<std::uint64_t>(all.ms + 1))};
+}
+
+void control_thread::on_store_version(watched_kind& watched, object_version version) {
+  const auto now = this->clock.now();
+  // Entries of nodes come back as slowly as the nodes register.
+  const auto nodes = static_cast<std::int64_t>(this->published_nodes.registered_count);
+  const auto registration = std::min(impl::registration_interval * nodes, impl::max_registration_delay);
+  const auto hold_time =
+      &watched == &this->node_watch() ? impl::rewrite_time + registration : impl::rewrite_time;
+  if (!watched.guard.on_store_version(version, hold_time, now)) {
+    return;
+  }
+  log_line{log_level::warn, "store_restored"}
+      .field("kind", watched.kind)
+      .field("era", era_of(version))
+      .field("revision", revision_of(version));
+  this->store_restored_at = now;
+  // Entries of living servers may be missing for some seconds, as after an outage.
+  this->store_regained_at = now;
+  this->undelivered_version = {};
+}
+
+void control_thread::apply_or_hold(watched_kind& watched, const object_change& change) {
+  const auto& object = change.object;
+  watched.guard.release(object.name);
+  const bool is_from_copy = watched.guard.is_from_copy(object.version, this->clock.now());
+  if (is_from_copy && watched.undoes != nullptr && (this->*watched.undoes)(change)) {
+    log_line{log_level::info, "restored_state_held"}
+        .field("kind", watched.kind)
+        .field("name", object.name)
+        .field("deleted", change.deleted ? 1 : 0);
+    watched.guard.hold(object.name);
+    return;
+  }
+  (this->*watched.apply)(change);
+}
+
+void control_thread::apply_held_changes(time_point now) {
+  for (auto& watched : this->watches) {
+    for (const auto& name : watched.guard.take_due(now)) {
+      const auto found = watched.feed.objects().find(name);
+      const bool is_missing = found == watched.feed.objects().end();
+      if (watched.kind == object_kinds::settings) {
+        this->tree_is_lost = true;
+      } else {
+        (this->*watched.apply)(is_missing ? object_change{{name, {}, "", false}, true}
+                                          : object_change{found->second, false});
+      }
+    }
+  }
+}
+
+bool control_thread::undoes_backend(const object_change& change) const {
+  if (change.deleted) {
+    // The server stays for the grace of removals.
+    return false;
+  }
+  const auto declared = this->adapter.decode_backend(change.object, this->clock.now());
+  if (!declared || declared->mode != backend_mode::ready) {
+    return false;
+  }
+  if (const auto* const known = this->builder.find_backend(declared->id)) {
+    return known->mode == backend_mode::draining && known->started_unix_ms == declared->started_unix_ms;
+  }
+  const auto removed = this->removed_backends.find(declared->id);
+  return removed != this->removed_backends.end() && removed->second == declared->started_unix_ms;
+}
+
+bool control_thread::undoes_evacuation(const object_change& change) const {
+  return change.deleted || this->ended_evacuations.contains(failure_domain_id{change.object.name});
+}
+
+bool control_thread::undoes_node(const object_change& change) const {
+  return change.deleted;
+}
+
+bool control_thread::undoes_tree(const object_change& change) const {
+  return !this->tree_document.empty() && (change.deleted || change.object.document != this->tree_document);
+}
+
+void control_thread::rewrite_lost_tree(time_point now) {
+  const auto& feed = this->settings_watch().feed;
+  if (!this->tree_is_lost || feed.is_listing() || this->write_active || now < this->write_allowed_at) {
+    return;
+  }
+  const auto found = feed.objects().find(object_kinds::settings_name);
+  if (found != feed.objects().end() && found->second.document == this->tree_document) {
+    this->tree_is_lost = false;
+    return;
+  }
+  const auto alive = this->members.alive(now);
+  const auto writer = std::max_element(alive.begin(), alive.end(), [](const auto& a, const auto& b) {
+    return rendezvous_weight(a.first.str(), object_kinds::settings) <
+           rendezvous_weight(b.first.str(), object_kinds::settings);
+  });
+  if (writer == alive.end() || writer->first != this->self.id) {
+    return;
+  }
+  const auto& store = this->adapter.store();
+  this->write_node_entry(
+      found == feed.objects().end()
+          ? store.create_call(object_kinds::settings, object_kinds::settings_name, this->tree_document)
+          : store.replace_call(object_kinds::settings, object_kinds::settings_name, this->tree_document,
+                               found->second.version),
+      "restore_settings", this->self.id.str());
+}
+
+}  // namespace zinnia
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -12,6 +12,7 @@
 #include "store_contents.hpp"
 #include "zinnia/node/control_thread.hpp"
 #include "zinnia/platform/platform_deployment.hpp"
+#include "zinnia/settings/settings_document.hpp"
 
 using namespace zinnia;
 using standins::platform_store;
@@ -50,6 +51,9 @@
     member self;
     self.id = this->settings.node;
     self.where = this->settings.own_location;
+    self.caller_address = "127.0.0.1:1";
+    self.operator_address = "127.0.0.1:2";
+    self.peer_address = {"127.0.0.1", 3};
     self.incarnation = incarnation_id{"run"};
     this->control.emplace(*this->adapter, this->settings, std::make_shared<const settings_tree>(), self,
                           this->counts, std::move(events));
@@ -101,6 +105,91 @@
   EXPECT_FALSE(this->store.contains("zinnia-nodes", "n1"));
 }
 
+TEST_F(control_thread_contract, hears_of_changes_after_the_store_came_back_from_a_copy) {
+  ASSERT_TRUE(this->wait_for_route("/one/"));
+  this->store.take_copy();
+  for (int i = 0; i < 20; ++i) {
+    this->store.put("servers", "i-1", make_server(i % 2 == 0 ? "draining" : "ready"));
+  }
+  this->store.put("config", "main", make_config("00000005", "/two/"));
+  ASSERT_TRUE(this->wait_for_route("/two/"));
+  this->store.restore_copy();
+  this->store.put("config", "main", make_config("00000005", "/two/"));
+  this->store.put("servers", "i-2", make_server("ready"));
+  EXPECT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return current.backends.contains(backend_id{"i-2"}); }));
+  this->store.put("config", "main", make_config("00000007", "/three/"));
+  EXPECT_TRUE(this->wait_for_route("/three/"));
+  EXPECT_FALSE(this->version_went_back);
+}
+
+TEST_F(control_thread_contract,
+       a_copy_of_the_store_ends_no_drain_and_no_evacuation_and_brings_no_server_back) {
+  this->store.put("servers", "i-gone", make_server("ready"));
+  ASSERT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return current.backends.contains(backend_id{"i-gone"}); }));
+  this->store.take_copy();
+  this->store.put("servers", "i-1", make_server("draining"));
+  this->store.put("servers", "i-gone", make_server("draining"));
+  this->store.put("evacuations", "near-a", {{"since", 1}});
+  ASSERT_TRUE(this->wait_for_snapshot([](const routing_snapshot& current) {
+    return current.evacuated.contains(failure_domain_id{"near-a"}) &&
+           current.backends.at(backend_id{"i-gone"}).mode == backend_mode::draining;
+  }));
+  this->store.erase("servers", "i-gone");
+  ASSERT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return !current.backends.contains(backend_id{"i-gone"}); }));
+  this->store.restore_copy();
+  this->store.put("servers", "i-2", make_server("ready"));
+  ASSERT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return current.backends.contains(backend_id{"i-2"}); }));
+  const auto current = this->snapshot();
+  EXPECT_TRUE(current->evacuated.contains(failure_domain_id{"near-a"}));
+  EXPECT_EQ(current->backends.at(backend_id{"i-1"}).mode, backend_mode::draining);
+  EXPECT_FALSE(current->backends.contains(backend_id{"i-gone"}));
+  // What is written again is applied at once; what is not ends after a while.
+  auto again = make_server("ready");
+  again["sequence"] = 2;
+  this->store.put("servers", "i-1", again);
+  EXPECT_TRUE(this->wait_for_snapshot([](const routing_snapshot& newer) {
+    return newer.backends.at(backend_id{"i-1"}).mode == backend_mode::ready;
+  }));
+  EXPECT_TRUE(this->wait_for_snapshot([](const routing_snapshot& newer) { return newer.evacuated.empty(); }));
+}
+
+TEST_F(control_thread_contract, writes_its_entry_again_that_a_copy_of_the_store_lacks) {
+  this->store.take_copy();
+  ASSERT_TRUE(this->wait_for_route("/one/"));
+  const auto wait_for_entry = [this] {
+    for (int i = 0; i < 1500 && !this->store.contains("zinnia-nodes", "n1"); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    return this->store.contains("zinnia-nodes", "n1");
+  };
+  ASSERT_TRUE(wait_for_entry());
+  this->store.restore_copy();
+  EXPECT_TRUE(wait_for_entry());
+}
+
+TEST_F(control_thread_contract, writes_the_settings_tree_again_that_a_copy_of_the_store_lacks) {
+  ASSERT_TRUE(this->wait_for_route("/one/"));
+  this->store.take_copy();
+  settings_document document;
+  document.tree_text = "settings: {homes_per_object: 5}\nplaces: {near: {domains: {near-a: {}}}}\n";
+  this->store.put("zinnia-settings", "main", nlohmann::json::parse(encode(document)));
+  const auto has_tree = [](const routing_snapshot& current) {
+    return current.tree != nullptr &&
+           current.tree->effective(service_id{"desk"}).values.homes_per_object == 5;
+  };
+  ASSERT_TRUE(this->wait_for_snapshot(has_tree));
+  this->store.restore_copy();
+  for (int i = 0; i < 2000 && !this->store.contains("zinnia-settings", "main"); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+  EXPECT_TRUE(this->store.contains("zinnia-settings", "main"));
+  EXPECT_TRUE(has_tree(*this->snapshot()));
+}
+
 TEST_F(control_thread_contract, applies_configuration_changes_drains_and_evacuations) {
   ASSERT_TRUE(this->wait_for_route("/one/"));
   this->store.put("config", "main", make_config("00000005", "/two/"));
--- a/packages/routing/include/zinnia/routing/snapshot_builder.hpp
+++ b/packages/routing/include/zinnia/routing/snapshot_builder.hpp
@@ -56,6 +56,11 @@
     return this->state.version.count() > 0 || !this->from_tree.routes.empty();
   }
   [[nodiscard]] bool has_backend(const backend_id& id) const { return this->state.backends.contains(id); }
+  /// \brief Returns the declaration in force, or null.
+  [[nodiscard]] const backend_declaration* find_backend(const backend_id& id) const {
+    const auto found = this->state.backends.find(id);
+    return found == this->state.backends.end() ? nullptr : &found->second;
+  }
   /// \brief Returns the progress of the shifts of the active tree.
   [[nodiscard]] std::vector<shift_progress> progress(std::int64_t now_unix_ms) const;
 
--- a/packages/store/include/zinnia/store/http_call.hpp
+++ b/packages/store/include/zinnia/store/http_call.hpp
@@ -23,7 +23,7 @@
 /// \brief The response to a call; status 0 means that no complete response arrived.
 struct http_response {
   long status{0};
-  /// Header values by lower-case name; only `perform` fills them in.
+  /// Header values by lower-case name.
   std::map<std::string, std::string> headers;
   std::string body;
   /// True if the connection failed, so that no byte of the request can have reached the server.
--- a/packages/store/src/async_http_client.cpp
+++ b/packages/store/src/async_http_client.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "zinnia/core/tcp_timeouts.hpp"
+#include "zinnia/store/http_headers.hpp"
 #include "zinnia/store/http_upload.hpp"
 
 namespace zinnia {
@@ -118,6 +119,7 @@
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.ms));
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, impl::append_body);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &running->response.body);
+  collect_headers(handle, running->response.headers);
   running->upload = {&running->body, 0};
   if (call.method != "GET") {
     set_upload(handle, call.method, running->upload, false);
--- a/packages/store/src/http_call.cpp
+++ b/packages/store/src/http_call.cpp
@@ -4,10 +4,10 @@
 
 #include <curl/curl.h>
 
-#include <algorithm>
 #include <cctype>
 #include <memory>
 
+#include "zinnia/store/http_headers.hpp"
 #include "zinnia/store/http_upload.hpp"
 
 namespace zinnia {
@@ -32,22 +32,6 @@
   return size * count;
 }
 
-std::size_t collect_header(char* data, std::size_t size, std::size_t count, void* target) {
-  const std::string line{data, size * count};
-  const auto colon = line.find(':');
-  if (colon != std::string::npos) {
-    auto name = line.substr(0, colon);
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
-    const auto first = line.find_first_not_of(" \t", colon + 1);
-    const auto last = line.find_last_not_of(" \t\r\n");
-    const bool is_blank = first == std::string::npos || last < first;
-    (*static_cast<std::map<std::string, std::string>*>(target))[name] =
-        is_blank ? std::string{} : line.substr(first, last - first + 1);
-  }
-  return size * count;
-}
-
 }  // namespace
 }  // namespace impl
 
@@ -65,8 +49,7 @@
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.ms));
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, impl::append_body);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
-  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, impl::collect_header);
-  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response.headers);
+  collect_headers(handle, response.headers);
   http_upload upload{&call.body, 0};
   if (call.method != "GET") {
     set_upload(handle, call.method, upload, false);
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "zinnia/store/store_era.hpp"
+
 namespace zinnia {
 
 object_feed::object_feed(feed_timing timing_in, std::uint64_t seed)
@@ -66,7 +68,9 @@
   }
   this->consecutive_failures = 0;
   this->responded_at = now;
-  if (reply.status == feed_status::history_gone) {
+  // Pages of different eras don't make one list.
+  const bool is_other_era = this->list_version && era_of(reply.store_version) != era_of(*this->list_version);
+  if (reply.status == feed_status::history_gone || (this->listing && is_other_era)) {
     this->listing = true;
     this->last_listed_name.clear();
     this->list_version.reset();
--- a/packages/store/tests/object_feed_random_test.cpp
+++ b/packages/store/tests/object_feed_random_test.cpp
@@ -1,11 +1,12 @@
-// Random sequences of calls from a feed to a store model that loses or delays responses, forgets history and
-// returns stale lists.
+// Random sequences of calls from a feed to a store model that loses or delays responses, forgets history,
+// returns stale lists and comes back from copies.
 #include <gtest/gtest.h>
 
 #include <map>
 #include <random>
 
 #include "zinnia/store/object_feed.hpp"
+#include "zinnia/store/store_era.hpp"
 
 using namespace zinnia;
 
@@ -31,6 +32,24 @@
     this->objects_by_version[this->version] = this->objects;
   }
   void forget_history() { this->oldest_watchable_version = this->version; }
+  /// Goes back to an earlier state of this era and begins the next one, in which revisions are given out
+  /// again.
+  void restore_from_copy() {
+    const auto copied = this->random_list_version();
+    const auto next_era = era_of(object_version{this->version}) + 1;
+    const auto to_next_era = [&](std::int64_t version_number) {
+      return make_version(next_era, revision_of(object_version{version_number})).count();
+    };
+    this->objects = this->objects_by_version.contains(copied) ? this->objects_by_version[copied]
+                                                              : std::map<std::string, std::int64_t>{};
+    for (auto& [name, object_version_number] : this->objects) {
+      object_version_number = to_next_era(object_version_number);
+    }
+    this->version = to_next_era(copied);
+    this->objects_by_version[this->version] = this->objects;
+    this->history.clear();
+    this->oldest_watchable_version = this->version;
+  }
 
   [[nodiscard]] feed_reply respond(const feed_call& call, bool stale) {
     feed_reply reply;
@@ -48,12 +67,7 @@
       reply.store_version = object_version{this->version};
       return reply;
     }
-    auto list_version = this->version;
-    if (stale && !this->objects_by_version.empty()) {
-      list_version = std::next(this->objects_by_version.begin(),
-                               static_cast<std::ptrdiff_t>(this->random() % this->objects_by_version.size()))
-                         ->first;
-    }
+    const auto list_version = stale ? this->random_list_version() : this->version;
     const auto& listed = this->objects_by_version.contains(list_version)
                              ? this->objects_by_version[list_version]
                              : this->objects;
@@ -72,6 +86,16 @@
     return reply;
   }
 
+  /// Returns a version that the store has had, of any era.
+  [[nodiscard]] std::int64_t random_list_version() {
+    if (this->objects_by_version.empty()) {
+      return this->version;
+    }
+    return std::next(this->objects_by_version.begin(),
+                     static_cast<std::ptrdiff_t>(this->random() % this->objects_by_version.size()))
+        ->first;
+  }
+
   std::mt19937_64& random;
   std::map<std::string, std::int64_t> objects;
   std::map<std::int64_t, std::map<std::string, std::int64_t>> objects_by_version;
@@ -123,6 +147,8 @@
       case 3:
         if (this->random() % 6 == 0) {
           this->store.forget_history();
+        } else if (this->random() % 12 == 0) {
+          this->store.restore_from_copy();
         }
         break;
       case 4:
--- /dev/null
+++ b/packages/store/tests/restore_guard_test.cpp
@@ -0,0 +1,40 @@
+// What is held back after a restore, and for how long.
+#include "zinnia/store/restore_guard.hpp"
+
+#include <gtest/gtest.h>
+
+#include "zinnia/store/store_era.hpp"
+
+using namespace zinnia;
+
+namespace {
+
+constexpr duration hold_time{5'000};
+
+TEST(restore_guard, tells_the_copy_from_what_was_written_since) {
+  restore_guard guard;
+  EXPECT_FALSE(guard.on_store_version(make_version(1, 50), hold_time, time_point{1'000}));
+  EXPECT_FALSE(guard.is_from_copy(make_version(1, 40), time_point{1'000}));
+  EXPECT_TRUE(guard.on_store_version(make_version(2, 30), hold_time, time_point{2'000}));
+  EXPECT_FALSE(guard.on_store_version(make_version(2, 35), hold_time, time_point{2'500}));
+  EXPECT_FALSE(guard.on_store_version(make_version(1, 60), hold_time, time_point{2'600})) << "a late answer";
+  EXPECT_TRUE(guard.is_from_copy(make_version(2, 30), time_point{3'000}));
+  EXPECT_FALSE(guard.is_from_copy(make_version(2, 31), time_point{3'000}));
+  EXPECT_FALSE(guard.is_from_copy(make_version(2, 30), time_point{7'000}));
+}
+
+TEST(restore_guard, returns_held_changes_once_after_the_hold_time) {
+  restore_guard guard;
+  static_cast<void>(guard.on_store_version(make_version(1, 50), hold_time, time_point{1'000}));
+  static_cast<void>(guard.on_store_version(make_version(2, 30), hold_time, time_point{2'000}));
+  EXPECT_EQ(guard.next_due(), far_future);
+  guard.hold("a");
+  guard.hold("b");
+  guard.release("b");
+  EXPECT_EQ(guard.next_due(), time_point{7'000});
+  EXPECT_TRUE(guard.take_due(time_point{6'999}).empty());
+  EXPECT_EQ(guard.take_due(time_point{7'000}), std::set<std::string>{"a"});
+  EXPECT_TRUE(guard.take_due(time_point{7'000}).empty());
+}
+
+}  // namespace
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -176,5 +176,15 @@
   's/  if (is_pending \&\& ++written.attempts < impl::max_attempts) {/  if (false) {/' "a quarantine that could not be stored is given up"
 mutate test_node packages/node/src/quarantine_store.cpp \
   's/    } else if (report->age < impl::max_age) {/    } else if (true) {/' "quarantines are read from the store for ever"
+mutate test_platform platform/src/object_api.cpp \
+  's/    reply.status = \*era > era_of(call.since_version) ? feed_status::history_gone : feed_status::failed;/    ;/' "changes of another era are taken"
+mutate test_node platform/src/object_api.cpp \
+  's/  return era \&\& \*era <= max_era ? era : std::nullopt;/  return 0;/' "revisions of different eras are compared"
+mutate test_node packages/node/src/control_thread_restore.cpp \
+  's/  if (is_from_copy \&\& watched.undoes/  if (false \&\& watched.undoes/' "a copy of the store undoes what is in force"
+mutate test_node packages/node/src/control_thread_restore.cpp \
+  's/    for (const auto\& name : watched.guard.take_due(now)) {/    for (const auto\& name : std::set<std::string>{}) {/' "what a copy undoes is held for ever"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/(this->listing \&\& is_other_era)/false/' "pages of different eras make one list"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -84,6 +84,21 @@
   this->oldest_watchable_revision = ++this->revision;
 }
 
+void platform_store::take_copy() {
+  const absl::MutexLock lock{&this->mutex};
+  this->copied_objects = this->objects_by_kind;
+  this->copied_revision = this->revision;
+}
+
+void platform_store::restore_copy() {
+  const absl::MutexLock lock{&this->mutex};
+  this->objects_by_kind = this->copied_objects;
+  this->revision = this->copied_revision;
+  this->history.clear();
+  this->oldest_watchable_revision = this->revision;
+  ++this->era;
+}
+
 std::int64_t platform_store::calls() const {
   const absl::MutexLock lock{&this->mutex};
   return this->call_count;
@@ -102,6 +117,20 @@
 }
 
 server_response platform_store::handle(const server_request& request) {
+  std::int64_t era_before = 0;
+  {
+    const absl::MutexLock lock{&this->mutex};
+    era_before = this->era;
+  }
+  auto response = this->dispatch(request);
+  const absl::MutexLock lock{&this->mutex};
+  // A restore cuts off the calls in progress.
+  response.abort = response.abort || this->era != era_before;
+  response.headers["Store-Era"] = std::to_string(this->era);
+  return response;
+}
+
+server_response platform_store::dispatch(const server_request& request) {
   const std::string base{impl::base_path};
   const bool is_object_call = request.path.starts_with(base);
   const auto rest = is_object_call ? request.path.substr(base.size()) : std::string{};
@@ -158,7 +187,7 @@
   while (true) {
     {
       const absl::MutexLock lock{&this->mutex};
-      if (since < this->oldest_watchable_revision) {
+      if (since < this->oldest_watchable_revision || since > this->revision) {
         return {impl::status_gone, {}, {}, false};
       }
       std::string events;
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -47,6 +47,12 @@
   void set_faults(const store_faults& faults_in);
   /// \brief Discards the change history; watches from an earlier revision get status 410.
   void discard_history();
+  /// \brief Keeps a copy of all objects.
+  void take_copy();
+  /// \brief Returns to the copy: what was written since is gone, its revisions are given out again, and a new
+  /// era
+  ///        begins.
+  void restore_copy();
   /// \brief Returns the number of calls handled so far, failed ones included.
   [[nodiscard]] std::int64_t calls() const;
   /// \brief Returns the number of calls so far that concern objects of a kind.
@@ -70,6 +76,7 @@
     bool deleted{false};
   };
 
+  [[nodiscard]] server_response dispatch(const server_request& request);
   [[nodiscard]] server_response list(const std::string& kind, const server_request& request);
   [[nodiscard]] server_response watch(const std::string& kind, const server_request& request);
   [[nodiscard]] server_response write(const std::string& kind, const std::string& name,
@@ -90,6 +97,10 @@
   std::int64_t revision{1};
   /// Watches from an earlier revision than this one get status 410.
   std::int64_t oldest_watchable_revision{0};
+  std::map<std::string, std::map<std::string, object>> copied_objects;
+  std::int64_t copied_revision{0};
+  /// Named in all responses.
+  std::int64_t era{1};
   std::int64_t call_count{0};
   std::map<std::string, std::int64_t> calls_by_kind;
   store_faults faults;
