Let two tests wait for what they mean, and mend a stale mutation line

Traced by reading, not seen again; its last expectation held in that run. The test now waits until the node has heard of a later entry of the same kind; what it expects is unchanged.

is_not_suspected_if_the_server_only_drops_connections passed with the decision taken out, as a suspicion ends by time. It has a stopped clock now.

--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -36,6 +36,12 @@
   return {"HTTP/1.1 200 X\r\nX-Answer-Stamp: s\r\nContent-Length: 0\r\n\r\n", true};
 }
 
+/// A clock with which no suspicion ends by time.
+class stopped_clock final : public clock_source {
+ public:
+  [[nodiscard]] time_point now() const noexcept override { return {1'000'000}; }
+};
+
 struct node {
   metrics counts;
   std::unique_ptr<gateway> traffic;
@@ -80,10 +86,10 @@
       this->deliver(*sender, reports);
     };
     options.repeat_crash_reports = options.send_crash_reports;
-    added.traffic = std::make_unique<gateway>(this->context, this->clock, added.counts, options);
+    added.traffic = std::make_unique<gateway>(this->context, *this->clock, added.counts, options);
     added.traffic->apply(std::make_shared<const routing_snapshot>(this->make_snapshot(kind)));
     added.listener = std::make_unique<http_listener>(
-        this->context, this->clock, 1000,
+        this->context, *this->clock, 1000,
         [&added](const std::shared_ptr<caller_exchange>& exchange) { added.traffic->handle(exchange); });
     added.port = *added.listener->listen({boost::asio::ip::address_v4::loopback(), 0});
   }
@@ -165,7 +171,9 @@
     return crashed;
   }
 
-  boot_clock clock;
+  boot_clock running_clock;
+  stopped_clock stopped;
+  const clock_source* clock{&this->running_clock};
   std::vector<std::unique_ptr<scripted_tcp_server>> servers;
   boost::asio::io_context context;
   metrics early_counts;
@@ -230,7 +238,7 @@
 }
 
 TEST_F(crashing_request, is_refused_by_a_node_that_was_told_before_its_first_configuration) {
-  gateway told{this->context, this->clock, this->early_counts, {}};
+  gateway told{this->context, *this->clock, this->early_counts, {}};
   told.apply_crash_reports({{request_fingerprint{1}, 2, 3, 3, duration{100}, duration{900}}});
   told.apply(std::make_shared<const routing_snapshot>(this->make_snapshot(request_kind::safe)));
   const auto gauges = told.gauges();
@@ -269,6 +277,7 @@
 }
 
 TEST_F(crashing_request, is_not_suspected_if_the_server_only_drops_connections) {
+  this->clock = &this->stopped;
   this->add_server([](int) { return scripted_response{"", false, 0, true}; });
   this->start(request_kind::unsafe);
   for (int number = 0; number < 8; ++number) {
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -10,6 +10,7 @@
 
 #include "standins/platform_store.hpp"
 #include "store_contents.hpp"
+#include "zinnia/membership/member_codec.hpp"
 #include "zinnia/node/control_thread.hpp"
 #include "zinnia/platform/platform_deployment.hpp"
 #include "zinnia/settings/settings_document.hpp"
@@ -45,7 +46,10 @@
       this->latest = snapshot;
     };
     events.on_limits = [](const caller_limits&) {};
-    events.on_nodes = [](const membership_view&) {};
+    events.on_nodes = [this](const membership_view& nodes) {
+      const absl::MutexLock lock{&this->mutex};
+      this->registered_nodes = nodes.registered_count;
+    };
     events.on_shift_progress = [](const std::vector<shift_progress>&) {};
     events.on_relay_update = [] {};
     member self;
@@ -87,6 +91,7 @@
   absl::Mutex mutex;
   std::shared_ptr<const routing_snapshot> latest;
   bool version_went_back{false};
+  std::size_t registered_nodes{0};
   std::optional<control_thread> control;
 };
 
@@ -296,6 +301,15 @@
     return condition();
   };
   ASSERT_TRUE(wait_until([this] { return this->store.contains("zinnia-nodes", "n1"); }));
+  // A node that has heard of a later entry has heard of its own.
+  member other;
+  other.id = node_id{"n2"};
+  other.peer_address = {"127.0.0.1", 4};
+  this->store.put("zinnia-nodes", "n2", nlohmann::json::parse(encode_member(other)));
+  ASSERT_TRUE(wait_until([this] {
+    const absl::MutexLock lock{&this->mutex};
+    return this->registered_nodes == 2;
+  }));
   this->store.set_faults({.error_status = 503});
   const auto before = this->store.calls_for("zinnia-nodes");
   this->control->begin_leaving();
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -171,7 +171,7 @@
 mutate test_routing packages/routing/src/crash_ledger.cpp \
   's/  if (waiting.size() < impl::max_lost_per_backend) {/  if (true) {/' "lost requests of a server are not bounded"
 mutate test_node packages/node/src/notice_exchange.cpp \
-  's/this->peers\[this->repeated_to++ % this->peers.size()\]/this->peers[i]/' "reports are repeated to the same nodes always"
+  's/this->report_peers\[this->repeated_to++ % this->report_peers.size()\]/this->report_peers[i]/' "reports are repeated to the same nodes always"
 mutate test_node packages/node/src/quarantine_store.cpp \
   's/  if (is_pending \&\& ++written.attempts < impl::max_attempts) {/  if (false) {/' "a quarantine that could not be stored is given up"
 mutate test_node packages/node/src/quarantine_store.cpp \
