--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -189,7 +189,7 @@
   // The entry of the settings tree in force, as stored; empty if the tree comes from a file.
   std::string tree_document;
   bool tree_is_lost{false};
-  // Start times of backend servers that are gone, and evacuations that have ended; the latest ones.
+  // Start times of backend servers that are gone, bounded, and evacuations that have ended.
   std::map<backend_id, std::int64_t> removed_backends;
   std::set<failure_domain_id> ended_evacuations;
   bool write_active{false};
--- a/packages/routing/tests/crash_ledger_random_test.cpp
+++ b/packages/routing/tests/crash_ledger_random_test.cpp
@@ -17,10 +17,10 @@
 constexpr duration step{10};
 /// Nodes may take this long to learn of the third crash.
 constexpr duration settling{3'000};
-constexpr duration deadly_run_time{90};
+constexpr duration crashing_run_time{90};
 constexpr duration usual_run_time{80};
 constexpr duration server_down_time{3'000};
-constexpr request_fingerprint deadly{0};
+constexpr request_fingerprint crashing{0};
 constexpr std::size_t server_count = 24;
 constexpr std::size_t domain_count = 6;
 constexpr std::size_t innocent_count = 25;
@@ -29,8 +29,8 @@
 
 struct walk_options {
   std::size_t nodes{9};
-  /// How often the deadly request comes, in steps.
-  std::uint64_t deadly_every{14};
+  /// How often the crashing request comes, in steps.
+  std::uint64_t crashing_every{14};
   std::uint64_t lost_percent{0};
   bool restarts{false};
   bool power_losses{false};
@@ -68,7 +68,7 @@
     }
   }
 
-  int crashes_by_deadly{0};
+  int crashes{0};
   // Sent by nodes that have run for long enough, later than `settling` after the third crash.
   int late_sends{0};
   int condemned_innocents{0};
@@ -160,11 +160,11 @@
     }
     const auto chosen = up[this->below(up.size())];
     const bool in_touch = this->now - sender.started_at >= settling;
-    if (request == deadly && this->crashes_by_deadly >= 3 && in_touch &&
+    if (request == crashing && this->crashes >= 3 && in_touch &&
         this->now - this->third_crash_at > settling) {
       ++this->late_sends;
     }
-    const auto takes = request == deadly ? deadly_run_time : usual_run_time;
+    const auto takes = request == crashing ? crashing_run_time : usual_run_time;
     this->attempts.push_back({index,
                               chosen,
                               this->servers[chosen].id,
@@ -174,8 +174,8 @@
                               false});
   }
   void send_requests(int number) {
-    if (static_cast<std::uint64_t>(number) % this->options.deadly_every == 0) {
-      this->send(this->below(this->nodes.size()), deadly, 1);
+    if (static_cast<std::uint64_t>(number) % this->options.crashing_every == 0) {
+      this->send(this->below(this->nodes.size()), crashing, 1);
     }
     for (int i = 0; i < 3; ++i) {
       this->send(this->below(this->nodes.size()), request_fingerprint{1 + this->below(innocent_count)}, 1);
@@ -192,8 +192,8 @@
     for (auto& each : ended) {
       // Another attempt that ended in this step may have crashed the server.
       each.lost = each.lost || this->servers[each.server].id != each.server_id;
-      if (!each.lost && each.request.request == deadly) {
-        if (++this->crashes_by_deadly == 3) {
+      if (!each.lost && each.request.request == crashing) {
+        if (++this->crashes == 3) {
           this->third_crash_at = this->now;
         }
         this->crash(each.server);
@@ -281,20 +281,20 @@
   constexpr int steps = 3'000;
   constexpr std::uint64_t seeds = 30;
   for (const auto& each : std::vector<walk_case>{
-           {"often", {.deadly_every = 3}},
+           {"often", {.crashing_every = 3}},
            {"now and then", {}},
-           {"rare, messages lost", {.deadly_every = 250, .lost_percent = 5}},
+           {"rare, messages lost", {.crashing_every = 250, .lost_percent = 5}},
            {"three nodes, messages lost, restarts", {.nodes = 3, .lost_percent = 10, .restarts = true}},
            {"restarts and power losses",
-            {.deadly_every = 40, .lost_percent = 5, .restarts = true, .power_losses = true}}}) {
+            {.crashing_every = 40, .lost_percent = 5, .restarts = true, .power_losses = true}}}) {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
       walk walked{each.options, seed};
       walked.run(steps);
-      EXPECT_GE(walked.crashes_by_deadly, 3) << each.name << ", seed " << seed;
+      EXPECT_GE(walked.crashes, 3) << each.name << ", seed " << seed;
       EXPECT_LE(walked.late_sends, max_later_sends) << each.name << ", seed " << seed;
       // Each node reports three levels and their end at most, with as much again for objections.
       EXPECT_LE(walked.reports,
-                8 * static_cast<int>(each.options.nodes) * (walked.lost_requests + walked.crashes_by_deadly))
+                8 * static_cast<int>(each.options.nodes) * (walked.lost_requests + walked.crashes))
           << each.name << ", seed " << seed;
       EXPECT_EQ(walked.condemned_innocents, 0) << each.name << ", seed " << seed;
     }
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr duration term{600'000};
-constexpr request_fingerprint deadly{1};
+constexpr request_fingerprint crashing{1};
 constexpr request_fingerprint innocent{2};
 
 class crash_ledger_test : public testing::Test {
@@ -49,11 +49,11 @@
 
 TEST_F(crash_ledger_test, quarantines_a_request_after_three_crashes_in_succession) {
   for (int crashes = 1; crashes <= 3; ++crashes) {
-    EXPECT_FALSE(this->is_quarantined(deadly));
-    this->crash(this->next_backend++, {this->sent_now(deadly)});
-    EXPECT_EQ(this->level(deadly), crashes);
+    EXPECT_FALSE(this->is_quarantined(crashing));
+    this->crash(this->next_backend++, {this->sent_now(crashing)});
+    EXPECT_EQ(this->level(crashing), crashes);
   }
-  EXPECT_EQ(this->ledger.quarantine_left(deadly, term, this->now), term);
+  EXPECT_EQ(this->ledger.quarantine_left(crashing, term, this->now), term);
   EXPECT_EQ(this->ledger.take_quarantine_changes().size(), 1U);
   EXPECT_TRUE(this->ledger.take_quarantine_changes().empty());
 }
@@ -78,16 +78,16 @@
 }
 
 TEST_F(crash_ledger_test, does_not_raise_the_bystanders_of_a_request_that_explains_the_crash) {
-  this->crash(1, {this->sent_now(deadly), this->sent_now(innocent)});
-  EXPECT_EQ(this->level(deadly), 1);
+  this->crash(1, {this->sent_now(crashing), this->sent_now(innocent)});
+  EXPECT_EQ(this->level(crashing), 1);
   EXPECT_EQ(this->level(innocent), 1);
-  this->crash(2, {this->sent_now(deadly)});
-  std::vector<lost_request> fifty{this->sent_now(innocent), this->sent_now(deadly)};
+  this->crash(2, {this->sent_now(crashing)});
+  std::vector<lost_request> fifty{this->sent_now(innocent), this->sent_now(crashing)};
   for (std::uint64_t i = 100; i < 148; ++i) {
     fifty.push_back(this->sent_now(request_fingerprint{i}));
   }
   this->crash(3, fifty);
-  EXPECT_TRUE(this->is_quarantined(deadly));
+  EXPECT_TRUE(this->is_quarantined(crashing));
   EXPECT_EQ(this->level(innocent), 1);
   EXPECT_EQ(this->ledger.count_from_level(1, this->now), 2U);
 }
@@ -97,19 +97,19 @@
     this->crash(backend, {this->sent_now(innocent)});
   }
   EXPECT_TRUE(this->is_quarantined(innocent));
-  this->ledger.apply({deadly, 3, 3, 4, duration{10}, duration{300}}, this->now);
+  this->ledger.apply({crashing, 3, 3, 4, duration{10}, duration{300}}, this->now);
   EXPECT_EQ(this->level(innocent), 2);
   const auto changes = this->ledger.take_quarantine_changes();
   ASSERT_EQ(changes.size(), 3U);
   EXPECT_EQ(changes[1].request, innocent);
   EXPECT_EQ(changes[1].level, 0);
-  EXPECT_TRUE(this->is_quarantined(deadly));
+  EXPECT_TRUE(this->is_quarantined(crashing));
 }
 
 TEST_F(crash_ledger_test, counts_a_crash_once_for_a_request_that_a_server_had_twice) {
-  this->crash(1, {this->sent_now(deadly), this->sent_now(deadly)});
-  this->ledger.on_lost(1, {deadly, 0, this->now - duration{50}}, this->now);
-  EXPECT_EQ(this->level(deadly), 1);
+  this->crash(1, {this->sent_now(crashing), this->sent_now(crashing)});
+  this->ledger.on_lost(1, {crashing, 0, this->now - duration{50}}, this->now);
+  EXPECT_EQ(this->level(crashing), 1);
 }
 
 TEST_F(crash_ledger_test, suspects_nobody_while_the_server_runs_or_nothing_shows_that_it_crashed) {
@@ -128,12 +128,12 @@
 }
 
 TEST_F(crash_ledger_test, attributes_a_loss_that_is_noticed_after_the_crash) {
-  const auto lost = this->sent_now(deadly);
+  const auto lost = this->sent_now(crashing);
   this->advance(90);
   this->ledger.on_crashed(1, this->now);
   this->advance(5);
   this->ledger.on_lost(1, lost, this->now);
-  EXPECT_EQ(this->level(deadly), 1);
+  EXPECT_EQ(this->level(crashing), 1);
   // Sent after that crash: not lost by it.
   this->ledger.on_lost(1, this->sent_now(innocent), this->now);
   EXPECT_EQ(this->level(innocent), 0);
@@ -187,16 +187,16 @@
 }
 
 TEST_F(crash_ledger_test, ends_a_quarantine_and_renews_it_after_one_crash) {
-  this->quarantine(deadly);
+  this->quarantine(crashing);
   this->advance(term.ms - 1);
-  EXPECT_TRUE(this->is_quarantined(deadly));
+  EXPECT_TRUE(this->is_quarantined(crashing));
   this->advance(1);
-  EXPECT_FALSE(this->is_quarantined(deadly));
-  EXPECT_EQ(this->level(deadly), 2);
-  this->crash(7, {this->sent_now(deadly)});
-  EXPECT_TRUE(this->is_quarantined(deadly));
+  EXPECT_FALSE(this->is_quarantined(crashing));
+  EXPECT_EQ(this->level(crashing), 2);
+  this->crash(7, {this->sent_now(crashing)});
+  EXPECT_TRUE(this->is_quarantined(crashing));
   this->advance(2 * term.ms);
-  EXPECT_EQ(this->level(deadly), 0);
+  EXPECT_EQ(this->level(crashing), 0);
   static_cast<void>(this->ledger.reports_to_repeat(30, this->now));
   EXPECT_EQ(this->ledger.count_from_level(0, this->now), 0U);
 }
@@ -209,14 +209,14 @@
 }
 
 TEST_F(crash_ledger_test, keeps_the_start_of_a_quarantine_when_reports_of_it_go_round) {
-  this->quarantine(deadly);
+  this->quarantine(crashing);
   const auto reports = this->ledger.take_reports();
-  const auto ends_at = this->now + this->ledger.quarantine_left(deadly, term, this->now);
+  const auto ends_at = this->now + this->ledger.quarantine_left(crashing, term, this->now);
   for (int i = 0; i < 100; ++i) {
     this->advance(50);
     this->ledger.apply(reports.back(), this->now);
   }
-  EXPECT_EQ((this->now + this->ledger.quarantine_left(deadly, term, this->now)).ms, ends_at.ms);
+  EXPECT_EQ((this->now + this->ledger.quarantine_left(crashing, term, this->now)).ms, ends_at.ms);
 }
 
 TEST_F(crash_ledger_test, nodes_that_know_different_last_crashes_do_not_report_to_each_other_for_ever) {
@@ -225,7 +225,7 @@
   std::vector<std::pair<std::size_t, crash_report>> sent;
   for (std::size_t i = 0; i < nodes; ++i) {
     ledgers[i].set_longest_term(term);
-    ledgers[i].apply({deadly, 10 + i, 3, 3, duration{static_cast<std::int64_t>(i)}, duration{900}},
+    ledgers[i].apply({crashing, 10 + i, 3, 3, duration{static_cast<std::int64_t>(i)}, duration{900}},
                      this->now);
   }
   std::size_t total = 0;
@@ -251,13 +251,13 @@
 TEST_F(crash_ledger_test, remembers_nothing_with_a_term_of_0) {
   this->ledger.set_longest_term(duration{0});
   for (std::uint64_t backend = 0; backend < 5; ++backend) {
-    this->crash(backend, {this->sent_now(deadly)});
+    this->crash(backend, {this->sent_now(crashing)});
   }
   EXPECT_EQ(this->ledger.count_from_level(0, this->now), 0U);
 }
 
 TEST_F(crash_ledger_test, is_bounded_and_keeps_the_quarantined) {
-  this->quarantine(deadly);
+  this->quarantine(crashing);
   for (std::uint64_t i = 0; i < 20'000; ++i) {
     const std::uint64_t backend = 2'000 + i / 100;
     this->ledger.on_lost(backend, this->sent_now(request_fingerprint{1'000 + i}), this->now);
@@ -267,7 +267,7 @@
     }
   }
   EXPECT_EQ(this->ledger.count_from_level(0, this->now), crash_ledger::max_requests);
-  EXPECT_TRUE(this->is_quarantined(deadly));
+  EXPECT_TRUE(this->is_quarantined(crashing));
   EXPECT_LE(this->ledger.take_reports().size(), 310U);
   EXPECT_LE(this->ledger.reports_to_repeat(30, this->now).size(), 30U);
   for (std::uint64_t i = 0; i < 10'000; ++i) {
--- a/soak/backend.cpp
+++ b/soak/backend.cpp
@@ -1,7 +1,7 @@
 // Registers the backend server in the store and handles its requests.
 #include "backend.hpp"
 
-#include "deadly_request.hpp"
+#include "crashing_request.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -140,8 +140,8 @@
       }
       return refusal;
     }
-    if (request.path == deadly_path) {
-      this->on_deadly_request(impl::sending_node(request_id));
+    if (request.path == crashing_path) {
+      this->on_crashing_request(impl::sending_node(request_id));
       return {impl::status_service_unavailable, {}, "", true};
     }
     ++this->running_requests;
--- a/soak/backend.hpp
+++ b/soak/backend.hpp
@@ -38,7 +38,7 @@
   void set_slow(bool slow) { this->is_slow = slow; }
   /// \brief Called with the node that sends the request that crashes servers. Set before the server is
   /// registered.
-  std::function<void(const std::string& node)> on_deadly_request;
+  std::function<void(const std::string& node)> on_crashing_request;
 
  private:
   [[nodiscard]] standins::server_response handle(const standins::server_request& request);
--- a/soak/deadly_request.cpp
+++ b/soak/crashing_request.cpp
@@ -1,5 +1,5 @@
 // The bound: three sends later than `settling_time` after the third crash.
-#include "deadly_request.hpp"
+#include "crashing_request.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -18,8 +18,8 @@
 }  // namespace
 }  // namespace impl
 
-void deadly_request::on_crash(const std::string& node, const statement_monitor::is_calm_predicate& is_calm,
-                              soak_clock::time_point now) {
+void crashing_request::on_crash(const std::string& node, const statement_monitor::is_calm_predicate& is_calm,
+                                soak_clock::time_point now) {
   const absl::MutexLock lock{&this->mutex};
   if (this->crash_count >= impl::crashes_until_known && now - this->third_crash_at > impl::settling_time &&
       is_calm(node, now - impl::settling_time)) {
@@ -30,7 +30,7 @@
   }
 }
 
-std::optional<std::string> deadly_request::check() const {
+std::optional<std::string> crashing_request::check() const {
   const absl::MutexLock lock{&this->mutex};
   if (this->late_senders.size() <= impl::max_late_sends) {
     return std::nullopt;
@@ -40,7 +40,7 @@
                       absl::StrJoin(this->late_senders, ", "));
 }
 
-std::size_t deadly_request::crashes() const {
+std::size_t crashing_request::crashes() const {
   const absl::MutexLock lock{&this->mutex};
   return this->crash_count;
 }
--- a/soak/deadly_request.hpp
+++ b/soak/crashing_request.hpp
@@ -12,12 +12,12 @@
 
 namespace zinnia::soak {
 
-inline constexpr const char* deadly_path = "/r0/deadly";
+inline constexpr const char* crashing_path = "/r0/crash";
 
 /// \brief   Counts the crashes and what nodes send later. Thread-safe.
 /// \details A node that has been interrupted shortly before may have forgotten the request, and is not
 /// judged.
-class deadly_request {
+class crashing_request {
  public:
   /// \brief Records that a server has received the request from a node and crashes.
   void on_crash(const std::string& node, const statement_monitor::is_calm_predicate& is_calm,
--- a/soak/fault_soak.cpp
+++ b/soak/fault_soak.cpp
@@ -20,7 +20,7 @@
 
 #include "backend.hpp"
 #include "caller.hpp"
-#include "deadly_request.hpp"
+#include "crashing_request.hpp"
 #include "node_process.hpp"
 #include "standins/fault_proxy.hpp"
 #include "zinnia/store/http_call.hpp"
@@ -54,7 +54,7 @@
 /// How long a server is down after the request that crashes servers.
 constexpr milliseconds crashed_time{1500};
 /// Longest pause of a caller between two such requests.
-constexpr std::size_t max_deadly_pause_ms = 400;
+constexpr std::size_t max_crashing_pause_ms = 400;
 /// A Retry-After in seconds that only quarantined requests get.
 constexpr double min_quarantine_s = 30;
 
@@ -130,7 +130,7 @@
         this->caller_threads.emplace_back([this, node, index] { this->run_caller(node, index); });
       }
     }
-    this->caller_threads.emplace_back([this] { this->send_deadly_requests(); });
+    this->caller_threads.emplace_back([this] { this->send_crashing_requests(); });
     const auto end = clock::now() + std::chrono::seconds{this->options.seconds};
     while (clock::now() < end) {
       const auto& selected = faults.at(this->random_below(faults.size()));
@@ -149,13 +149,13 @@
     for (auto& thread : this->crash_threads) {
       thread.join();
     }
-    if (const auto broken = this->deadly.check()) {
+    if (const auto broken = this->crashing.check()) {
       this->history.add_violation(*broken);
     }
     const auto violations = this->history.check_at_end();
     std::cout << "seed " << this->options.seed << ": " << this->history.summary()
               << ", judged by a server's statement: " << this->judged_requests
-              << ", servers crashed by a request: " << this->deadly.crashes() << '\n';
+              << ", servers crashed by a request: " << this->crashing.crashes() << '\n';
     for (const auto& violation : violations) {
       std::cout << "BROKEN " << violation << '\n';
     }
@@ -195,7 +195,7 @@
       created->server = std::make_unique<backend>(this->history, this->store, "b" + std::to_string(i),
                                                   i % 2 == 0 ? "a" : "b");
       created->proxy = std::make_unique<fault_proxy>(this->context, loopback, created->server->port());
-      created->server->on_deadly_request = [this, crashed = created.get()](const std::string& node) {
+      created->server->on_crashing_request = [this, crashed = created.get()](const std::string& node) {
         this->crash(*crashed, node);
       };
       created->server->register_at(created->proxy->port());
@@ -270,20 +270,20 @@
   }
 
   /// Sends the same request to all nodes in turn, with pauses, until the run stops.
-  void send_deadly_requests() {
+  void send_crashing_requests() {
     std::mt19937_64 generator{this->options.seed};
     for (std::size_t i = 0; !this->stopping; ++i) {
       const auto node = generator() % this->nodes.size();
       caller client{this->history, this->nodes.at(node)->caller_proxy->port()};
-      const sent_request request{absl::StrCat("q", node, "-deadly-", i), "GET", deadly_path, "", true};
+      const sent_request request{absl::StrCat("q", node, "-crash-", i), "GET", crashing_path, "", true};
       this->history.on_request_finished(request.id,
                                         client.send_request(request, caller_deadline_ms, caller_timeout_ms));
-      std::this_thread::sleep_for(milliseconds{generator() % max_deadly_pause_ms});
+      std::this_thread::sleep_for(milliseconds{generator() % max_crashing_pause_ms});
     }
   }
   /// The server is down for a while and starts again as a new instance.
   void crash(backend_under_test& crashed, const std::string& node) {
-    this->deadly.on_crash(
+    this->crashing.on_crash(
         node, [this](const auto& id, auto since) { return this->is_calm(id, since); }, clock::now());
     ++crashed.active_faults;
     this->backend_faults.begin();
@@ -563,7 +563,7 @@
   std::vector<std::unique_ptr<node_under_test>> nodes;
   std::vector<std::thread> caller_threads;
   std::vector<std::thread> fault_threads;
-  deadly_request deadly;
+  crashing_request crashing;
   absl::Mutex crash_mutex;
   std::vector<std::thread> crash_threads;
   std::atomic<std::size_t> active_statements{0};
