--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Breaks the decisions on purpose, one line at a time in a copy of the sources, and checks that a test notices.
 # Usage: scripts/mutations.sh [TEXT]   Prints a line a mutation; exit code 1 if one survives. With TEXT, only mutations
-# whose test, file or description contains it.
+# whose test, file or description matches it as a regular expression.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 copy="$(mktemp -d)"
@@ -13,7 +13,7 @@
 
 mutate() {  # mutate TEST FILE SED WHAT
   local test="$1" file="$copy/$2" expression="$3" what="$4"
-  [[ "$test $2 $what" == *"$filter"* ]] || return 0
+  [[ "$test $2 $what" =~ $filter ]] || return 0
   cp "$file" "$file.kept"
   sed -i "$expression" "$file"
   if cmp -s "$file" "$file.kept"; then
