Keep a counter alive for the servers of a test, and test lists over two eras

ThreadSanitizer: the counter of does_not_make_nodes_refuse_the_fifty_others was a local that threads of the test's servers read until they end, which is after the test's function. It is a member now; what the test expects is unchanged.

The mutation "pages of different eras make one list" survived, as the random walk converges anyway; a test of its own looks at the next call.

--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -174,6 +174,8 @@
   boot_clock running_clock;
   stopped_clock stopped;
   const clock_source* clock{&this->running_clock};
+  // Used by threads of the servers, which end later than the test.
+  std::atomic<int> arrived{0};
   std::vector<std::unique_ptr<scripted_tcp_server>> servers;
   boost::asio::io_context context;
   metrics early_counts;
@@ -250,10 +252,9 @@
 TEST_F(crashing_request, does_not_make_nodes_refuse_the_fifty_others_at_the_server) {
   constexpr int others = 50;
   // The first server keeps requests until all have come and then crashes; the second one answers.
-  std::atomic<int> arrived{0};
-  this->add_server([&](int) {
-    ++arrived;
-    while (arrived < others) {
+  this->add_server([this](int) {
+    ++this->arrived;
+    while (this->arrived < others) {
       std::this_thread::yield();
     }
     return crash_response();
--- a/packages/store/tests/restore_guard_test.cpp
+++ b/packages/store/tests/restore_guard_test.cpp
@@ -37,4 +37,26 @@
   EXPECT_TRUE(guard.take_due(time_point{7'000}).empty());
 }
 
+TEST(object_feed, begins_a_list_again_whose_next_page_is_of_another_era) {
+  object_feed feed{feed_timing{}, 1};
+  time_point now{1'000};
+  ASSERT_TRUE(feed.next_call(now)->after_name.empty());
+  feed_reply page;
+  page.status = feed_status::ok;
+  page.items = {{"a", make_version(1, 5), "", false}};
+  page.has_more = true;
+  page.store_version = make_version(1, 9);
+  feed.on_reply(page, now);
+  ASSERT_EQ(feed.next_call(now)->after_name, "a");
+  page.items = {{"b", make_version(2, 4), "", false}};
+  page.has_more = false;
+  page.store_version = make_version(2, 7);
+  feed.on_reply(page, now);
+  const auto next = feed.next_call(now);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->call_type, feed_call::type::list);
+  EXPECT_TRUE(next->after_name.empty());
+  EXPECT_FALSE(feed.is_complete());
+}
+
 }  // namespace
