Check the number of crashes in a stored quarantine

What operators would see: an object with an impossible number of crashes was read, and cut to 32 bits; as the request at the most crashes explains a crash, one such object could shield the request that causes them.

The number must be 1 to 65,535 now, as between nodes; the error names object, field, value and range. The test of the codec failed before.

--- a/packages/membership/include/zinnia/membership/quarantine_codec.hpp
+++ b/packages/membership/include/zinnia/membership/quarantine_codec.hpp
@@ -16,9 +16,9 @@
 [[nodiscard]] std::string encode_quarantine(const crash_report& report, std::int64_t unix_now_ms);
 
 /// \brief   Decodes an object. A time in the future counts as now: the clocks of VMs differ.
-/// \details Fails with `reason::invalid_setting`, naming the object and the field, if the name is not a
-/// fingerprint, a
-///          field is missing or a time is negative.
+/// \details Fails with `reason::invalid_setting`, naming the object, if the name is not a fingerprint, a
+/// field
+///          is missing, or a value is out of its range.
 [[nodiscard]] result<crash_report> decode_quarantine(const std::string& name, const std::string& document,
                                                      std::int64_t unix_now_ms);
 
--- a/packages/membership/src/quarantine_codec.cpp
+++ b/packages/membership/src/quarantine_codec.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t name_length = 16;
+/// As in the reports between nodes.
+constexpr std::int64_t max_crashes = UINT16_MAX;
 
 [[nodiscard]] std::string to_hex(std::uint64_t value) {
   return absl::StrCat(absl::Hex(value, absl::kZeroPad16));
@@ -59,7 +61,11 @@
     }
     report.age = *age;
     report.first_age = std::max(*first_age, *age);
-    report.crashes = parsed.at("crashes").get<int>();
+    const auto crashes = parsed.at("crashes").get<std::int64_t>();
+    if (crashes < 1 || crashes > impl::max_crashes) {
+      return invalid("crashes: " + std::to_string(crashes) + "; allowed: 1 to 65535");
+    }
+    report.crashes = static_cast<int>(crashes);
     if (!absl::SimpleHexAtoi(parsed.at("backend").get<std::string>(), &report.backend)) {
       return invalid("backend; allowed: hexadecimal digits");
     }
--- a/packages/node/tests/quarantine_store_test.cpp
+++ b/packages/node/tests/quarantine_store_test.cpp
@@ -108,7 +108,9 @@
   for (const char* wrong :
        {"", "[]", "{}", R"({"last_crash_unix_ms":"x"})",
         R"({"last_crash_unix_ms":-1,"first_crash_unix_ms":0,"crashes":3,"backend":"0"})",
-        R"({"last_crash_unix_ms":1,"first_crash_unix_ms":0,"crashes":3,"backend":"xyz"})"}) {
+        R"({"last_crash_unix_ms":1,"first_crash_unix_ms":0,"crashes":3,"backend":"xyz"})",
+        R"({"last_crash_unix_ms":1,"first_crash_unix_ms":0,"crashes":0,"backend":"0"})",
+        R"({"last_crash_unix_ms":1,"first_crash_unix_ms":0,"crashes":4294967299,"backend":"0"})"}) {
     const auto decoded = decode_quarantine("0000000000000001", wrong, 1'000'000);
     ASSERT_FALSE(decoded) << wrong;
     EXPECT_NE(decoded.last_error().describe().find("0000000000000001"), std::string::npos);
