Test which nodes are told of crashes

It is a function of membership now, with tests; the one for standby nodes fails when reports go to serving nodes alone, as before, and a mutation line says so. What is sent to whom is unchanged.

--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -20,9 +20,9 @@
 
 #include "change_relay_server.hpp"
 #include "notice_exchange.hpp"
-#include "zinnia/core/rendezvous.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
+#include "zinnia/membership/notice_peers.hpp"
 #include "zinnia/node/control_thread.hpp"
 #include "zinnia/node/operator_interface.hpp"
 #include "zinnia/observe/log.hpp"
@@ -42,9 +42,6 @@
 constexpr std::size_t max_internal_connections = 200;
 /// Connection limit of the directory listener.
 constexpr std::size_t max_directory_connections = 800;
-/// Upper limit on the nodes that one node sends holder notices or crash reports to, so that their number
-/// stays proportional to the number of nodes.
-constexpr std::size_t max_notice_peers = 64;
 /// The process ends by itself this long before it would be killed.
 constexpr duration stop_margin{700};
 /// Time for the last responses to reach their callers before the process ends: the round trip of a long link.
@@ -78,8 +75,6 @@
   [[nodiscard]] gateway_options options();
   [[nodiscard]] control_events events();
   [[nodiscard]] member self() const;
-  /// Addresses of the nodes that this node sends notices to.
-  [[nodiscard]] std::vector<ip_endpoint> notice_peers(bool only_serving) const;
   [[nodiscard]] bool listen();
   void respond_to_directory_query(const std::shared_ptr<caller_exchange>& exchange);
   void respond_to_readiness_check(const std::shared_ptr<caller_exchange>& exchange);
@@ -159,24 +154,6 @@
   return chosen;
 }
 
-std::vector<ip_endpoint> node::notice_peers(bool only_serving) const {
-  std::vector<std::pair<std::uint64_t, ip_endpoint>> ranked;
-  for (const auto& [id, known] : this->alive) {
-    if ((known.serves || !only_serving) && id != this->settings.node) {
-      ranked.emplace_back(rendezvous_weight(this->settings.node.str(), id.str()),
-                          ip_endpoint{known.peer_address.ip, known.notice_port});
-    }
-  }
-  const auto count = std::min(ranked.size(), max_notice_peers);
-  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
-                    [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<ip_endpoint> addresses;
-  for (std::size_t i = 0; i < count; ++i) {
-    addresses.push_back(ranked[i].second);
-  }
-  return addresses;
-}
-
 member node::self() const {
   member own;
   own.id = this->settings.node;
@@ -201,8 +178,8 @@
   handlers.on_nodes = [this](const membership_view& nodes) {
     boost::asio::post(this->context, [this, nodes] {
       this->alive = nodes.alive;
-      // Callers may still reach a node that no longer serves or stands by.
-      this->notices.set_peers(this->notice_peers(true), this->notice_peers(false));
+      this->notices.set_peers(holder_notice_peers(this->alive, this->settings.node),
+                              crash_report_peers(this->alive, this->settings.node));
       std::map<node_id, location> serving;
       for (const auto& [id, known] : this->alive) {
         if (known.serves) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -106,6 +106,8 @@
   's/count < impl::min_typical_samples/count < 0/' "a slow route makes servers look slow"
 mutate test_node packages/node/src/notice_exchange.cpp \
   's/is_load ? impl::load_notice_delay : impl::confirmation_delay/impl::confirmation_delay/' "loads are told late"
+mutate test_membership packages/membership/src/notice_peers.cpp \
+  's/return impl::choose_peers(alive, self, false);/return impl::choose_peers(alive, self, true);/' "nodes that stand by are not told of crashes"
 mutate test_membership packages/membership/src/member_table.cpp \
   's/now - entry.last_heartbeat_at < heartbeat_timeout;/true;/' "silent nodes are named to callers"
 mutate test_node packages/node/src/control_thread.cpp \
