Reflow comments, and name what writes an object and when nodes register

The formatter had broken doc comments in mid-sentence. write_node_entry also writes the settings tree, so it is write_object; the period in which nodes register after a restore is computed in one place.

--- a/packages/gateway/src/statement_decoding.hpp
+++ b/packages/gateway/src/statement_decoding.hpp
@@ -9,8 +9,7 @@
 namespace zinnia {
 
 /// \brief Returns the statements in a response of the backend server `sender`. A malformed statement is
-/// logged
-///        and left out.
+///        logged and left out.
 [[nodiscard]] backend_statement decode_statement(const response_head& response,
                                                  const header_field_names& field_names,
                                                  const backend_id& sender);
--- a/packages/membership/include/zinnia/membership/quarantine_codec.hpp
+++ b/packages/membership/include/zinnia/membership/quarantine_codec.hpp
@@ -17,8 +17,7 @@
 
 /// \brief   Decodes an object. A time in the future counts as now: the clocks of VMs differ.
 /// \details Fails with `reason::invalid_setting`, naming the object, if the name is not a fingerprint, a
-/// field
-///          is missing, or a value is out of its range.
+///          field is missing, or a value is out of its range.
 [[nodiscard]] result<crash_report> decode_quarantine(const std::string& name, const std::string& document,
                                                      std::int64_t unix_now_ms);
 
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -126,6 +126,8 @@
   [[nodiscard]] bool undoes_tree(const object_change& change) const;
   /// Writes the settings tree in force to the store if it was lost there; one node does.
   void rewrite_lost_tree(time_point now);
+  /// The time in which all nodes register again after a restore.
+  [[nodiscard]] duration registration_period() const;
   /// How long after a restore this node waits before it registers again, so that not all nodes write at once.
   [[nodiscard]] duration registration_delay() const;
 
@@ -143,7 +145,7 @@
   void publish(time_point now);
   void maintain_registration(time_point now);
   void remove_expired_nodes(time_point now);
-  void write_node_entry(const http_call& call, const char* purpose, const std::string& name);
+  void write_object(const http_call& call, const char* purpose, const std::string& name);
   void receive_heartbeats(time_point now);
   void send_heartbeats(time_point now);
   void check_settings_file(time_point now);
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -481,9 +481,9 @@
   if (this->leaving) {
     if (is_present && !this->removal_sent) {
       this->removal_sent = true;
-      this->write_node_entry(this->adapter.store().remove_call(object_kinds::nodes, this->self.id.str(),
-                                                               own_entry->second.version),
-                             "leave", this->self.id.str());
+      this->write_object(this->adapter.store().remove_call(object_kinds::nodes, this->self.id.str(),
+                                                           own_entry->second.version),
+                         "leave", this->self.id.str());
     }
     return;
   }
@@ -492,16 +492,15 @@
     return;
   }
   if (!is_present) {
-    this->write_node_entry(
-        this->adapter.store().create_call(object_kinds::nodes, this->self.id.str(), document), "register",
-        this->self.id.str());
+    this->write_object(this->adapter.store().create_call(object_kinds::nodes, this->self.id.str(), document),
+                       "register", this->self.id.str());
     return;
   }
   const auto known = decode_member(own_entry->first, own_entry->second.document);
   if (!known || known->incarnation != this->self.incarnation) {
-    this->write_node_entry(this->adapter.store().replace_call(object_kinds::nodes, this->self.id.str(),
-                                                              document, own_entry->second.version),
-                           "register", this->self.id.str());
+    this->write_object(this->adapter.store().replace_call(object_kinds::nodes, this->self.id.str(), document,
+                                                          own_entry->second.version),
+                       "register", this->self.id.str());
   }
 }
 
@@ -514,7 +513,7 @@
   const auto& objects = this->node_watch().feed.objects();
   for (const auto& expired : this->members.nodes_to_remove(now)) {
     if (const auto entry = objects.find(expired.str()); entry != objects.end()) {
-      this->write_node_entry(
+      this->write_object(
           this->adapter.store().remove_call(object_kinds::nodes, expired.str(), entry->second.version),
           "forget", expired.str());
       return;
@@ -522,7 +521,7 @@
   }
 }
 
-void control_thread::write_node_entry(const http_call& call, const char* purpose, const std::string& name) {
+void control_thread::write_object(const http_call& call, const char* purpose, const std::string& name) {
   this->write_active = true;
   // The watch delivers the change itself. Until then nothing else is written.
   this->write_allowed_at = this->clock.now() + impl::node_entry_write_pause;
--- a/packages/node/src/control_thread_restore.cpp
+++ b/packages/node/src/control_thread_restore.cpp
@@ -16,29 +16,27 @@
 /// Time in which each node registers again on average, so that many nodes don't exceed the store's rate of
 /// writes.
 constexpr duration registration_interval{10};
-constexpr duration max_registration_delay{60'000};
+constexpr duration max_registration_period{60'000};
 
 }  // namespace
 }  // namespace impl
 
+duration control_thread::registration_period() const {
+  const auto nodes = static_cast<std::int64_t>(this->published_nodes.registered_count);
+  return std::min(impl::registration_interval * nodes, impl::max_registration_period);
+}
+
 duration control_thread::registration_delay() const {
-  if (this->store_restored_at.ms == 0) {
-    return {};
-  }
-  const auto nodes =
-      static_cast<std::int64_t>(std::max<std::size_t>(this->published_nodes.registered_count, 1));
-  const auto all = std::min(impl::registration_interval * nodes, impl::max_registration_delay);
-  return {
-      static_cast<std::int64_t>(stable_hash(this->self.id.str()) % static_cast<std::uint64_t>(all.ms + 1))};
+  const auto period_ms = static_cast<std::uint64_t>(this->registration_period().ms);
+  const auto delay_ms = stable_hash(this->self.id.str()) % (period_ms + 1);
+  return this->store_restored_at.ms == 0 ? duration{} : duration{static_cast<std::int64_t>(delay_ms)};
 }
 
 void control_thread::on_store_version(watched_kind& watched, object_version version) {
   const auto now = this->clock.now();
   // Entries of nodes come back as slowly as the nodes register.
-  const auto nodes = static_cast<std::int64_t>(this->published_nodes.registered_count);
-  const auto registration = std::min(impl::registration_interval * nodes, impl::max_registration_delay);
   const auto hold_time =
-      &watched == &this->node_watch() ? impl::rewrite_time + registration : impl::rewrite_time;
+      &watched == &this->node_watch() ? impl::rewrite_time + this->registration_period() : impl::rewrite_time;
   if (!watched.guard.on_store_version(version, hold_time, now)) {
     return;
   }
@@ -129,7 +127,7 @@
     return;
   }
   const auto& store = this->adapter.store();
-  this->write_node_entry(
+  this->write_object(
       found == feed.objects().end()
           ? store.create_call(object_kinds::settings, object_kinds::settings_name, this->tree_document)
           : store.replace_call(object_kinds::settings, object_kinds::settings_name, this->tree_document,
--- a/packages/node/src/quarantine_store.hpp
+++ b/packages/node/src/quarantine_store.hpp
@@ -17,9 +17,8 @@
 
 /// \brief   Reads all objects once, soon after the start, and writes what this node has found out itself.
 /// \details There is no watch: nodes that run tell each other. Writes wait for each other, so that many at
-/// once do not
-///          use up the store's rate; beyond `max_waiting` they are dropped and logged. A write that fails is
-///          repeated after a pause a few times.
+///          once do not use up the store's rate; beyond a limit they are dropped and logged. A call that
+///          fails is repeated after a pause a few times.
 class quarantine_store {
  public:
   using report_handler = std::function<void(const std::vector<crash_report>&)>;
--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -23,12 +23,10 @@
 };
 
 /// \brief   The requests that are suspected of crashing backend servers, and those that are quarantined for
-/// it.
-///          Not thread safe.
+///          it. Not thread safe.
 ///
 /// \details A request's level counts crashes in succession: each crash counts only for a request that was
-/// sent
-///          when the crash before was known. So servers that crash at the same moment, as when a failure
+///          sent when the crash before was known. So servers that crash at the same moment, as when a failure
 ///          domain loses power, raise the requests that they had by one level, however many they were. Of the
 ///          requests that a crashed server had, only those that have been at the most crashes are raised; the
 ///          others are bystanders. A request that any server answers after the first of its crashes is not
@@ -81,14 +79,14 @@
   void apply(const crash_report& report, time_point now);
   /// \brief Returns and clears what all other nodes should know now.
   [[nodiscard]] std::vector<crash_report> take_reports() { return std::exchange(this->outgoing, {}); }
-  /// \brief Returns reports to be repeated to some other nodes; at most once a second any, and `max_count`
-  /// then.
+  /// \brief Returns at most `max_count` reports to be repeated to some other nodes; none if the last ones
+  /// were
+  ///        returned less than a second ago.
   [[nodiscard]] std::vector<crash_report> reports_to_repeat(std::size_t max_count, time_point now);
   /// \}
 
-  /// \brief Returns and clears the requests that have been quarantined since the last call, and those that
-  /// are
-  ///        not any more (level 0) because of an answer or a better explanation.
+  /// \brief Returns and clears the requests that have been quarantined since the last call, and those
+  ///        that are not any more (level 0) because of an answer or a better explanation.
   [[nodiscard]] std::vector<crash_report> take_quarantine_changes() {
     return std::exchange(this->quarantine_changes, {});
   }
--- a/packages/store/include/zinnia/store/restore_guard.hpp
+++ b/packages/store/include/zinnia/store/restore_guard.hpp
@@ -1,4 +1,4 @@
-// Tells what the store's copy says from what has been written since the store was restored from it.
+// Distinguishes the state that the store was restored with from what has been written since.
 #pragma once
 
 #include <set>
@@ -12,9 +12,8 @@
 /// \brief   For one kind of object: the state of the copy and the changes that are held back because of it.
 ///          No I/O; not thread-safe.
 /// \details A copy lacks what was written last. Its writers write that again, which takes some seconds. Until
-/// then, what
-///          the copy undoes stays in force: such changes are held back for a time, or until the object
-///          changes again.
+///          then, what the copy undoes stays in force: such changes are held back for a time, or until the
+///          object changes again.
 class restore_guard {
  public:
   /// \brief Records the version of the store in a response.
--- a/soak/backend.hpp
+++ b/soak/backend.hpp
@@ -37,7 +37,7 @@
   void set_dropping_responses(bool drop) { this->drops_responses = drop; }
   void set_slow(bool slow) { this->is_slow = slow; }
   /// \brief Called with the node that sends the request that crashes servers. Set before the server is
-  /// registered.
+  ///        registered.
   std::function<void(const std::string& node)> on_crashing_request;
 
  private:
--- a/soak/crashing_request.hpp
+++ b/soak/crashing_request.hpp
@@ -16,7 +16,7 @@
 
 /// \brief   Counts the crashes and what nodes send later. Thread-safe.
 /// \details A node that has been interrupted shortly before may have forgotten the request, and is not
-/// judged.
+///          judged.
 class crashing_request {
  public:
   /// \brief Records that a server has received the request from a node and crashes.
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -49,9 +49,8 @@
   void discard_history();
   /// \brief Keeps a copy of all objects.
   void take_copy();
-  /// \brief Returns to the copy: what was written since is gone, its revisions are given out again, and a new
-  /// era
-  ///        begins.
+  /// \brief Returns to the copy: what was written since is gone, its revisions are given out again, and a
+  ///        new era begins.
   void restore_copy();
   /// \brief Returns the number of calls handled so far, failed ones included.
   [[nodiscard]] std::int64_t calls() const;
--- a/standins/scripted_tcp_server.hpp
+++ b/standins/scripted_tcp_server.hpp
@@ -30,9 +30,8 @@
 ///          must be thread safe.
 class scripted_tcp_server {
  public:
-  /// \param health_response_in Sent for requests to "/health", which are not counted and not passed to the
-  /// script.
-  ///                           Without it they are like all others.
+  /// \param health_response_in Sent for requests to "/health", which are not counted and not passed to
+  ///                           the script. Without it they are like all others.
   explicit scripted_tcp_server(std::function<scripted_response(int)> script_in,
                                std::optional<scripted_response> health_response_in = std::nullopt);
   scripted_tcp_server(const scripted_tcp_server&) = delete;
