List all kinds anew once one of them shows a restored store

Cause: after a restore a store gives out revisions again. A watch from one of them does not get the answer that its history is gone but is held, up to 14 s, and each kind of object found out for itself; the renewed watch began at the same old revision.

Change: the first answer of a new era makes this node list every kind that it knows of an earlier era.

hears_of_all_kinds_after_a_copy_whose_revisions_have_been_given_out_again failed before (nothing within the 15 s that it waits) and passes in 45 ms.

--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -116,6 +116,7 @@
 
   // After the store was restored from a copy.
   void on_store_version(watched_kind& watched, object_version version);
+  void list_kinds_of_earlier_eras(std::int64_t era);
   /// Applies a change, unless it comes from the copy and would undo what is in force.
   void apply_or_hold(watched_kind& watched, const object_change& change);
   /// Applies what was held and has not been written again.
--- a/packages/node/src/control_thread_restore.cpp
+++ b/packages/node/src/control_thread_restore.cpp
@@ -48,6 +48,18 @@
   // Entries of living servers may be missing for some seconds, as after an outage.
   this->store_regained_at = now;
   this->undelivered_version = {};
+  this->list_kinds_of_earlier_eras(era_of(version));
+}
+
+void control_thread::list_kinds_of_earlier_eras(std::int64_t era) {
+  for (auto& watched : this->watches) {
+    // The store has given out the revision of such a watch again, or will, and then lets it wait for changes
+    // after it.
+    if (!watched.relayed && !watched.feed.is_listing() && era_of(watched.feed.synced_version()) < era) {
+      this->cancel_call(watched);
+      watched.feed.restart_list();
+    }
+  }
 }
 
 void control_thread::apply_or_hold(watched_kind& watched, const object_change& change) {
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -162,6 +162,32 @@
   EXPECT_TRUE(this->wait_for_snapshot([](const routing_snapshot& newer) { return newer.evacuated.empty(); }));
 }
 
+TEST_F(control_thread_contract, hears_of_all_kinds_after_a_copy_whose_revisions_have_been_given_out_again) {
+  // A watch waits longer than this test.
+  this->control.reset();
+  this->settings.store_history = duration{600'000};
+  this->start_control_thread();
+  ASSERT_TRUE(this->wait_for_route("/one/"));
+  this->store.take_copy();
+  for (int i = 0; i < 5; ++i) {
+    this->store.put("other", "o", {{"i", i}});
+  }
+  this->store.put("evacuations", "near-b", {{"since", 1}});
+  ASSERT_TRUE(this->wait_for_snapshot([](const routing_snapshot& current) {
+    return current.evacuated.contains(failure_domain_id{"near-b"});
+  }));
+  this->store.set_faults({.close_connections = true});
+  this->store.restore_copy();
+  this->store.put("evacuations", "near-a", {{"since", 1}});
+  for (int i = 0; i < 20; ++i) {
+    this->store.put("other", "o", {{"i", i}});
+  }
+  this->store.set_faults({});
+  EXPECT_TRUE(this->wait_for_snapshot([](const routing_snapshot& current) {
+    return current.evacuated.contains(failure_domain_id{"near-a"});
+  }));
+}
+
 TEST_F(control_thread_contract, writes_its_entry_again_that_a_copy_of_the_store_lacks) {
   this->store.take_copy();
   ASSERT_TRUE(this->wait_for_route("/one/"));
--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -93,6 +93,8 @@
   /// \brief Abandons the call in flight and skips any pause, so that the call is repeated at once.
   void abandon_call() noexcept;
 
+  /// \brief Reads all objects anew; the call in flight counts as abandoned.
+  void restart_list() noexcept;
   /// \brief Returns and clears the changes since the previous call of this function. A deleted object has the
   ///        version of its removal.
   [[nodiscard]] std::vector<object_change> take_changes();
@@ -114,6 +116,7 @@
   void apply_changes(const feed_reply& reply);
   void update_object(const stored_object& object);
   void remove_object(const std::string& name, object_version removal_version);
+  void begin_list() noexcept;
   void finish_list();
   void schedule_retry(time_point now);
 
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -37,6 +37,18 @@
   this->earliest_call_at = {};
 }
 
+void object_feed::begin_list() noexcept {
+  this->listing = true;
+  this->last_listed_name.clear();
+  this->list_version.reset();
+  this->listed_versions.clear();
+}
+
+void object_feed::restart_list() noexcept {
+  this->abandon_call();
+  this->begin_list();
+}
+
 void object_feed::schedule_retry(time_point now) {
   ++this->consecutive_failures;
   constexpr int max_doublings = 10;
@@ -71,10 +83,7 @@
   // Pages of different eras don't make one list.
   const bool is_other_era = this->list_version && era_of(reply.store_version) != era_of(*this->list_version);
   if (reply.status == feed_status::history_gone || (this->listing && is_other_era)) {
-    this->listing = true;
-    this->last_listed_name.clear();
-    this->list_version.reset();
-    this->listed_versions.clear();
+    this->begin_list();
     return;
   }
   if (!this->listing) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -186,6 +186,8 @@
   's/  if (is_from_copy \&\& watched.undoes/  if (false \&\& watched.undoes/' "a copy of the store undoes what is in force"
 mutate test_node packages/node/src/control_thread_restore.cpp \
   's/    for (const auto\& name : watched.guard.take_due(now)) {/    for (const auto\& name : std::set<std::string>{}) {/' "what a copy undoes is held for ever"
+mutate test_node packages/node/src/control_thread_restore.cpp \
+  's/^  this->list_kinds_of_earlier_eras.*//' "a watch of an earlier era waits for changes that it never gets"
 mutate test_store packages/store/src/object_feed.cpp \
   's/(this->listing \&\& is_other_era)/false/' "pages of different eras make one list"
 echo "$survivors survived, stale or broken"
