Keep a drain and an evacuation that a copy of the store lacks until they are written again

Cause: whatever a copy undoes was held for one span of 5 s for each kind of object, and dropped then.

Change: the guard holds each change for a time of its own, together with what stays in force. A drain stays until its server writes again, is removed or starts again, 60 s at most: a server that drains does not return to use. Evacuations stay for 10 s. That a server has left stays for 5 s as before, since the store removes the copy's entry after that time.

Two tests' waits may take 30 s instead of 15: the limit only bounds a failing test, and an evacuation now ends after 10 s.

--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -119,6 +119,10 @@
   void list_kinds_of_earlier_eras(std::int64_t era);
   /// Applies a change, unless it comes from the copy and would undo what is in force.
   void apply_or_hold(watched_kind& watched, const object_change& change);
+  /// What is in force in place of a change from the copy.
+  [[nodiscard]] static object_change in_force_before(const watched_kind& watched, const object_change& change);
+  /// How long a change is held that comes from the copy.
+  [[nodiscard]] duration hold_time(const watched_kind& watched, const object_change& in_force) const;
   /// Applies what was held and has not been written again.
   void apply_held_changes(time_point now);
   [[nodiscard]] bool undoes_backend(const object_change& change) const;
--- a/packages/node/src/control_thread_restore.cpp
+++ b/packages/node/src/control_thread_restore.cpp
@@ -10,9 +10,16 @@
 namespace impl {
 namespace {
 
-/// How long operators and backend servers may take to write again what the copy lacks: a few of a server's
-/// heartbeats.
-constexpr duration rewrite_time{5000};
+/// How long operators may take to write again what the copy lacks.
+constexpr duration operator_rewrite_time{10'000};
+/// How long servers that have left stay away from use: the store removes the copy's entries after a few of a
+/// server's heartbeats, or the server writes again that it is there.
+constexpr duration server_rewrite_time{5000};
+/// Upper limit on the time for which a drain stays in force that is not written again. A server that drains
+/// does not return to use, so this ends only a drain whose server never writes again, nor is removed.
+constexpr duration drain_time{60'000};
+/// Settings trees and entries of nodes are written again by nodes.
+constexpr duration node_rewrite_time{5000};
 /// Time in which each node registers again on average, so that many nodes don't exceed the store's rate of
 /// writes.
 constexpr duration registration_interval{10};
@@ -35,9 +42,8 @@
 void control_thread::on_store_version(watched_kind& watched, object_version version) {
   const auto now = this->clock.now();
   // Entries of nodes come back as slowly as the nodes register.
-  const auto hold_time =
-      &watched == &this->node_watch() ? impl::rewrite_time + this->registration_period() : impl::rewrite_time;
-  if (!watched.guard.on_store_version(version, hold_time, now)) {
+  const auto copy_time = impl::operator_rewrite_time + this->registration_period();
+  if (!watched.guard.on_store_version(version, copy_time, now)) {
     return;
   }
   log_line{log_level::warn, "store_restored"}
@@ -64,6 +70,7 @@
 
 void control_thread::apply_or_hold(watched_kind& watched, const object_change& change) {
   const auto& object = change.object;
+  const auto in_force = in_force_before(watched, change);
   watched.guard.release(object.name);
   const bool is_from_copy = watched.guard.is_from_copy(object.version, this->clock.now());
   if (is_from_copy && watched.undoes != nullptr && (this->*watched.undoes)(change)) {
@@ -71,12 +78,35 @@
         .field("kind", watched.kind)
         .field("name", object.name)
         .field("deleted", change.deleted ? 1 : 0);
-    watched.guard.hold(object.name);
+    watched.guard.hold(in_force, this->clock.now() + this->hold_time(watched, in_force));
     return;
   }
   (this->*watched.apply)(change);
 }
 
+object_change control_thread::in_force_before(const watched_kind& watched, const object_change& change) {
+  const auto& held = watched.guard.held_changes();
+  if (const auto found = held.find(change.object.name); found != held.end()) {
+    return found->second.in_force;
+  }
+  if (change.deleted) {
+    return {change.object, false};
+  }
+  return change.replaced ? object_change{*change.replaced, false}
+                         : object_change{{change.object.name, {}, "", false}, true};
+}
+
+duration control_thread::hold_time(const watched_kind& watched, const object_change& in_force) const {
+  if (watched.kind == this->adapter.backend_kind()) {
+    return in_force.deleted ? impl::server_rewrite_time : impl::drain_time;
+  }
+  if (watched.kind == this->adapter.evacuation_kind()) {
+    return impl::operator_rewrite_time;
+  }
+  return watched.kind == object_kinds::nodes ? impl::node_rewrite_time + this->registration_period()
+                                             : impl::node_rewrite_time;
+}
+
 void control_thread::apply_held_changes(time_point now) {
   for (auto& watched : this->watches) {
     for (const auto& name : watched.guard.take_due(now)) {
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -68,7 +68,7 @@
   }
   /// Waits until the published snapshot meets the condition. The time limit only bounds a failing test.
   [[nodiscard]] bool wait_for_snapshot(const std::function<bool(const routing_snapshot&)>& condition) {
-    for (int i = 0; i < 1500; ++i) {
+    for (int i = 0; i < 3000; ++i) {
       const auto current = this->snapshot();
       if (current != nullptr && condition(*current)) {
         return true;
@@ -192,7 +192,7 @@
   this->store.take_copy();
   ASSERT_TRUE(this->wait_for_route("/one/"));
   const auto wait_for_entry = [this] {
-    for (int i = 0; i < 1500 && !this->store.contains("zinnia-nodes", "n1"); ++i) {
+    for (int i = 0; i < 3000 && !this->store.contains("zinnia-nodes", "n1"); ++i) {
       std::this_thread::sleep_for(std::chrono::milliseconds{10});
     }
     return this->store.contains("zinnia-nodes", "n1");
--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -47,6 +47,8 @@
 struct object_change {
   stored_object object;
   bool deleted{false};
+  /// The object that this one replaces, if that is of an earlier era of the store.
+  std::optional<stored_object> replaced{};
 };
 
 /// \brief The decoded response to a feed's call.
--- a/packages/store/src/change_relay_codec.cpp
+++ b/packages/store/src/change_relay_codec.cpp
@@ -12,10 +12,11 @@
   std::vector<flatbuffers::Offset<store::fbs::Kind>> encoded_kinds;
   for (const auto& kind : kinds) {
     std::vector<flatbuffers::Offset<store::fbs::Change>> changes;
-    for (const auto& [object, deleted] : kind.changes) {
+    for (const auto& change : kind.changes) {
+      const auto& object = change.object;
       const auto name = builder.CreateString(object.name);
-      const auto document = builder.CreateString(deleted ? "" : object.document);
-      changes.push_back(store::fbs::CreateChange(builder, name, object.version.count(), deleted,
+      const auto document = builder.CreateString(change.deleted ? "" : object.document);
+      changes.push_back(store::fbs::CreateChange(builder, name, object.version.count(), change.deleted,
                                                  object.deleting, document));
     }
     const auto changes_vector = builder.CreateVector(changes);
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -151,8 +151,12 @@
   if (!cached.name.empty() && cached.version >= object.version) {
     return;
   }
+  object_change change{object, false};
+  if (!cached.name.empty() && era_of(cached.version) < era_of(object.version)) {
+    change.replaced = std::move(cached);
+  }
   cached = object;
-  this->changes.push_back({object, false});
+  this->changes.push_back(std::move(change));
 }
 
 void object_feed::remove_object(const std::string& name, object_version removal_version) {
--- a/packages/store/src/restore_guard.cpp
+++ b/packages/store/src/restore_guard.cpp
@@ -2,7 +2,6 @@
 #include "zinnia/store/restore_guard.hpp"
 
 #include <algorithm>
-#include <utility>
 
 #include "zinnia/store/store_era.hpp"
 
@@ -19,8 +18,38 @@
   return is_restored;
 }
 
+void restore_guard::on_copy_version(object_version version) {
+  if (version.count() == 0 || era_of(version) != era_of(this->newest)) {
+    return;
+  }
+  // The node that heard of the restore first has seen the fewest writes since.
+  const bool is_known = era_of(this->copy_version) == era_of(version);
+  this->copy_version = is_known ? std::min(this->copy_version, version) : version;
+}
+
+void restore_guard::hold(const object_change& in_force, time_point until) {
+  this->held[in_force.object.name] = {in_force, until};
+}
+
 std::set<std::string> restore_guard::take_due(time_point now) {
-  return now < this->holds_until ? std::set<std::string>{} : std::exchange(this->held, {});
+  std::set<std::string> due;
+  for (auto next = this->held.begin(); next != this->held.end();) {
+    if (next->second.until > now) {
+      ++next;
+      continue;
+    }
+    due.insert(next->first);
+    next = this->held.erase(next);
+  }
+  return due;
+}
+
+time_point restore_guard::next_due() const noexcept {
+  auto next = far_future;
+  for (const auto& [name, change] : this->held) {
+    next = std::min(next, change.until);
+  }
+  return next;
 }
 
 }  // namespace zinnia
--- a/packages/store/tests/restore_guard_test.cpp
+++ b/packages/store/tests/restore_guard_test.cpp
@@ -28,8 +28,11 @@
   static_cast<void>(guard.on_store_version(make_version(1, 50), hold_time, time_point{1'000}));
   static_cast<void>(guard.on_store_version(make_version(2, 30), hold_time, time_point{2'000}));
   EXPECT_EQ(guard.next_due(), far_future);
-  guard.hold("a");
-  guard.hold("b");
+  const time_point until{7'000};
+  guard.hold({{"a", {}, "before", false}, false}, until);
+  guard.hold({{"b", {}, "", false}, true}, until);
+  EXPECT_EQ(guard.held_changes().at("a").in_force.object.document, "before");
+  EXPECT_TRUE(guard.held_changes().at("b").in_force.deleted);
   guard.release("b");
   EXPECT_EQ(guard.next_due(), time_point{7'000});
   EXPECT_TRUE(guard.take_due(time_point{6'999}).empty());
@@ -37,6 +40,41 @@
   EXPECT_TRUE(guard.take_due(time_point{7'000}).empty());
 }
 
+TEST(restore_guard, takes_the_earliest_version_of_the_copy_that_any_node_has_seen) {
+  restore_guard guard;
+  guard.on_copy_version(make_version(1, 5));
+  EXPECT_EQ(guard.copy(), object_version{}) << "nothing is known of the store yet";
+  static_cast<void>(guard.on_store_version(make_version(2, 60), hold_time, time_point{1'000}));
+  guard.on_copy_version(make_version(1, 5));
+  EXPECT_EQ(guard.copy(), object_version{}) << "a copy of an earlier era";
+  guard.on_copy_version(make_version(2, 40));
+  guard.on_copy_version(make_version(2, 45));
+  guard.on_copy_version(object_version{});
+  EXPECT_EQ(guard.copy(), make_version(2, 40));
+  guard.on_copy_version(make_version(2, 35));
+  EXPECT_EQ(guard.copy(), make_version(2, 35));
+}
+
+TEST(object_feed, tells_which_object_of_an_earlier_era_is_replaced) {
+  object_feed feed{feed_timing{}, 1};
+  const time_point now{1'000};
+  const auto list = [&](std::int64_t era, const std::string& document) {
+    feed.restart_list();
+    static_cast<void>(feed.next_call(now));
+    feed_reply page;
+    page.status = feed_status::ok;
+    page.items = {{"a", make_version(era, 5), document, false}};
+    page.store_version = make_version(era, 9);
+    feed.on_reply(page, now);
+    return feed.take_changes();
+  };
+  EXPECT_FALSE(list(1, "first").front().replaced);
+  const auto changes = list(2, "second");
+  ASSERT_EQ(changes.size(), 1U);
+  ASSERT_TRUE(changes.front().replaced);
+  EXPECT_EQ(changes.front().replaced->document, "first");
+}
+
 TEST(object_feed, begins_a_list_again_whose_next_page_is_of_another_era) {
   object_feed feed{feed_timing{}, 1};
   time_point now{1'000};
