Let nodes tell each other what a restored store has lost

Callers got 404 on a confirmed route and were sent to a draining server by a node that had started again while the store stood at an old copy (55 of 60 requests, and 12; the five nodes that had not been restarted: 0).

Cause: what a node holds against the copy (a newer configuration, drains, evacuations, servers that have left) was in its memory only. A node that starts believes the copy, although its peers know better, and so does a node that was away from the store when the lost changes were made.

Change: nodes publish the configuration in force and the changes that they hold. A node that starts asks some of its peers before it is ready. Heartbeats name the configuration and a digest of what is held, so that a node that lacks it asks too. What is told is held like a change of the node's own, until the object is written again or its time is over.

--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -12,6 +12,7 @@
 #include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/core/units.hpp"
+#include "zinnia/membership/peer_state_sync.hpp"
 #include "zinnia/membership/serving_set.hpp"
 #include "zinnia/routing/backend_table.hpp"
 
@@ -53,6 +54,7 @@
   bool watching{false};
   /// Version of the latest known change for each kind of object; empty unless `watching`.
   std::vector<object_version> latest_versions;
+  state_summary state{};
 };
 
 /// \brief The nodes that are alive and accept requests.
@@ -92,6 +94,10 @@
   /// \brief Returns true if a watching node has reported a change that this node has not yet received.
   /// \param known Version up to which this node knows all changes, for each kind of object.
   [[nodiscard]] bool is_behind(const std::vector<object_version>& known, time_point now) const;
+  /// \brief Returns a registered node, alive or not.
+  [[nodiscard]] std::optional<member> find(const node_id& id) const;
+  /// \brief Returns the other registered nodes in an order that differs from node to node.
+  [[nodiscard]] std::vector<node_id> others_in_random_order() const;
   /// \brief Returns the number of registered nodes, alive or not.
   [[nodiscard]] std::size_t registered_count() const noexcept { return this->members.size(); }
 
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -226,6 +226,27 @@
   });
 }
 
+std::optional<member> member_table::find(const node_id& id) const {
+  const auto found = this->members.find(id);
+  return found == this->members.end() ? std::nullopt : std::optional{found->second.registered};
+}
+
+std::vector<node_id> member_table::others_in_random_order() const {
+  std::vector<std::pair<std::uint64_t, node_id>> weighted;
+  for (const auto& [id, entry] : this->members) {
+    if (id != this->self) {
+      weighted.emplace_back(rendezvous_weight(id.str(), this->self.str()), id);
+    }
+  }
+  std::sort(weighted.begin(), weighted.end());
+  std::vector<node_id> others;
+  others.reserve(weighted.size());
+  for (auto& [weight, id] : weighted) {
+    others.push_back(std::move(id));
+  }
+  return others;
+}
+
 std::set<region_id> member_table::regions_with_nodes() const {
   std::set<region_id> regions;
   for (const auto& [id, entry] : this->members) {
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -114,13 +114,22 @@
   void restart_silent_watches(object_version store_version);
   void restart_watches(const watched_kind& except);
 
+  // Questions to other nodes, and what they are told.
+  void ask_peers(time_point now);
+  [[nodiscard]] state_reply apply_peer_state(const node_id& from, const retained_state& state);
+  void apply_retained_change(const retained_change& retained, object_version copy_version);
+  void publish_state();
+  /// True if the objects of all kinds are known that routing depends on.
+  [[nodiscard]] bool is_complete() const;
+
   // After the store was restored from a copy.
   void on_store_version(watched_kind& watched, object_version version);
   void list_kinds_of_earlier_eras(std::int64_t era);
   /// Applies a change, unless it comes from the copy and would undo what is in force.
   void apply_or_hold(watched_kind& watched, const object_change& change);
   /// What is in force in place of a change from the copy.
-  [[nodiscard]] static object_change in_force_before(const watched_kind& watched, const object_change& change);
+  [[nodiscard]] static object_change in_force_before(const watched_kind& watched,
+                                                     const object_change& change);
   /// How long a change is held that comes from the copy.
   [[nodiscard]] duration hold_time(const watched_kind& watched, const object_change& in_force) const;
   /// Applies what was held and has not been written again.
@@ -137,6 +146,9 @@
   [[nodiscard]] duration registration_delay() const;
 
   void apply_backend(const object_change& change);
+  /// Removes a backend server whose entry is gone.
+  /// \param grace How long it stays in use, in case the entry comes back.
+  void remove_backend(const stored_object& entry, duration grace);
   /// How long a backend server stays in use after its entry disappeared.
   [[nodiscard]] duration removal_grace() const;
   void apply_configuration(const object_change& change);
@@ -173,6 +185,12 @@
   std::unique_ptr<class heartbeat_socket> heartbeats;
   change_relay_buffer changes_to_relay;
   std::unique_ptr<class change_relay_client> relay_client;
+  std::unique_ptr<class peer_state_exchange> state_exchange;
+  // The object of the configuration in force.
+  stored_object configuration_in_force;
+  state_summary own_state;
+  // As published; null while this node isn't ready.
+  std::shared_ptr<const retained_state> published_state;
   // The time since which another node knows a change that this node has not received, or far_future.
   time_point behind_since{far_future};
   time_point follow_allowed_at;
--- a/packages/node/src/change_relay_server.cpp
+++ b/packages/node/src/change_relay_server.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 
 #include "change_relay_client.hpp"
+#include "peer_state_exchange.hpp"
 #include "zinnia/store/change_relay_codec.hpp"
 
 namespace zinnia {
@@ -25,6 +26,10 @@
 
 void change_relay_server::handle(const std::shared_ptr<caller_exchange>& exchange) {
   const auto& head = exchange->head();
+  if (head.path() == peer_state_path) {
+    this->respond_with_state(*exchange);
+    return;
+  }
   if (head.path() != change_relay_path) {
     exchange->respond(impl::status_not_found, {}, "");
     return;
@@ -48,6 +53,21 @@
   this->start_timer();
 }
 
+void change_relay_server::respond_with_state(caller_exchange& exchange) const {
+  const auto known = parse_number(exchange.head().query_parameter("configuration").value_or(""));
+  if (!known || *known < 0) {
+    exchange.respond(impl::status_bad_request, {}, "configuration: a number\n");
+    return;
+  }
+  const auto state = this->changes.state();
+  if (state == nullptr) {
+    exchange.respond(impl::status_unavailable, {}, "");
+    return;
+  }
+  exchange.respond(impl::status_ok, {{"Content-Type", "application/octet-stream"}},
+                   encode_retained_state(*state, static_cast<std::uint64_t>(*known), this->clock.now()));
+}
+
 bool change_relay_server::try_respond(const held_request& request) const {
   if (!this->changes.is_watching()) {
     request.exchange->respond(impl::status_unavailable, {}, "");
--- a/packages/node/src/change_relay_server.hpp
+++ b/packages/node/src/change_relay_server.hpp
@@ -22,6 +22,7 @@
                       const change_relay_buffer& changes_in)
       : clock{clock_in}, changes{changes_in}, timer{context} {}
 
+  /// \brief Handles a request for changes (`change_relay_path`) or for retained state (`peer_state_path`).
   void handle(const std::shared_ptr<caller_exchange>& exchange);
   /// \brief Responds to the held requests for which there are changes or whose wait time has ended.
   void respond_to_held_requests();
@@ -34,6 +35,7 @@
     time_point deadline;
   };
 
+  void respond_with_state(caller_exchange& exchange) const;
   /// Returns false if the request has to be held.
   [[nodiscard]] bool try_respond(const held_request& request) const;
   void start_timer();
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -7,10 +7,12 @@
 #include "change_relay_client.hpp"
 #include "heartbeat_socket.hpp"
 #include "load_meter.hpp"
+#include "peer_state_exchange.hpp"
 #include "quarantine_store.hpp"
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/membership/member_codec.hpp"
 #include "zinnia/observe/log.hpp"
+#include "zinnia/store/store_era.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -123,6 +125,11 @@
                            [this] { return this->known_versions(); },
                            [this](const auto& replies) { this->apply_relayed_changes(replies); },
                            [this](const auto& cause) { this->stop_following(cause); }})},
+      state_exchange{std::make_unique<peer_state_exchange>(
+          this->calls, this->clock, this->members,
+          peer_state_exchange::event_handlers{
+              [this] { return this->builder.version().count(); },
+              [this](const auto& from, const auto& state) { return this->apply_peer_state(from, state); }})},
       settings_revision{adapter_in.settings_revision()} {
   this->builder.set_tree(std::move(tree));
   this->thread = std::thread{[this] { this->run(); }};
@@ -159,6 +166,7 @@
     }
     this->apply_held_changes(now);
     this->rewrite_lost_tree(now);
+    this->ask_peers(now);
     this->maintain_registration(now);
     this->remove_expired_nodes(now);
     this->send_heartbeats(now);
@@ -171,8 +179,8 @@
 }
 
 duration control_thread::time_to_next_action(time_point now) const {
-  auto next =
-      std::min({this->next_heartbeat, this->builder.next_removal(), this->relay_client->next_poll_at()});
+  auto next = std::min({this->next_heartbeat, this->builder.next_removal(),
+                        this->relay_client->next_poll_at(), this->state_exchange->next_action_at(now)});
   for (const auto& watched : this->watches) {
     next = std::min(next, watched.guard.next_due());
     if (this->may_call(watched)) {
@@ -320,19 +328,23 @@
   return std::clamp(this->settings.drain_limit - impl::drain_margin, duration{0}, grace);
 }
 
+void control_thread::remove_backend(const stored_object& entry, duration grace) {
+  log_line{log_level::info, "backend_removed"}
+      .field("backend", entry.name)
+      .field("version", entry.version.count());
+  if (const auto* const known = this->builder.find_backend(backend_id{entry.name})) {
+    this->removed_backends[known->id] = known->started_unix_ms;
+    if (this->removed_backends.size() > impl::max_removed_backends) {
+      this->removed_backends.erase(this->removed_backends.begin());
+    }
+  }
+  this->builder.remove_backend(backend_id{entry.name}, this->clock.now(), grace);
+}
+
 void control_thread::apply_backend(const object_change& change) {
   const auto& object = change.object;
   if (change.deleted) {
-    log_line{log_level::info, "backend_removed"}
-        .field("backend", object.name)
-        .field("version", object.version.count());
-    if (const auto* const known = this->builder.find_backend(backend_id{object.name})) {
-      this->removed_backends[known->id] = known->started_unix_ms;
-      if (this->removed_backends.size() > impl::max_removed_backends) {
-        this->removed_backends.erase(this->removed_backends.begin());
-      }
-    }
-    this->builder.remove_backend(backend_id{object.name}, this->clock.now(), this->removal_grace());
+    this->remove_backend(object, this->removal_grace());
     return;
   }
   const auto decoded = this->adapter.decode_backend(object, this->clock.now());
@@ -377,6 +389,7 @@
       .field("routes", static_cast<std::int64_t>(decoded->routing.routes.size()));
   this->config_version_seen = std::max(this->config_version_seen, object.version);
   if (is_newer) {
+    this->configuration_in_force = object;
     this->events.on_limits(decoded->limits);
   }
 }
@@ -432,21 +445,19 @@
 void control_thread::publish(time_point now) {
   const auto unix_now = unix_time_ms();
   this->builder.apply_due_changes(now, unix_now);
-  const bool is_complete =
-      std::all_of(this->watches.begin(), this->watches.end(), [](const watched_kind& watched) {
-        return watched.kind == object_kinds::nodes || watched.feed.is_complete();
-      });
-  if (is_complete && this->builder.has_routes()) {
+  if (this->is_complete() && this->state_exchange->is_done(now) && this->builder.has_routes()) {
     if (const auto snapshot = this->builder.publish()) {
       this->drained = snapshot->shifts.drained_nodes.contains(this->self.id);
       this->events.on_snapshot(snapshot);
       this->events.on_shift_progress(this->builder.progress(unix_now));
     }
     if (!this->ready.exchange(true)) {
-      log_line{log_level::info, "ready"}.field("config_version",
-                                               static_cast<std::int64_t>(this->builder.version().count()));
+      log_line{log_level::info, "ready"}
+          .field("config_version", static_cast<std::int64_t>(this->builder.version().count()))
+          .field("era", era_of(this->configuration_watch().guard.newest_version()));
     }
   }
+  this->publish_state();
   this->meter->sample(now, this->counts.value(counter::requests), this->counts.value(counter::answer_bytes));
   this->members.set_own_state(this->ready, this->is_leaving(), this->meter->load());
   if (now < this->next_nodes_update) {
@@ -553,6 +564,7 @@
   outgoing.leaving = this->is_leaving();
   outgoing.load = this->meter->load();
   outgoing.watching = this->is_watching();
+  outgoing.state = this->own_state;
   if (outgoing.watching) {
     outgoing.latest_versions = this->changes_to_relay.latest_change_versions();
   }
@@ -560,8 +572,10 @@
 }
 
 void control_thread::receive_heartbeats(time_point now) {
-  const int malformed = this->heartbeats->receive(
-      [&](const node_heartbeat& received) { this->members.on_heartbeat(received, now); });
+  const int malformed = this->heartbeats->receive([&](const node_heartbeat& received) {
+    this->members.on_heartbeat(received, now);
+    this->state_exchange->on_heartbeat(received, this->own_state, now);
+  });
   for (int i = 0; i < malformed; ++i) {
     this->counts.add(counter::malformed_frames);
   }
--- a/packages/routing/src/snapshot_builder.cpp
+++ b/packages/routing/src/snapshot_builder.cpp
@@ -66,7 +66,8 @@
     this->state.backends.erase(found);
     this->changed = true;
   } else {
-    this->pending_removals.try_emplace(id, now + grace);
+    auto& removal = this->pending_removals.try_emplace(id, now + grace).first->second;
+    removal = std::min(removal, now + grace);
   }
 }
 
--- a/packages/store/include/zinnia/store/change_relay_buffer.hpp
+++ b/packages/store/include/zinnia/store/change_relay_buffer.hpp
@@ -1,14 +1,16 @@
-// Recent changes of all object kinds. The thread that watches the store writes them; the server that relays
-// them to peers reads them.
+// What this node tells others of the store: recent changes of all object kinds, and what the store may lack.
+// The thread that watches the store writes it; the server that answers peers reads it.
 #pragma once
 
 #include <absl/synchronization/mutex.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "zinnia/store/change_log.hpp"
+#include "zinnia/store/retained_state.hpp"
 
 namespace zinnia {
 
@@ -30,11 +32,15 @@
   /// \returns One reply for each kind, or `nullopt` if the number of kinds differs.
   [[nodiscard]] std::optional<std::vector<feed_reply>> changes_since(
       const std::vector<object_version>& known) const;
+  /// \brief Publishes the state that other nodes may ask for; null while this node isn't ready.
+  void set_state(std::shared_ptr<const retained_state> state_in);
+  [[nodiscard]] std::shared_ptr<const retained_state> state() const;
 
  private:
   mutable absl::Mutex mutex;
   std::vector<change_log> logs ABSL_GUARDED_BY(mutex);
   bool watching ABSL_GUARDED_BY(mutex){false};
+  std::shared_ptr<const retained_state> published_state ABSL_GUARDED_BY(mutex);
 };
 
 }  // namespace zinnia
--- a/packages/store/src/change_relay_buffer.cpp
+++ b/packages/store/src/change_relay_buffer.cpp
@@ -1,6 +1,8 @@
 // Access to the change logs under a mutex.
 #include "zinnia/store/change_relay_buffer.hpp"
 
+#include <utility>
+
 namespace zinnia {
 
 void change_relay_buffer::record_changes(std::size_t kind, const std::vector<object_change>& changes,
@@ -41,4 +43,14 @@
   return replies;
 }
 
+void change_relay_buffer::set_state(std::shared_ptr<const retained_state> state_in) {
+  const absl::MutexLock lock{&this->mutex};
+  this->published_state = std::move(state_in);
+}
+
+std::shared_ptr<const retained_state> change_relay_buffer::state() const {
+  const absl::MutexLock lock{&this->mutex};
+  return this->published_state;
+}
+
 }  // namespace zinnia
--- a/packages/store/tests/restore_guard_test.cpp
+++ b/packages/store/tests/restore_guard_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "zinnia/store/retained_state.hpp"
 #include "zinnia/store/store_era.hpp"
 
 using namespace zinnia;
@@ -75,6 +76,37 @@
   EXPECT_EQ(changes.front().replaced->document, "first");
 }
 
+TEST(retained_state, arrives_as_it_was_sent) {
+  retained_state state;
+  state.store_version = make_version(3, 70);
+  state.configuration_number = 9;
+  state.configuration = stored_object{"main", make_version(2, 80), "document", false};
+  state.copy_versions = {make_version(3, 50), object_version{}};
+  state.changes = {{1, {{"a", make_version(2, 60), "before", false}, false}, time_point{5'000}},
+                   {2, {{"b", {}, "", false}, true}, time_point{900}}};
+  const auto decoded =
+      decode_retained_state(encode_retained_state(state, 8, time_point{1'000}), time_point{50'000});
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->store_version, state.store_version);
+  EXPECT_EQ(decoded->configuration_number, 9U);
+  ASSERT_TRUE(decoded->configuration);
+  EXPECT_EQ(decoded->configuration->document, "document");
+  EXPECT_EQ(decoded->copy_versions, state.copy_versions);
+  ASSERT_EQ(decoded->changes.size(), 2U);
+  EXPECT_EQ(decoded->changes[0].until, time_point{54'000});
+  EXPECT_EQ(decoded->changes[0].change.object.document, "before");
+  EXPECT_TRUE(decoded->changes[1].change.deleted);
+  EXPECT_EQ(decoded->changes[1].until, time_point{50'000});
+  EXPECT_EQ(digest_of(decoded->changes), digest_of(state.changes));
+  EXPECT_NE(digest_of(state.changes), digest_of({state.changes[0]}));
+  EXPECT_EQ(digest_of({}), 0U);
+
+  const auto without = decode_retained_state(encode_retained_state(state, 9, time_point{}), time_point{});
+  ASSERT_TRUE(without);
+  EXPECT_FALSE(without->configuration) << "the other node has it";
+  EXPECT_FALSE(decode_retained_state("no state", time_point{}));
+}
+
 TEST(object_feed, begins_a_list_again_whose_next_page_is_of_another_era) {
   object_feed feed{feed_timing{}, 1};
   time_point now{1'000};
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -5,3 +5,4 @@
 flatc --cpp -o packages/membership/src/generated packages/membership/beat.fbs
 flatc --cpp -o packages/membership/src/generated packages/membership/notices.fbs
 flatc --cpp -o packages/store/src/generated packages/store/news.fbs
+flatc --cpp -o packages/store/src/generated packages/store/retained.fbs
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -188,6 +188,22 @@
   's/    for (const auto\& name : watched.guard.take_due(now)) {/    for (const auto\& name : std::set<std::string>{}) {/' "what a copy undoes is held for ever"
 mutate test_node packages/node/src/control_thread_restore.cpp \
   's/^  this->list_kinds_of_earlier_eras.*//' "a watch of an earlier era waits for changes that it never gets"
+mutate test_node packages/node/src/control_thread.cpp \
+  's/ \&\& this->state_exchange->is_done(now) / /' "a node that starts at an old copy does not wait for its peers"
+mutate test_node packages/node/src/control_thread_state.cpp \
+  's/^    this->apply_configuration(.*/    ;/' "a node does not take a newer configuration from its peers"
+mutate test_node packages/node/src/control_thread_state.cpp \
+  's/    this->remove_backend(change.object, duration{0});/    ;/' "a server that left before the copy comes back at a node that starts"
+mutate test_node packages/node/src/control_thread_restore.cpp \
+  's/impl::server_rewrite_time : impl::drain_time/impl::server_rewrite_time : impl::server_rewrite_time/' "a drain that the copy lacks ends after some seconds"
+mutate test_membership packages/membership/src/peer_state_sync.cpp \
+  's/    this->waits_for_peers = true;//' "a start does not wait for peers that have not noticed the restore"
+mutate test_membership packages/membership/src/peer_state_sync.cpp \
+  's/  if (is_behind || is_new_digest) {/  if (is_new_digest) {/' "a newer configuration of a peer is not asked for"
+mutate test_membership packages/membership/src/peer_state_sync.cpp \
+  's/    this->known_digests.push_back(digest);//' "retained changes are asked for again and again"
+mutate test_store packages/store/src/restore_guard.cpp \
+  's/is_known ? std::min(this->copy_version, version) : version/version/' "the latest view of the copy counts"
 mutate test_store packages/store/src/object_feed.cpp \
   's/(this->listing \&\& is_other_era)/false/' "pages of different eras make one list"
 echo "$survivors survived, stale or broken"
