soak: play a store that comes back from copies

Callers would see: after the store came back from a copy, routes that it had confirmed answer 404, and drained servers and evacuated failure domains get requests, until the operator and the servers have written again.

--- a/soak/backend.cpp
+++ b/soak/backend.cpp
@@ -34,7 +34,7 @@
 }  // namespace
 }  // namespace impl
 
-backend::backend(request_history& history_in, standins::platform_store& store_in, std::string name_in,
+backend::backend(request_history& history_in, standins::external_writer& store_in, std::string name_in,
                  std::string failure_domain_in)
     : history{history_in},
       store{store_in},
@@ -49,10 +49,11 @@
   this->write_entry();
 }
 
-void backend::set_draining(bool draining_in) {
+std::string backend::set_draining(bool draining_in) {
   const absl::MutexLock lock{&this->mutex};
   this->is_draining = draining_in;
   this->write_entry();
+  return this->instance_id;
 }
 
 void backend::replace_instance() {
@@ -124,6 +125,7 @@
     const bool is_other_instance = !expected_instance.empty() && expected_instance != own_instance;
     if (!is_other_instance) {
       this->statements.on_request(impl::sending_node(request_id), soak_clock::now());
+      this->on_request(own_instance, this->failure_domain, impl::sending_node(request_id));
     }
     const auto busy_s = this->statements.statement().busy_s;
     if (is_other_instance || busy_s || this->running_requests >= impl::slot_count + impl::queue_capacity) {
--- a/soak/backend.hpp
+++ b/soak/backend.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "request_history.hpp"
-#include "standins/platform_store.hpp"
+#include "standins/external_writer.hpp"
 #include "standins/threaded_http_server.hpp"
 #include "statement_monitor.hpp"
 
@@ -19,13 +19,14 @@
 class backend {
  public:
   /// \param failure_domain_in The failure domain of the backend server.
-  backend(request_history& history_in, standins::platform_store& store_in, std::string name_in,
+  backend(request_history& history_in, standins::external_writer& store_in, std::string name_in,
           std::string failure_domain_in);
 
   [[nodiscard]] std::uint16_t port() const { return this->server.port(); }
   /// \brief Registers in the store with a port of 127.0.0.1, which may be that of a proxy.
   void register_at(std::uint16_t advertised_port_in);
-  void set_draining(bool draining_in);
+  /// \return The instance that reports it.
+  std::string set_draining(bool draining_in);
   /// \brief Replaces the registered instance by a new one at the same address.
   void replace_instance();
   /// \brief Makes the server say this about itself in all responses, or nothing.
@@ -39,6 +40,10 @@
   /// \brief Called with the node that sends the request that crashes servers. Set before the server is
   ///        registered.
   std::function<void(const std::string& node)> on_crashing_request;
+  /// \brief Called with the addressed instance, its failure domain and the sending node. Set before the
+  ///        server is registered.
+  std::function<void(const std::string& instance, const std::string& domain, const std::string& node)>
+      on_request;
 
  private:
   [[nodiscard]] standins::server_response handle(const standins::server_request& request);
@@ -48,7 +53,7 @@
   void add_statement(standins::server_response& response, const std::string& node);
 
   request_history& history;
-  standins::platform_store& store;
+  standins::external_writer& store;
   std::string name;
   std::string failure_domain;
   absl::Mutex mutex;
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -1,63 +1,27 @@
-// Uses blocking sockets, with poll for the timeout.
+// Reads a response piece by piece, until it is complete or the time is over.
 #include "caller.hpp"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include <array>
 #include <chrono>
 
-namespace zinnia::soak {
-
-bool caller::connect() {
-  this->descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(this->port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (::connect(this->descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
-    this->disconnect();
-    return false;
-  }
-  return true;
-}
+#include "zinnia/http/message_parser.hpp"
 
-void caller::disconnect() {
-  if (this->descriptor >= 0) {
-    close(this->descriptor);
-    this->descriptor = -1;
-  }
-}
-
-bool caller::send(const std::string& bytes) const {
-  std::size_t sent = 0;
-  while (sent < bytes.size()) {
-    const auto sent_now = ::send(this->descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-    if (sent_now <= 0) {
-      return false;
-    }
-    sent += static_cast<std::size_t>(sent_now);
-  }
-  return true;
-}
+namespace zinnia::soak {
 
 request_result caller::send_request(const sent_request& request, int deadline_ms, int timeout_ms) {
   request_result result;
   this->history.on_request_sent(request);
-  if (this->descriptor < 0 && !this->connect()) {
-    result.connection_lost = true;
-    return result;
+  if (!this->connection) {
+    this->connection = std::make_unique<standins::raw_tcp_client>(this->port);
   }
   const auto bytes = absl::StrCat(request.method, " ", request.path,
                                   " HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: ", request.id,
                                   "\r\nAffinity-Key: ", request.path, "\r\nDeadline-Ms: ", deadline_ms,
                                   "\r\nContent-Length: ", request.body.size(), "\r\n\r\n", request.body);
-  result.connection_lost = !this->send(bytes);
+  this->connection->send(bytes);
+  result.connection_lost = this->connection->is_closed();
   const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::milliseconds{timeout_ms};
   constexpr std::uint32_t max_header_bytes = 16 << 10;
   response_parser parser{max_header_bytes, [&result](std::string_view piece) { result.body += piece; }};
@@ -66,17 +30,12 @@
   while (!result.connection_lost && !is_complete) {
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(give_up_at - std::chrono::steady_clock::now());
-    pollfd poll_entry{this->descriptor, POLLIN, 0};
-    if (remaining.count() <= 0 || poll(&poll_entry, 1, static_cast<int>(remaining.count())) <= 0) {
-      break;
-    }
-    std::array<char, 16384> chunk{};
-    const auto received = recv(this->descriptor, chunk.data(), chunk.size(), 0);
-    if (received <= 0) {
-      result.connection_lost = true;
+    const auto received = this->connection->read_some(static_cast<int>(remaining.count()));
+    if (received.empty()) {
+      result.connection_lost = this->connection->is_closed();
       break;
     }
-    unparsed.append(chunk.data(), static_cast<std::size_t>(received));
+    unparsed += received;
     std::size_t parsed_bytes = 0;
     const auto progress = parser.feed(unparsed, parsed_bytes);
     unparsed.erase(0, parsed_bytes);
@@ -87,7 +46,7 @@
     }
   }
   if (!is_complete) {
-    this->disconnect();
+    this->connection.reset();
     return result;
   }
   const auto& head = parser.head();
@@ -96,7 +55,7 @@
   static_cast<void>(absl::SimpleAtod(retry_after, &result.retry_after_s));
   result.stamp = std::string{find_field(head.fields, "Server-Stamp").value_or("")};
   if (equals_ignoring_case(find_field(head.fields, "Connection").value_or(""), "close")) {
-    this->disconnect();
+    this->connection.reset();
   }
   return result;
 }
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -7,30 +7,22 @@
 #include <string>
 
 #include "request_history.hpp"
-#include "zinnia/http/message_parser.hpp"
+#include "standins/raw_tcp_client.hpp"
 
 namespace zinnia::soak {
 
 class caller {
  public:
   caller(request_history& history_in, std::uint16_t port_in) : history{history_in}, port{port_in} {}
-  caller(const caller&) = delete;
-  caller& operator=(const caller&) = delete;
-  caller(caller&&) = delete;
-  caller& operator=(caller&&) = delete;
-  ~caller() { this->disconnect(); }
 
   /// \brief Sends a request and waits for the complete response. Closes the connection after `timeout_ms`.
   [[nodiscard]] request_result send_request(const sent_request& request, int deadline_ms, int timeout_ms);
 
  private:
-  [[nodiscard]] bool connect();
-  void disconnect();
-  [[nodiscard]] bool send(const std::string& bytes) const;
-
   request_history& history;
   std::uint16_t port;
-  int descriptor{-1};
+  // Null while there is no connection.
+  std::unique_ptr<standins::raw_tcp_client> connection;
 };
 
 }  // namespace zinnia::soak
--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -87,29 +87,23 @@
 
 void node_process::start() {
   const auto& ports = this->launch_options.ports;
-  std::vector<std::string> argument_texts{this->launch_options.program,
-                                          "--node",
-                                          this->launch_options.name,
-                                          "--region",
-                                          this->launch_options.region,
-                                          "--domain",
-                                          this->launch_options.failure_domain,
-                                          "--store",
-                                          impl::format_endpoint("127.0.0.1", this->launch_options.store_port),
-                                          "--listen-callers",
-                                          impl::format_endpoint(ports.ip, ports.caller_port),
-                                          "--listen-ready",
-                                          impl::format_endpoint(ports.ip, ports.readiness_port),
-                                          "--listen-directory",
-                                          impl::format_endpoint(ports.ip, ports.directory_port),
-                                          "--listen-operators",
-                                          impl::format_endpoint(ports.ip, ports.operator_port),
-                                          "--peer-port",
-                                          std::to_string(ports.peer_port),
-                                          "--cpu-milli",
-                                          this->launch_options.is_large ? "1000" : "100",
-                                          "--link-kbit",
-                                          this->launch_options.is_large ? "1000000" : "10000"};
+  const auto& launch = this->launch_options;
+  const bool is_large = launch.is_large;
+  std::vector<std::string> argument_texts{launch.program};
+  for (const auto& [option, value] : std::vector<std::pair<const char*, std::string>>{
+           {"--node", launch.name},
+           {"--region", launch.region},
+           {"--domain", launch.failure_domain},
+           {"--store", impl::format_endpoint("127.0.0.1", launch.store_port)},
+           {"--listen-callers", impl::format_endpoint(ports.ip, ports.caller_port)},
+           {"--listen-ready", impl::format_endpoint(ports.ip, ports.readiness_port)},
+           {"--listen-directory", impl::format_endpoint(ports.ip, ports.directory_port)},
+           {"--listen-operators", impl::format_endpoint(ports.ip, ports.operator_port)},
+           {"--peer-port", std::to_string(ports.peer_port)},
+           {"--cpu-milli", is_large ? "1000" : "100"},
+           {"--link-kbit", is_large ? "1000000" : "10000"}}) {
+    argument_texts.insert(argument_texts.end(), {option, value});
+  }
   std::vector<char*> arguments;
   for (auto& argument : argument_texts) {
     arguments.push_back(argument.data());
--- a/standins/raw_tcp_client.hpp
+++ b/standins/raw_tcp_client.hpp
@@ -17,14 +17,17 @@
   ~raw_tcp_client();
 
   /// \brief Sends all bytes, or stops without an error when the connection fails.
-  void send(const std::string& bytes) const;
+  void send(const std::string& bytes);
+  /// \brief  Waits for bytes until the peer closes or `timeout_ms` has passed.
+  /// \return The bytes that arrived; empty if the connection is closed or the time has passed.
+  [[nodiscard]] std::string read_some(int timeout_ms);
   /// \brief Reads until the received bytes contain `text`, the peer closes, or `timeout_ms` has passed.
   /// \return All bytes received on the connection so far.
   [[nodiscard]] std::string read_until(const std::string& text, int timeout_ms = 3000);
   /// \brief Reads until the peer closes or `timeout_ms` has passed.
   /// \return All bytes received on the connection so far.
   [[nodiscard]] std::string read_all(int timeout_ms = 3000);
-  /// \brief Returns true if a read found the connection closed, or if connecting failed.
+  /// \brief Returns true if a read or a write found the connection closed, or if connecting failed.
   [[nodiscard]] bool is_closed() const noexcept { return this->closed; }
   void close();
 
