Ignore relayed changes that a feed already has

Callers could see: a server or an evacuation that is gone comes back for a moment on a node that follows another one.

Cause: a source relays all changes of one response together, also those that the follower has read from the store itself. An update of an object that the follower knows to be removed was applied again.

Change: an update up to the version in sync is ignored.

--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -112,7 +112,8 @@
   for (const auto& change : reply.changes) {
     if (change.deleted) {
       this->remove_object(change.object.name, change.object.version);
-    } else {
+    } else if (change.object.version > this->watch_version) {
+      // Peers may relay older ones again, also of objects that have been removed since.
       this->update_object(change.object);
     }
   }
--- a/packages/store/tests/object_feed_test.cpp
+++ b/packages/store/tests/object_feed_test.cpp
@@ -81,6 +81,19 @@
   EXPECT_TRUE(this->feed.objects().contains("a"));
 }
 
+TEST_F(object_feed_test, relayed_change_that_is_older_does_not_bring_back_a_removed_object) {
+  this->complete_list({object("a", 5)}, 5);
+  static_cast<void>(this->request_call());
+  this->respond_watch({{object("a", 7), false}, {object("a", 7), true}}, 9);
+  feed_reply relayed;
+  relayed.status = feed_status::ok;
+  relayed.changes = {{object("a", 6), false}, {object("b", 10), false}};
+  relayed.store_version = object_version{10};
+  EXPECT_TRUE(this->feed.apply_relayed_changes(relayed));
+  EXPECT_FALSE(this->feed.objects().contains("a"));
+  EXPECT_TRUE(this->feed.objects().contains("b"));
+}
+
 TEST_F(object_feed_test, lists_again_after_lost_history_and_removes_missing_objects) {
   this->complete_list({object("a", 1), object("b", 2)}, 2);
   static_cast<void>(this->request_call());
