Relay objects of a list's later pages that are newer than the list

Callers could see: a node that stands by misses a change for good, if it was made while its source read a list of several pages.

Cause: the version of a list is that of its first page. The log recorded newer objects of later pages under that version, or not at all for the first list, so that a peer that knew this version did not get them.

The test added here failed.

Change: such an entry has the object's version; a log whose first list holds newer objects begins at the newest of them.

--- a/packages/store/include/zinnia/store/change_log.hpp
+++ b/packages/store/include/zinnia/store/change_log.hpp
@@ -25,12 +25,13 @@
  private:
   struct entry {
     object_change change;
-    // The store version up to which the feed was in sync once it had this change.
+    // The store version up to which the feed was in sync once it had this change, or the change's own version
+    // if that is higher.
     object_version synced_version;
     time_point recorded_at;
   };
 
-  // The entries cover the versions in (start_version, end_version]; `synced_version` never decreases.
+  // The entries cover the versions in (start_version, end_version].
   std::deque<entry> entries;
   object_version start_version;
   object_version end_version;
--- a/packages/store/src/change_log.cpp
+++ b/packages/store/src/change_log.cpp
@@ -18,15 +18,20 @@
 void change_log::record_changes(const std::vector<object_change>& changes, object_version synced_version,
                                 time_point now) {
   if (!this->started) {
-    // These are the objects of the first list; the log has no changes from before it.
+    // These are the objects of the first list; the log has no changes from before it. Its later pages may
+    // hold newer objects.
     this->started = true;
     this->start_version = synced_version;
     this->end_version = synced_version;
+    for (const auto& change : changes) {
+      this->start_version = std::max(this->start_version, change.object.version);
+    }
     return;
   }
   this->end_version = std::max(this->end_version, synced_version);
   for (const auto& change : changes) {
-    this->entries.push_back({change, this->end_version, now});
+    // A later page of a list may hold changes that are newer than the list.
+    this->entries.push_back({change, std::max(this->end_version, change.object.version), now});
     this->latest_version = std::max(this->latest_version, change.object.version);
   }
   while (!this->entries.empty() && (this->entries.size() > impl::max_entries ||
--- a/packages/store/tests/change_relay_test.cpp
+++ b/packages/store/tests/change_relay_test.cpp
@@ -58,6 +58,17 @@
   EXPECT_LE(log.changes_since(object_version{4000}).changes.size(), 2000U);
 }
 
+TEST(change_log, relays_an_object_of_a_later_page_that_is_newer_than_its_list) {
+  change_log log;
+  log.record_changes({update("a", 12)}, object_version{10}, now);
+  EXPECT_EQ(log.changes_since(object_version{10}).status, feed_status::history_gone)
+      << "the peer may lack the change of version 12";
+  EXPECT_EQ(log.changes_since(object_version{12}).status, feed_status::ok);
+  log.record_changes({update("b", 22)}, object_version{20}, now);
+  log.record_changes({}, object_version{30}, now);
+  EXPECT_EQ(change_names(log.changes_since(object_version{20})), (std::vector<std::string>{"+b"}));
+}
+
 /// A source feed watches the store. A second feed follows the source, and sometimes calls the store itself.
 TEST(change_log, following_feed_converges_to_store) {
   for (unsigned seed = 1; seed <= 50; ++seed) {
