Have a peer list anew if it knew more of an era than its source

Callers could see: after the store came back from a copy, a node that stands by keeps a server, a route's evacuation or a node that nobody else has.

Cause: the source was behind when the store was restored. Its list in the new era shows what changed against what it knew itself; what only the peer had seen, and the copy lacks, is removed nowhere.

The test added here failed.

Change: the log remembers where eras begin, and refuses a peer that knows a version between its last one of an era and its first one of the next. The peer then lists from the store.

--- a/packages/store/include/zinnia/store/change_log.hpp
+++ b/packages/store/include/zinnia/store/change_log.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <utility>
 
 #include "zinnia/core/clock.hpp"
 #include "zinnia/store/object_feed.hpp"
@@ -17,7 +18,8 @@
   void record_changes(const std::vector<object_change>& changes, object_version synced_version,
                       time_point now);
   /// \brief   Returns the changes that a peer is missing if it knows everything up to `known`.
-  /// \returns `history_gone` if the log does not reach back to that version, or if the log is new.
+  /// \returns `history_gone` if the log does not reach back to that version, if it is new, or if the peer
+  ///          knew more of an era than this feed: the log lacks the end of what only the peer has seen.
   [[nodiscard]] feed_reply changes_since(object_version known) const;
   /// \brief Returns the version of the latest change; 0 if there was none.
   [[nodiscard]] object_version latest_change_version() const noexcept { return this->latest_version; }
@@ -36,6 +38,8 @@
   object_version start_version;
   object_version end_version;
   object_version latest_version;
+  // Where eras begin: the version in sync before, and the first one in the new era. Ascending.
+  std::deque<std::pair<object_version, object_version>> era_changes;
   bool started{false};
 };
 
--- a/packages/store/src/change_log.cpp
+++ b/packages/store/src/change_log.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "zinnia/store/store_era.hpp"
+
 namespace zinnia {
 namespace impl {
 namespace {
@@ -28,6 +30,9 @@
     }
     return;
   }
+  if (era_of(synced_version) > era_of(this->end_version)) {
+    this->era_changes.emplace_back(this->end_version, synced_version);
+  }
   this->end_version = std::max(this->end_version, synced_version);
   for (const auto& change : changes) {
     // A later page of a list may hold changes that are newer than the list.
@@ -41,11 +46,17 @@
     this->start_version = std::max(this->start_version, this->entries.front().synced_version);
     this->entries.pop_front();
   }
+  while (!this->era_changes.empty() && this->era_changes.front().second <= this->start_version) {
+    this->era_changes.pop_front();
+  }
 }
 
 feed_reply change_log::changes_since(object_version known) const {
   feed_reply reply;
-  if (!this->started || known < this->start_version) {
+  const bool is_beyond_lost_changes =
+      std::any_of(this->era_changes.begin(), this->era_changes.end(),
+                  [known](const auto& each) { return each.first < known && known < each.second; });
+  if (!this->started || known < this->start_version || is_beyond_lost_changes) {
     reply.status = feed_status::history_gone;
     return reply;
   }
--- a/packages/store/tests/change_relay_test.cpp
+++ b/packages/store/tests/change_relay_test.cpp
@@ -5,6 +5,7 @@
 
 #include "zinnia/store/change_relay_buffer.hpp"
 #include "zinnia/store/change_relay_codec.hpp"
+#include "zinnia/store/store_era.hpp"
 
 using namespace zinnia;
 
@@ -69,6 +70,16 @@
   EXPECT_EQ(change_names(log.changes_since(object_version{20})), (std::vector<std::string>{"+b"}));
 }
 
+TEST(change_log, peer_that_knew_more_of_the_last_era_is_not_told_what_the_copy_lacks) {
+  change_log log;
+  log.record_changes({}, make_version(1, 10), now);
+  log.record_changes({update("a", make_version(2, 5).count())}, make_version(2, 8), now);
+  EXPECT_EQ(change_names(log.changes_since(make_version(1, 10))), (std::vector<std::string>{"+a"}));
+  EXPECT_EQ(log.changes_since(make_version(1, 11)).status, feed_status::history_gone);
+  EXPECT_EQ(log.changes_since(make_version(2, 7)).status, feed_status::history_gone);
+  EXPECT_EQ(log.changes_since(make_version(2, 8)).status, feed_status::ok);
+}
+
 /// A source feed watches the store. A second feed follows the source, and sometimes calls the store itself.
 TEST(change_log, following_feed_converges_to_store) {
   for (unsigned seed = 1; seed <= 50; ++seed) {
