Reject relayed changes if the node has read from the store since it asked

Callers could see: a node keeps an object that is gone, until the next list.

Cause: a reply tells what has changed since the version that the node named. While a kind is not relayed yet, the node also watches that kind itself, and may have an object by the time of the reply that its source never had: its removal was passed over, as the reply moved the version in sync beyond it.

Change: the client of the relay keeps the versions that it named; a kind whose version has changed since is asked for again.

--- a/packages/node/src/change_relay_client.cpp
+++ b/packages/node/src/change_relay_client.cpp
@@ -1,6 +1,7 @@
 // Long polling with one HTTP call at a time.
 #include "change_relay_client.hpp"
 
+#include "zinnia/store/change_log.hpp"
 #include "zinnia/store/change_relay_codec.hpp"
 
 namespace zinnia {
@@ -42,8 +43,9 @@
   }
   const auto hold_time = may_hold ? impl::max_hold_time : duration{0};
   http_call request;
+  this->named_versions = this->handlers.known_versions();
   request.url = "http://" + this->source->peer_address.str() + change_relay_path +
-                "?known=" + encode_versions(this->handlers.known_versions()) +
+                "?known=" + encode_versions(this->named_versions) +
                 "&wait_ms=" + std::to_string(hold_time.ms);
   request.timeout = hold_time + impl::round_trip_allowance;
   this->earliest_poll = now + impl::poll_interval;
@@ -64,7 +66,9 @@
     this->handlers.on_source_failure(changes.last_error().describe());
     return;
   }
-  this->handlers.on_changes(*changes);
+  auto replies = *changes;
+  reject_late_replies(replies, this->named_versions, this->handlers.known_versions());
+  this->handlers.on_changes(replies);
 }
 
 }  // namespace zinnia
--- a/packages/node/src/change_relay_client.hpp
+++ b/packages/node/src/change_relay_client.hpp
@@ -46,6 +46,8 @@
   std::optional<member> source;
   async_http_client::call_id call{0};
   bool call_active{false};
+  // What the call in progress says that this node knows.
+  std::vector<object_version> named_versions;
   time_point earliest_poll;
 };
 
--- a/packages/store/include/zinnia/store/change_log.hpp
+++ b/packages/store/include/zinnia/store/change_log.hpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <utility>
+#include <vector>
 
 #include "zinnia/core/clock.hpp"
 #include "zinnia/store/object_feed.hpp"
@@ -43,4 +44,12 @@
   bool started{false};
 };
 
+/// \brief   Marks replies as failed that a peer has got too late.
+/// \details A reply tells what has changed since the version that the peer named, and nothing of what the
+///          peer has read from the store since.
+/// \param   named The version of each kind that the peer named.
+/// \param   known The versions that it knows by now.
+void reject_late_replies(std::vector<feed_reply>& replies, const std::vector<object_version>& named,
+                         const std::vector<object_version>& known);
+
 }  // namespace zinnia
--- a/packages/store/src/change_log.cpp
+++ b/packages/store/src/change_log.cpp
@@ -70,4 +70,13 @@
   return reply;
 }
 
+void reject_late_replies(std::vector<feed_reply>& replies, const std::vector<object_version>& named,
+                         const std::vector<object_version>& known) {
+  for (std::size_t i = 0; i < replies.size() && i < named.size() && i < known.size(); ++i) {
+    if (named[i] != known[i]) {
+      replies[i].status = feed_status::failed;
+    }
+  }
+}
+
 }  // namespace zinnia
--- a/packages/store/tests/change_relay_test.cpp
+++ b/packages/store/tests/change_relay_test.cpp
@@ -80,6 +80,16 @@
   EXPECT_EQ(log.changes_since(make_version(2, 8)).status, feed_status::ok);
 }
 
+TEST(change_relay, reply_to_a_peer_that_has_read_from_the_store_since_is_rejected) {
+  std::vector<feed_reply> replies(2);
+  replies[0].status = feed_status::ok;
+  replies[1].status = feed_status::ok;
+  reject_late_replies(replies, {object_version{5}, object_version{5}},
+                      {object_version{5}, object_version{6}});
+  EXPECT_EQ(replies[0].status, feed_status::ok);
+  EXPECT_EQ(replies[1].status, feed_status::failed);
+}
+
 /// A source feed watches the store. A second feed follows the source, and sometimes calls the store itself.
 TEST(change_log, following_feed_converges_to_store) {
   for (unsigned seed = 1; seed <= 50; ++seed) {
