Follow no source while a list holds objects newer than its version

Cause: after such a list a feed holds objects that are newer than the version it names to its source, which may have listed anew without ever having them.

Change: relayed changes are taken once the store has answered a watch, which it does at once then.

--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -88,7 +88,8 @@
   /// \brief Applies the response to the call in flight.
   void on_reply(const feed_reply& reply, time_point now);
   /// \brief   Applies changes of this kind that a peer relayed.
-  /// \returns False if they were not applied: they only say what changed, so a list must be complete first.
+  /// \returns False if they were not applied: they only say what changed, so this feed must hold exactly what
+  ///          the store held at one version.
   bool apply_relayed_changes(const feed_reply& relayed);
   /// \brief Abandons the call in flight and skips any pause, so that the call is repeated at once.
   void abandon_call() noexcept;
@@ -130,6 +131,8 @@
   // The version to watch from; never decreases.
   object_version watch_version;
   bool complete{false};
+  // The last list may hold objects that are newer than `watch_version`, as they were on a later page.
+  bool holds_newer_objects{false};
   bool listing{true};
   bool call_in_flight{false};
   int consecutive_failures{0};
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -79,6 +79,7 @@
   }
   if (!this->listing) {
     this->apply_changes(reply);
+    this->holds_newer_objects = false;
     const bool ended_early =
         reply.changes.empty() && now - this->called_at < duration{this->timing.watch_timeout.ms / 2};
     this->earliest_call_at = !reply.changes.empty() ? now + this->timing.batch_delay
@@ -101,7 +102,7 @@
 }
 
 bool object_feed::apply_relayed_changes(const feed_reply& relayed) {
-  if (this->listing || relayed.status != feed_status::ok) {
+  if (this->listing || this->holds_newer_objects || relayed.status != feed_status::ok) {
     return false;
   }
   this->apply_changes(relayed);
@@ -131,6 +132,9 @@
     this->remove_object(name, *this->list_version);
   }
   this->watch_version = std::max(this->watch_version, *this->list_version);
+  this->holds_newer_objects =
+      std::any_of(this->listed_versions.begin(), this->listed_versions.end(),
+                  [this](const auto& each) { return each.second > this->watch_version; });
   this->listed_versions.clear();
   this->last_listed_name.clear();
   this->list_version.reset();
--- a/packages/store/tests/object_feed_test.cpp
+++ b/packages/store/tests/object_feed_test.cpp
@@ -94,6 +94,21 @@
   EXPECT_TRUE(this->feed.objects().contains("b"));
 }
 
+TEST_F(object_feed_test, takes_no_relayed_changes_while_later_pages_of_its_list_were_newer) {
+  static_cast<void>(this->request_call());
+  this->respond_list({object("a", 3)}, 10, true);
+  static_cast<void>(this->request_call());
+  this->respond_list({object("b", 12)}, 12);
+  feed_reply relayed;
+  relayed.status = feed_status::ok;
+  relayed.store_version = object_version{15};
+  EXPECT_FALSE(this->feed.apply_relayed_changes(relayed))
+      << "b may be gone, as the peer may have listed anew";
+  static_cast<void>(this->request_call());
+  this->respond_watch({}, 13);
+  EXPECT_TRUE(this->feed.apply_relayed_changes(relayed));
+}
+
 TEST_F(object_feed_test, lists_again_after_lost_history_and_removes_missing_objects) {
   this->complete_list({object("a", 1), object("b", 2)}, 2);
   static_cast<void>(this->request_call());
