--- a/packages/store/src/change_log.cpp
+++ b/packages/store/src/change_log.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "zinnia/store/store_era.hpp"
+
 namespace zinnia {
 namespace impl {
 namespace {
@@ -18,15 +20,23 @@
 void change_log::record_changes(const std::vector<object_change>& changes, object_version synced_version,
                                 time_point now) {
   if (!this->started) {
-    // These are the objects of the first list; the log has no changes from before it.
+    // These are the objects of the first list; the log has no changes from before it. Its later pages may
+    // hold newer objects.
     this->started = true;
     this->start_version = synced_version;
     this->end_version = synced_version;
+    for (const auto& change : changes) {
+      this->start_version = std::max(this->start_version, change.object.version);
+    }
     return;
   }
+  if (era_of(synced_version) > era_of(this->end_version)) {
+    this->era_changes.emplace_back(this->end_version, synced_version);
+  }
   this->end_version = std::max(this->end_version, synced_version);
   for (const auto& change : changes) {
-    this->entries.push_back({change, this->end_version, now});
+    // A later page of a list may hold changes that are newer than the list.
+    this->entries.push_back({change, std::max(this->end_version, change.object.version), now});
     this->latest_version = std::max(this->latest_version, change.object.version);
   }
   while (!this->entries.empty() && (this->entries.size() > impl::max_entries ||
@@ -36,11 +46,17 @@
     this->start_version = std::max(this->start_version, this->entries.front().synced_version);
     this->entries.pop_front();
   }
+  while (!this->era_changes.empty() && this->era_changes.front().second <= this->start_version) {
+    this->era_changes.pop_front();
+  }
 }
 
 feed_reply change_log::changes_since(object_version known) const {
   feed_reply reply;
-  if (!this->started || known < this->start_version) {
+  const bool is_beyond_lost_changes =
+      std::any_of(this->era_changes.begin(), this->era_changes.end(),
+                  [known](const auto& each) { return each.first < known && known < each.second; });
+  if (!this->started || known < this->start_version || is_beyond_lost_changes) {
     reply.status = feed_status::history_gone;
     return reply;
   }
@@ -54,4 +70,13 @@
   return reply;
 }
 
+void reject_late_replies(std::vector<feed_reply>& replies, const std::vector<object_version>& named,
+                         const std::vector<object_version>& known) {
+  for (std::size_t i = 0; i < replies.size() && i < named.size() && i < known.size(); ++i) {
+    if (named[i] != known[i]) {
+      replies[i].status = feed_status::failed;
+    }
+  }
+}
+
 }  // namespace zinnia
--- a/packages/store/tests/change_relay_test.cpp
+++ b/packages/store/tests/change_relay_test.cpp
@@ -5,6 +5,7 @@
 
 #include "zinnia/store/change_relay_buffer.hpp"
 #include "zinnia/store/change_relay_codec.hpp"
+#include "zinnia/store/store_era.hpp"
 
 using namespace zinnia;
 
@@ -58,6 +59,37 @@
   EXPECT_LE(log.changes_since(object_version{4000}).changes.size(), 2000U);
 }
 
+TEST(change_log, relays_an_object_of_a_later_page_that_is_newer_than_its_list) {
+  change_log log;
+  log.record_changes({update("a", 12)}, object_version{10}, now);
+  EXPECT_EQ(log.changes_since(object_version{10}).status, feed_status::history_gone)
+      << "the peer may lack the change of version 12";
+  EXPECT_EQ(log.changes_since(object_version{12}).status, feed_status::ok);
+  log.record_changes({update("b", 22)}, object_version{20}, now);
+  log.record_changes({}, object_version{30}, now);
+  EXPECT_EQ(change_names(log.changes_since(object_version{20})), (std::vector<std::string>{"+b"}));
+}
+
+TEST(change_log, peer_that_knew_more_of_the_last_era_is_not_told_what_the_copy_lacks) {
+  change_log log;
+  log.record_changes({}, make_version(1, 10), now);
+  log.record_changes({update("a", make_version(2, 5).count())}, make_version(2, 8), now);
+  EXPECT_EQ(change_names(log.changes_since(make_version(1, 10))), (std::vector<std::string>{"+a"}));
+  EXPECT_EQ(log.changes_since(make_version(1, 11)).status, feed_status::history_gone);
+  EXPECT_EQ(log.changes_since(make_version(2, 7)).status, feed_status::history_gone);
+  EXPECT_EQ(log.changes_since(make_version(2, 8)).status, feed_status::ok);
+}
+
+TEST(change_relay, reply_to_a_peer_that_has_read_from_the_store_since_is_rejected) {
+  std::vector<feed_reply> replies(2);
+  replies[0].status = feed_status::ok;
+  replies[1].status = feed_status::ok;
+  reject_late_replies(replies, {object_version{5}, object_version{5}},
+                      {object_version{5}, object_version{6}});
+  EXPECT_EQ(replies[0].status, feed_status::ok);
+  EXPECT_EQ(replies[1].status, feed_status::failed);
+}
+
 /// A source feed watches the store. A second feed follows the source, and sometimes calls the store itself.
 TEST(change_log, following_feed_converges_to_store) {
   for (unsigned seed = 1; seed <= 50; ++seed) {
