Name what a restored store should know of quarantined requests

Callers could see: after the store came back from a copy and all nodes then restarted, a request that crashes servers is sent again until three more have crashed; or one that was released is refused again by nodes that start.

Cause: a quarantine is written to the store once, by the node that found out. A copy may lack it, or still have one that has been lifted since.

Change: the ledger remembers which requests were released, and names them and the quarantined ones. gateway::repeat_quarantine_changes passes them on like fresh ones; of the serving nodes, the one that comes first by hash does it for each request, and the store's writer keeps its pauses. It is not called yet: the control thread has to tell the traffic thread of the restore.

Evidence: the tests of ledger and gateway added here. With an empty function 0 of 40 requests are written again; with it each by one of three serving nodes, none by the one that stands by, and the released one as a removal.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -48,7 +48,7 @@
   /// Sends reports to a few other nodes, to others each time. May be empty.
   std::function<void(const std::vector<crash_report>&)> repeat_crash_reports;
   /// Called for each request that this node has quarantined, or released because a server answered it (level
-  /// 0). May be empty.
+  /// 0), and for its share in `repeat_quarantine_changes`. May be empty.
   std::function<void(const crash_report&)> on_quarantine_change;
   /// Limit for the reports that are repeated at a time.
   std::size_t max_repeated_reports{30};
@@ -83,6 +83,10 @@
   void apply_notices(const std::vector<holder_notice>& notices);
   /// \brief Applies what another node tells about requests that were at servers when these crashed.
   void apply_crash_reports(const std::vector<crash_report>& reports);
+  /// \brief   Passes on again which requests are quarantined, and which are not any more, as if this node had
+  ///          just found out.
+  /// \details For a store that was restored from a copy. Of all serving nodes, one does it for each request.
+  void repeat_quarantine_changes();
   /// \brief Handles a caller's request and writes the response to the exchange.
   void handle(const std::shared_ptr<caller_exchange>& exchange);
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <chrono>
+#include <string>
 
 #include "health_check.hpp"
 #include "request_flow.hpp"
+#include "zinnia/core/rendezvous.hpp"
 #include "zinnia/observe/log.hpp"
 
 namespace zinnia {
@@ -132,6 +134,22 @@
   }
 }
 
+void gateway::repeat_quarantine_changes() {
+  if (!this->options.on_quarantine_change) {
+    return;
+  }
+  for (const auto& state : this->crashes.quarantine_states(this->clock.now())) {
+    const auto name = std::to_string(state.request.count());
+    const auto writer = std::max_element(
+        this->nodes.serving.begin(), this->nodes.serving.end(), [&name](const auto& a, const auto& b) {
+          return rendezvous_weight(a.first.str(), name) < rendezvous_weight(b.first.str(), name);
+        });
+    if (writer != this->nodes.serving.end() && writer->first == this->options.self) {
+      this->options.on_quarantine_change(state);
+    }
+  }
+}
+
 void gateway::refuse_waiting(request_fingerprint request) {
   std::vector<std::shared_ptr<request_flow>> waiting;
   for (const auto& [ticket, flow] : this->flows) {
--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -249,6 +250,43 @@
   }));
 }
 
+TEST_F(crashing_request, that_a_restored_store_lacks_is_written_again_by_one_node_unless_it_was_released) {
+  constexpr std::uint64_t requests = 40;
+  constexpr std::uint64_t released = 7;
+  std::map<std::uint64_t, std::vector<crash_report>> written;
+  std::map<node_id, location> serving;
+  for (const char* id : {"n1", "n2", "n3"}) {
+    serving[node_id{id}] = {failure_domain_id{"d"}, region_id{"r"}};
+  }
+  std::vector<std::unique_ptr<gateway>> running;
+  // The last one stands by.
+  for (const char* id : {"n1", "n2", "n3", "n4"}) {
+    gateway_options options;
+    options.self = node_id{id};
+    options.on_quarantine_change = [&](const auto& change) {
+      written[change.request.count()].push_back(change);
+    };
+    auto& added = running.emplace_back(
+        std::make_unique<gateway>(this->context, *this->clock, this->early_counts, options));
+    added->set_nodes({serving, {region_id{"r"}}, 4});
+    added->apply(std::make_shared<const routing_snapshot>(this->make_snapshot(request_kind::safe)));
+    for (std::uint64_t request = 1; request <= requests; ++request) {
+      added->apply_crash_reports(
+          {{request_fingerprint{request}, request, 3, 3, duration{100}, duration{900}}});
+    }
+    added->apply_crash_reports({{request_fingerprint{released}}});
+  }
+  EXPECT_TRUE(written.empty()) << "other nodes have found out";
+  for (const auto& each : running) {
+    each->repeat_quarantine_changes();
+  }
+  EXPECT_EQ(written.size(), requests);
+  for (const auto& [request, changes] : written) {
+    ASSERT_EQ(changes.size(), 1U) << request;
+    EXPECT_EQ(changes[0].level, request == released ? 0 : 3);
+  }
+}
+
 TEST_F(crashing_request, does_not_make_nodes_refuse_the_fifty_others_at_the_server) {
   constexpr int others = 50;
   // The first server keeps requests until all have come and then crashes; the second one answers.
--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -90,6 +90,9 @@
   [[nodiscard]] std::vector<crash_report> take_quarantine_changes() {
     return std::exchange(this->quarantine_changes, {});
   }
+  /// \brief Returns what a store that has lost the last changes should hold again: the requests that are
+  ///        quarantined, and those that have been until an answer or a better explanation (level 0).
+  [[nodiscard]] std::vector<crash_report> quarantine_states(time_point now) const;
   /// \brief Returns the number of requests that are remembered with this level or a higher one.
   [[nodiscard]] std::size_t count_from_level(int min_level, time_point now) const noexcept;
 
@@ -112,6 +115,8 @@
     // The number of servers that crashed while they had the request, and the last of them.
     int crashes{0};
     std::array<std::uint64_t, remembered_backends> backends{};
+    // The request was quarantined, and was released since.
+    bool released{false};
   };
   struct crash {
     time_point at;
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -104,7 +104,8 @@
     return false;
   }
   const bool was_quarantined = found->second.level >= quarantine_level;
-  found->second = {0, true, 0, answered_at, answered_at, 0, {}};
+  const bool was_released = found->second.released || was_quarantined;
+  found->second = {0, true, 0, answered_at, answered_at, 0, {}, was_released};
   if (was_quarantined) {
     this->quarantine_changes.push_back({request});
   }
@@ -167,6 +168,7 @@
     if (known.backend == backend && known.level > 0 && known.crashes < most_crashes) {
       if (known.level == quarantine_level) {
         this->quarantine_changes.push_back({request_fingerprint{request}});
+        known.released = true;
       }
       --known.level;
       known.backend = 0;
@@ -216,6 +218,7 @@
   known.backend = crashed.backend;
   known.at = at;
   if (level == quarantine_level) {
+    known.released = false;
     this->quarantine_changes.push_back(make_report(crashed.request, known, now));
   }
   return true;
@@ -280,7 +283,7 @@
   if (latest.request == request && latest.at > time_point{}) {
     auto& known = this->find_or_add(request, now);
     if (!known.answered || known.at < latest.at) {
-      known = {0, true, 0, latest.at, latest.at, 0, {}};
+      known = {0, true, 0, latest.at, latest.at, 0, {}, known.released};
     }
   }
   if (this->may_forward(0, now)) {
@@ -315,6 +318,19 @@
   return reports;
 }
 
+std::vector<crash_report> crash_ledger::quarantine_states(time_point now) const {
+  std::vector<crash_report> states;
+  for (const auto& [fingerprint, known] : this->records) {
+    const request_fingerprint request{fingerprint};
+    if (level_of(known, this->longest_term, now) >= quarantine_level) {
+      states.push_back(make_report(request, known, now));
+    } else if (known.released) {
+      states.push_back({request});
+    }
+  }
+  return states;
+}
+
 std::size_t crash_ledger::count_from_level(int min_level, time_point now) const noexcept {
   return static_cast<std::size_t>(std::count_if(
       this->records.begin(), this->records.end(),
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -47,6 +47,28 @@
   std::uint64_t next_backend{1'000};
 };
 
+TEST_F(crash_ledger_test, names_for_a_restored_store_what_is_quarantined_and_what_was_released) {
+  EXPECT_TRUE(this->ledger.quarantine_states(this->now).empty());
+  this->quarantine(crashing);
+  this->crash(this->next_backend++, {this->sent_now(innocent)});
+  auto states = this->ledger.quarantine_states(this->now);
+  ASSERT_EQ(states.size(), 1U);
+  EXPECT_EQ(states[0].request, crashing);
+  EXPECT_EQ(states[0].level, 3);
+  this->ledger.on_answered(crashing, this->now);
+  this->ledger.on_answered(innocent, this->now);
+  states = this->ledger.quarantine_states(this->now);
+  ASSERT_EQ(states.size(), 1U) << "the innocent one was never in the store";
+  EXPECT_EQ(states[0], crash_report{crashing});
+  this->advance(1000);
+  this->quarantine(crashing);
+  states = this->ledger.quarantine_states(this->now);
+  ASSERT_EQ(states.size(), 1U);
+  EXPECT_EQ(states[0].level, 3);
+  this->advance(term.ms);
+  EXPECT_TRUE(this->ledger.quarantine_states(this->now).empty()) << "its term is over";
+}
+
 TEST_F(crash_ledger_test, quarantines_a_request_after_three_crashes_in_succession) {
   for (int crashes = 1; crashes <= 3; ++crashes) {
     EXPECT_FALSE(this->is_quarantined(crashing));
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -188,5 +188,19 @@
   's/    for (const auto\& name : watched.guard.take_due(now)) {/    for (const auto\& name : std::set<std::string>{}) {/' "what a copy undoes is held for ever"
 mutate test_store packages/store/src/object_feed.cpp \
   's/(this->listing \&\& is_other_era)/false/' "pages of different eras make one list"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/change.object.version > this->watch_version/true/' "relay: an update that a feed has had brings back a removed object"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/this->listing || this->holds_newer_objects ||/this->listing ||/' "relay: a feed that is ahead of its version follows"
+mutate test_store packages/store/src/change_log.cpp \
+  's/ || is_beyond_lost_changes//' "relay: a peer that knew more of the last era is told of changes only"
+mutate test_store packages/store/src/change_log.cpp \
+  's/std::max(this->end_version, change.object.version), now/this->end_version, now/' "relay: a later page of a list is passed over"
+mutate test_store packages/store/src/change_log.cpp \
+  's/if (named\[i\] != known\[i\])/if (false)/' "relay: a late reply is applied"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/} else if (known.released) {/} else if (false) {/' "a released request stays quarantined in a restored store"
+mutate test_gateway packages/gateway/src/gateway.cpp \
+  's/writer->first == this->options.self/true/' "all nodes write a quarantine to a restored store"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
