Write quarantined requests again to a store that was restored

Change: the control thread tells the traffic thread once of each era, and that passes its share of the quarantines and releases on to the store again.

Evidence: the test of the control thread added here.

--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -47,6 +47,8 @@
   std::function<void()> on_relay_update;
   /// Quarantined requests that the store has kept.
   std::function<void(const std::vector<crash_report>&)> on_stored_quarantines;
+  /// The store has come back from a copy; called once for each era. May be empty.
+  std::function<void()> on_store_restored;
 };
 
 /// \brief   Watches the store and the other nodes on a thread of its own, from construction to destruction.
--- a/packages/node/src/control_thread_restore.cpp
+++ b/packages/node/src/control_thread_restore.cpp
@@ -48,6 +48,9 @@
   // Entries of living servers may be missing for some seconds, as after an outage.
   this->store_regained_at = now;
   this->undelivered_version = {};
+  if (&watched == &this->configuration_watch() && this->events.on_store_restored) {
+    this->events.on_store_restored();
+  }
 }
 
 void control_thread::apply_or_hold(watched_kind& watched, const object_change& change) {
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -199,6 +199,9 @@
   handlers.on_stored_quarantines = [this](const std::vector<crash_report>& stored) {
     boost::asio::post(this->context, [this, stored] { this->traffic.apply_crash_reports(stored); });
   };
+  handlers.on_store_restored = [this] {
+    boost::asio::post(this->context, [this] { this->traffic.repeat_quarantine_changes(); });
+  };
   handlers.on_shift_progress = [this](const std::vector<shift_progress>& shifts) {
     boost::asio::post(this->context, [this, shifts] { this->progress = shifts; });
   };
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <absl/synchronization/mutex.h>
+#include <atomic>
 
 #include <chrono>
 #include <functional>
@@ -52,6 +53,7 @@
     };
     events.on_shift_progress = [](const std::vector<shift_progress>&) {};
     events.on_relay_update = [] {};
+    events.on_store_restored = [this] { ++this->restores_seen; };
     member self;
     self.id = this->settings.node;
     self.where = this->settings.own_location;
@@ -92,6 +94,7 @@
   std::shared_ptr<const routing_snapshot> latest;
   bool version_went_back{false};
   std::size_t registered_nodes{0};
+  std::atomic<int> restores_seen{0};
   std::optional<control_thread> control;
 };
 
@@ -176,6 +179,23 @@
   EXPECT_TRUE(wait_for_entry());
 }
 
+TEST_F(control_thread_contract, tells_the_traffic_thread_once_of_each_restore) {
+  ASSERT_TRUE(this->wait_for_route("/one/"));
+  for (int restores = 1; restores <= 2; ++restores) {
+    EXPECT_EQ(this->restores_seen, restores - 1);
+    this->store.take_copy();
+    this->store.restore_copy();
+    for (int i = 0; i < 1500 && this->restores_seen < restores; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    this->store.put("servers", "i-" + std::to_string(restores + 1), make_server("ready"));
+    EXPECT_TRUE(this->wait_for_snapshot([restores](const routing_snapshot& current) {
+      return current.backends.contains(backend_id{"i-" + std::to_string(restores + 1)});
+    }));
+    EXPECT_EQ(this->restores_seen, restores);
+  }
+}
+
 TEST_F(control_thread_contract, writes_the_settings_tree_again_that_a_copy_of_the_store_lacks) {
   ASSERT_TRUE(this->wait_for_route("/one/"));
   this->store.take_copy();
