--- a/packages/node/src/control_thread_restore.cpp
+++ b/packages/node/src/control_thread_restore.cpp
@@ -55,6 +55,9 @@
   this->store_regained_at = now;
   this->undelivered_version = {};
   this->list_kinds_of_earlier_eras(era_of(version));
+  if (&watched == &this->configuration_watch() && this->events.on_store_restored) {
+    this->events.on_store_restored();
+  }
 }
 
 void control_thread::list_kinds_of_earlier_eras(std::int64_t era) {
