Test that a drain is heard of although its revision was given out before

Callers could see: after the store came back from a copy, nodes that reached it again only some seconds later send requests to drained servers and to evacuated failure domains for up to 14 s a kind.

Cause: each kind is watched from the revision that the node knows. Once the store has given that out again, it does not answer 410 but waits; only the end of the wait shows the new era. The kind that has seen the era lists anew, the others do not.

The test added here fails.

--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -176,6 +176,34 @@
   EXPECT_TRUE(wait_for_entry());
 }
 
+TEST_F(control_thread_contract, hears_of_a_drain_whose_revision_was_given_out_before_the_restore) {
+  // Longer than this test waits.
+  this->settings.store_history = duration{600'000};
+  this->control.reset();
+  this->start_control_thread();
+  ASSERT_TRUE(this->wait_for_route("/one/"));
+  this->store.take_copy();
+  for (const char* id : {"i-2", "i-3", "i-4"}) {
+    this->store.put("servers", id, make_server("ready"));
+    ASSERT_TRUE(this->wait_for_snapshot(
+        [id](const routing_snapshot& current) { return current.backends.contains(backend_id{id}); }));
+  }
+  // The node reaches the store again only when all revisions that it knows have been given out anew.
+  this->store.set_faults({.error_status = 503});
+  while (this->counts.value(counter::store_failures) == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+  this->store.restore_copy();
+  this->store.put("servers", "i-1", make_server("draining"));
+  for (int i = 0; i < 20; ++i) {
+    this->store.put("others", "x", {{"number", i}});
+  }
+  this->store.set_faults({});
+  EXPECT_TRUE(this->wait_for_snapshot([](const routing_snapshot& current) {
+    return current.backends.at(backend_id{"i-1"}).mode == backend_mode::draining;
+  }));
+}
+
 TEST_F(control_thread_contract, writes_the_settings_tree_again_that_a_copy_of_the_store_lacks) {
   ASSERT_TRUE(this->wait_for_route("/one/"));
   this->store.take_copy();
