--- a/scripts/check-flags.sh
+++ b/scripts/check-flags.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Checks that zinniad and zinniactl refuse every bad value with its name, value and range and exit code 2, that a flag
-# goes before the environment, and that --help names every option. Usage: scripts/check-flags.sh BUILD_FOLDER
+# Checks that zinniad, zinniactl and the stand-ins refuse every bad value with its name, value and range and exit code 2,
+# that a flag goes before the environment, and that --help names every option. Usage: scripts/check-flags.sh BUILD_FOLDER
 set -uo pipefail
 build="$1"
 good=(--node n1 --region klang --domain klang-a --store 127.0.0.1:1)
@@ -37,6 +37,26 @@
 refused_by zinniactl "servers: 'b-1' is not allowed; allowed: 0 arguments" "${store[@]}" servers b-1
 refused_by zinniactl "unknown command 'server'; did you mean 'servers'?" "${store[@]}" server
 refused_by zinniactl "fate: an argument is missing" "${store[@]}" fate
+address="allowed: ip:port with a port of 0 to 65535"
+refused_by standin_store "port: 'x' is not allowed; allowed: 0 to 65535" --port x
+refused_by standin_store "port: '70000' is not allowed; allowed: 0 to 65535" --port 70000
+refused_by standin_store "unrecognised option '--prot'" --prot 7080
+refused_by standin_store "too many positional options" 7080
+refused_by standin_backend "slots: '0' is not allowed; allowed: 1 to 10000" --slots 0
+refused_by standin_backend "count: '0' is not allowed; allowed: 1 to 1000" --count 0
+refused_by standin_backend "work-ms: '4s' is not allowed; allowed: 0 to 3600000" --work-ms 4s
+refused_by standin_backend "port: '65535' is not allowed; allowed: 0 to 64535" --port 65535
+refused_by standin_backend "store: 'http://x' is not allowed; $address" --store http://x
+refused_by standin_backend "zone: 'a b' is not allowed; allowed: 1 to 64 letters" --zone "a b"
+refused_by standin_caller "directory: '' is not allowed; $address"
+refused_by standin_caller "objects: '0' is not allowed; allowed: 1 to 1000000" --directory 127.0.0.1:1 --objects 0
+refused_by standin_caller "threads: '0' is not allowed; allowed: 1 to 1000" --directory 127.0.0.1:1 --threads 0
+refused_by standin_caller "seconds: '-1' is not allowed; allowed: 1 to 86400" --directory 127.0.0.1:1 --seconds -1
+refused_by standin_caller "method: 'PUT' is not allowed; allowed: GET, POST" --directory 127.0.0.1:1 --method PUT
+refused_by standin_caller "path: 'slots' is not allowed; allowed: a path that begins with '/'" --directory 127.0.0.1:1 --path slots
+for program in standin_store standin_backend standin_caller; do
+  timeout 10 "$build/$program" --help | grep -q -- "--help" || { echo "$program --help fails"; failures=$((failures + 1)); }
+done
 for option in node region domain store tree listen-callers listen-ready listen-directory listen-operators log-level \
   peer-port notice-port stop-limit-ms drain-limit-ms retry-percent max-descriptors fate-records; do
   "$build/zinniad" --help | grep -q -- "--$option" || { echo "--help lacks --$option"; failures=$((failures + 1)); }
--- a/standins/standin_backend.cpp
+++ b/standins/standin_backend.cpp
@@ -11,7 +11,6 @@
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
-#include <boost/program_options.hpp>
 #include <cstdlib>
 #include <deque>
 #include <iostream>
@@ -20,6 +19,7 @@
 #include <set>
 #include <thread>
 
+#include "standins/command_line.hpp"
 #include "standins/threaded_http_server.hpp"
 #include "zinnia/store/http_call.hpp"
 
@@ -37,6 +37,10 @@
 /// A request for a remembered object takes a quarter of the work.
 constexpr int warm_work_divisor = 4;
 
+constexpr int max_slots = 10'000;
+constexpr int max_work_ms = 3'600'000;
+constexpr int max_servers = 1'000;
+
 struct backend_options {
   /// Address of the store as ip:port; empty disables registration.
   std::string store;
@@ -244,26 +248,24 @@
 }  // namespace zinnia::standins
 
 int main(int argc, char** argv) {
-  namespace po = boost::program_options;
   using namespace zinnia::standins;
   impl::backend_options parsed_options;
-  int count = 0;
+  int count = 1;
   int port = 0;
-  po::options_description options{"standin_backend"};
-  auto add = options.add_options();
-  add("store", po::value(&parsed_options.store),
-      "store to register with, ip:port; without it, servers do not register");
-  add("service", po::value(&parsed_options.service), "service");
-  add("zone", po::value(&parsed_options.zone), "failure domain");
-  add("slots", po::value(&parsed_options.slots)->default_value(3), "requests at once");
-  add("work-ms", po::value(&parsed_options.work_ms)->default_value(40),
-      "time in ms that a request takes if its object is not remembered");
-  add("count", po::value(&count)->default_value(1),
-      "number of servers in this process, each with its own port");
-  add("port", po::value(&port)->default_value(0), "first port; 0 lets the kernel choose");
-  po::variables_map parsed;
-  po::store(po::parse_command_line(argc, argv, options), parsed);
-  po::notify(parsed);
+  const command_line line{
+      "standin_backend",
+      {{"store", parsed_options.store, is_address_or_empty, allowed_addresses,
+        "store to register with, ip:port; without it, servers do not register"},
+       {"service", parsed_options.service, is_name, allowed_names, "service"},
+       {"zone", parsed_options.zone, is_name, allowed_names, "failure domain"}},
+      {{"slots", parsed_options.slots, 1, impl::max_slots, "requests at once"},
+       {"work-ms", parsed_options.work_ms, 0, impl::max_work_ms,
+        "time in ms that a request takes if its object is not remembered"},
+       {"count", count, 1, impl::max_servers, "number of servers in this process, each with its own port"},
+       {"port", port, 0, max_port - impl::max_servers, "first port; 0 lets the kernel choose"}}};
+  if (const auto code = line.parse(argc, argv)) {
+    return *code;
+  }
   block_stop_signals();
   std::vector<std::unique_ptr<impl::backend>> backends;
   std::vector<std::unique_ptr<threaded_http_server>> servers;
--- a/standins/standin_caller.cpp
+++ b/standins/standin_caller.cpp
@@ -7,7 +7,6 @@
 #include <absl/synchronization/mutex.h>
 #include <unistd.h>
 
-#include <boost/program_options.hpp>
 #include <chrono>
 #include <iostream>
 #include <map>
@@ -15,6 +14,7 @@
 #include <random>
 #include <thread>
 
+#include "standins/command_line.hpp"
 #include "zinnia/store/http_call.hpp"
 
 namespace {
@@ -22,13 +22,21 @@
 constexpr long status_ok = 200;
 constexpr long status_unavailable = 503;
 
+constexpr int max_threads = 1'000;
+constexpr int max_seconds = 86'400;
+constexpr int max_objects = 1'000'000;
+
+[[nodiscard]] bool is_method(const std::string& text) {
+  return text == "GET" || text == "POST";
+}
+
 struct caller_options {
   std::string directory;
-  std::string zone;
-  std::string region;
-  std::string host;
-  std::string path;
-  std::string method;
+  std::string zone{"klang-a"};
+  std::string region{"klang"};
+  std::string host{"demo.example"};
+  std::string path{"/slots/"};
+  std::string method{"GET"};
   int threads{8};
   int seconds{10};
   int objects{40};
@@ -122,28 +130,21 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  namespace po = boost::program_options;
+  using namespace zinnia::standins;
   caller_options parsed_options;
-  po::options_description options{"standin_caller"};
-  auto add = options.add_options();
-  add("directory", po::value(&parsed_options.directory)->required(), "directory endpoint of a node, ip:port");
-  add("zone", po::value(&parsed_options.zone)->default_value("klang-a"), "failure domain of the callers");
-  add("region", po::value(&parsed_options.region)->default_value("klang"), "region of the callers");
-  add("host", po::value(&parsed_options.host)->default_value("demo.example"),
-      "host to resolve and to request from");
-  add("path", po::value(&parsed_options.path)->default_value("/slots/"),
-      "path prefix; the request number is appended");
-  add("method", po::value(&parsed_options.method)->default_value("GET"), "GET or POST");
-  add("threads", po::value(&parsed_options.threads)->default_value(8), "number of concurrent callers");
-  add("seconds", po::value(&parsed_options.seconds)->default_value(10), "how long");
-  add("objects", po::value(&parsed_options.objects)->default_value(40), "number of distinct affinity keys");
-  po::variables_map parsed;
-  try {
-    po::store(po::parse_command_line(argc, argv, options), parsed);
-    po::notify(parsed);
-  } catch (const po::error& problem) {
-    std::cerr << "standin_caller: " << problem.what() << '\n';
-    return 2;
+  const command_line line{
+      "standin_caller",
+      {{"directory", parsed_options.directory, is_address, allowed_addresses, "directory endpoint of a node"},
+       {"zone", parsed_options.zone, is_name, allowed_names, "failure domain of the callers"},
+       {"region", parsed_options.region, is_name, allowed_names, "region of the callers"},
+       {"host", parsed_options.host, is_name, allowed_names, "host to resolve and to request from"},
+       {"path", parsed_options.path, is_path, allowed_paths, "path prefix; the request number is appended"},
+       {"method", parsed_options.method, is_method, "GET, POST", "method"}},
+      {{"threads", parsed_options.threads, 1, max_threads, "number of concurrent callers"},
+       {"seconds", parsed_options.seconds, 1, max_seconds, "how long"},
+       {"objects", parsed_options.objects, 1, max_objects, "number of distinct affinity keys"}}};
+  if (const auto code = line.parse(argc, argv)) {
+    return *code;
   }
   request_statistics statistics;
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{parsed_options.seconds};
--- a/standins/standin_store.cpp
+++ b/standins/standin_store.cpp
@@ -4,10 +4,10 @@
 //   curl -X POST 'http://127.0.0.1:7080/faults?refuse=503&lost=0&silent_ms=0'   replaces the faults
 //   curl -X POST 'http://127.0.0.1:7080/forget'                                 discards the history
 //   curl 'http://127.0.0.1:7080/calls'                                          returns the call count
-#include <boost/program_options.hpp>
 #include <cstdlib>
 #include <iostream>
 
+#include "standins/command_line.hpp"
 #include "standins/platform_store.hpp"
 
 namespace zinnia::standins {
@@ -46,18 +46,18 @@
 }  // namespace zinnia::standins
 
 int main(int argc, char** argv) {
-  namespace po = boost::program_options;
   using namespace zinnia::standins;
-  std::uint16_t port = 0;
-  po::options_description options{"standin_store"};
-  options.add_options()("port", po::value(&port)->default_value(0), "port; 0 lets the kernel choose");
-  po::variables_map parsed;
-  po::store(po::parse_command_line(argc, argv, options), parsed);
-  po::notify(parsed);
+  int port = 0;
+  const command_line line{
+      "standin_store", {}, {{"port", port, 0, max_port, "port; 0 lets the kernel choose"}}};
+  if (const auto code = line.parse(argc, argv)) {
+    return *code;
+  }
   block_stop_signals();
   platform_store store;
   const threaded_http_server server{
-      port, [&store](const server_request& request) { return impl::handle(store, request); }};
+      static_cast<std::uint16_t>(port),
+      [&store](const server_request& request) { return impl::handle(store, request); }};
   if (!server.is_running()) {
     std::cerr << "standin_store: cannot listen on port " << port << '\n';
     return 1;
