--- a/bench/simulation.hpp
+++ b/bench/simulation.hpp
@@ -2,11 +2,7 @@
 // places, queues and refuses requests; time, network delays and request processing are simulated.
 #pragma once
 
-#include <functional>
 #include <map>
-#include <memory>
-#include <queue>
-#include <random>
 #include <string>
 #include <vector>
 
