Let a test see that sending keeps a finished connection open

The mutation 'a caller that sends keeps a finished connection open' survived. The test's second piece never reached the connection: the system held it back until the first was acknowledged (Nagle's algorithm against a delayed acknowledgement), and the hand-set clock passed the time-out meanwhile. The connection read 4 bytes of the 16 sent, and closed although the broken line renewed its time.

The caller now waits until its bytes have been taken before time goes on. With the line broken the test fails; with the line as it is it passes.

--- a/packages/http/tests/slow_caller_test.cpp
+++ b/packages/http/tests/slow_caller_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 
 #include "zinnia/core/tcp_timeouts.hpp"
 #include "zinnia/http/caller_connection.hpp"
@@ -36,8 +37,15 @@
                                                            std::move(on_request));
     this->connection->start();
   }
+  /// Sends the bytes and returns when the connection has read them. Without the wait they may still be on
+  /// their way: the system holds a second small piece back until the first is acknowledged.
   void send(const std::string& bytes) {
     boost::asio::write(this->caller, boost::asio::buffer(bytes));
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+    while (unacknowledged_bytes(this->caller.native_handle()) > 0 && !this->connection->is_closed()) {
+      ASSERT_LT(std::chrono::steady_clock::now(), limit) << "the bytes do not arrive";
+      this->context.poll();
+    }
     this->context.poll();
   }
   void pass(duration time) {
@@ -115,7 +123,7 @@
   this->connect(respond_with(4));
   this->send(closing_request);
   this->read_some(1 << 10);
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < 4 && !this->connection->is_closed(); ++i) {
     this->send("more");
     this->pass(duration{400});
   }
