Refuse an endpoint with an embedded NUL

'10.1.0.35\0:80' and '10.1.0.35\0.example:80' were accepted: inet_pton read the part before the NUL, and the rest of the program another text. endpoint.rejects_an_embedded_nul failed on two of its four texts.

--- a/packages/core/src/endpoint.cpp
+++ b/packages/core/src/endpoint.cpp
@@ -24,7 +24,10 @@
   in_addr address{};
   const char* const end = text.data() + text.size();
   const auto port = std::from_chars(text.data() + colon + 1, end, parsed.port);
-  if (inet_pton(AF_INET, parsed.ip.c_str(), &address) != 1 || port.ec != std::errc{} || port.ptr != end) {
+  // inet_pton would read the part before a NUL only.
+  const bool has_nul = parsed.ip.find('\0') != std::string::npos;
+  if (has_nul || inet_pton(AF_INET, parsed.ip.c_str(), &address) != 1 || port.ec != std::errc{} ||
+      port.ptr != end) {
     return syntax_error();
   }
   return parsed;
--- a/packages/core/tests/endpoint_test.cpp
+++ b/packages/core/tests/endpoint_test.cpp
@@ -26,5 +26,13 @@
   }
 }
 
+/// Everything after the NUL would be read by some parts of the program and not by others.
+TEST(endpoint, rejects_an_embedded_nul) {
+  using namespace std::string_view_literals;
+  for (const auto text : {"10.1.0.35\0:80"sv, "10.1.0.35\0.example:80"sv, "10.1.0.35:80\0"sv, "\0:80"sv}) {
+    EXPECT_FALSE(parse_endpoint(text));
+  }
+}
+
 }  // namespace
 }  // namespace zinnia
