Print the counts and sums of histograms whole

Counts were floating-point numbers and printed with six digits: 1234567 requests were 1.23457e+06, so that rates over a million jumped. metrics.prints_large_counts_whole failed in its three checks.

--- a/packages/observe/src/metrics.cpp
+++ b/packages/observe/src/metrics.cpp
@@ -2,6 +2,7 @@
 #include "zinnia/observe/metrics.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace zinnia {
@@ -97,15 +98,17 @@
   for (std::size_t i = 0; i < this->timings.size(); ++i) {
     const std::string name = "zinnia_" + std::string{impl::timing_names.at(i)} + "_ms";
     const auto& entry = this->timings.at(i);
-    double count = entry.buckets.at(-1);
+    // Counts must be printed whole, which a stream does not do with large floating-point numbers.
+    const auto count_in = [&entry](int bin) { return static_cast<std::uint64_t>(entry.buckets.at(bin)); };
+    std::uint64_t count = count_in(-1);
     out << "# TYPE " << name << " histogram\n";
     for (int bin = 0; bin < entry.buckets.axis().size(); ++bin) {
-      count += entry.buckets.at(bin);
+      count += count_in(bin);
       out << name << "_bucket{le=\"" << entry.buckets.axis().bin(bin).upper() << "\"} " << count << '\n';
     }
-    count += entry.buckets.at(entry.buckets.axis().size());
+    count += count_in(entry.buckets.axis().size());
     out << name << "_bucket{le=\"+Inf\"} " << count << '\n';
-    out << name << "_sum " << entry.sum_ms << '\n' << name << "_count " << count << '\n';
+    out << name << "_sum " << std::llround(entry.sum_ms) << '\n' << name << "_count " << count << '\n';
   }
   for (const auto& sample : gauges) {
     const std::string labels = sample.labels.empty() ? "" : "{" + sample.labels + "}";
--- a/packages/observe/tests/observe_test.cpp
+++ b/packages/observe/tests/observe_test.cpp
@@ -39,6 +39,19 @@
   EXPECT_EQ(label("backend", "a\"b\\c\nd"), R"(backend="a\"b\\c\nd")");
 }
 
+/// With six digits a count of over a million would stand still and jump.
+TEST(metrics, prints_large_counts_whole) {
+  constexpr int count = 1'234'567;
+  metrics counts;
+  for (int i = 0; i < count; ++i) {
+    counts.record(timing::request, duration{1000});
+  }
+  const auto text = counts.render({});
+  EXPECT_NE(text.find("zinnia_request_ms_count 1234567\n"), std::string::npos);
+  EXPECT_NE(text.find("zinnia_request_ms_bucket{le=\"+Inf\"} 1234567\n"), std::string::npos);
+  EXPECT_NE(text.find("zinnia_request_ms_sum 1234567000\n"), std::string::npos);
+}
+
 TEST(metrics, renders_refusals_and_retries_by_reason_and_times_as_histograms) {
   metrics counts;
   counts.record_refusal(reason::wait_exceeds_deadline);
