Name line and field of what a settings tree lacks

A tree without places, and a link without delay_ms or capacity, gave yaml-cpp's 'invalid node' without a line, and a list in place of the failure domains an error that did not name them. A region without a failure domain and a failure domain in two regions were accepted.

Failed before: settings_tree.a_tree_without_places_names_line_and_field and the rows no_delay, no_capacity, region_without_domains, region_with_no_domain, domain_of_two_regions and list_of_domains of invalid_trees.

--- a/packages/settings/src/tree_parser.cpp
+++ b/packages/settings/src/tree_parser.cpp
@@ -77,6 +77,15 @@
   return value;
 }
 
+std::int64_t tree_parser::read_required_integer(const YAML::Node& map, const std::string& field,
+                                                std::int64_t min_value, std::int64_t max_value) const {
+  const auto node = map[field];
+  if (!node) {
+    this->fail(map, field + ": a value is missing; " + impl::format_range(min_value, max_value));
+  }
+  return this->read_integer(node, field, min_value, max_value);
+}
+
 std::int64_t tree_parser::read_setting(const YAML::Node& node, const setting_descriptor& setting) const {
   const std::string name{setting.name};
   if (setting.value_names.empty()) {
@@ -105,9 +114,10 @@
   }
 }
 
-void tree_parser::read_places(const YAML::Node& places) {
+void tree_parser::read_places(const YAML::Node& root) {
+  const auto places = root["places"];
   if (!places || !places.IsMap() || places.size() == 0) {
-    this->fail(places, "places: at least one region with a failure domain is required");
+    this->fail(places ? places : root, "places: at least one region with a failure domain is required");
   }
   for (const auto& place : places) {
     const region_id region{place.first.as<std::string>()};
@@ -115,7 +125,15 @@
     this->check_keys(place.second, {"settings", "domains"}, "field of a region");
     const auto path = "places." + region.str();
     this->read_overrides(place.second["settings"], path);
-    for (const auto& entry : place.second["domains"]) {
+    const auto domains = place.second["domains"];
+    if (!domains || domains.IsNull() || (domains.IsMap() && domains.size() == 0)) {
+      this->fail(place.first, "places: region '" + region.str() + "' has no failure domain");
+    }
+    if (!domains.IsMap()) {
+      this->fail(domains, "places: domains of region '" + region.str() + "': expected a mapping");
+    }
+    for (const auto& entry : domains) {
+      this->check_new_domain(entry.first, region);
       domain_declaration domain{failure_domain_id{entry.first.as<std::string>()}, region, {}};
       if (entry.second.IsMap()) {
         this->check_keys(entry.second, {"settings", "clients"}, "field of a failure domain");
@@ -133,6 +151,16 @@
   }
 }
 
+void tree_parser::check_new_domain(const YAML::Node& name, const region_id& region) const {
+  const failure_domain_id id{name.as<std::string>()};
+  for (const auto& known : this->tree.domain_list) {
+    if (known.id == id) {
+      this->fail(name, "places: failure domain '" + id.str() + "' is in regions " + known.region.str() +
+                           " and " + region.str());
+    }
+  }
+}
+
 void tree_parser::read_services(const YAML::Node& services) {
   if (!services) {
     // The services are declared outside the tree, which still holds settings of regions and failure domains.
@@ -214,8 +242,8 @@
                            (nearest.empty() ? "" : "; did you mean '" + nearest + "'?"));
     }
   }
-  link.delay_ms = this->read_integer(node["delay_ms"], "delay_ms", 0, impl::max_link_delay_ms);
-  link.capacity = this->read_integer(node["capacity"], "capacity", 0, impl::max_link_capacity);
+  link.delay_ms = this->read_required_integer(node, "delay_ms", 0, impl::max_link_delay_ms);
+  link.capacity = this->read_required_integer(node, "capacity", 0, impl::max_link_capacity);
   std::int64_t total_caps = 0;
   if (node["caps"]) {
     this->check_keys(node["caps"], impl::to_strings(this->tree.service_list), "service");
@@ -256,7 +284,7 @@
   this->check_keys(root, {"tree", "settings", "places", "services", "links"}, "field");
   this->tree.tree_name = root["tree"].as<std::string>("unnamed");
   this->read_overrides(root["settings"], "settings");
-  this->read_places(root["places"]);
+  this->read_places(root);
   this->read_services(root["services"]);
   this->read_links(root["links"]);
   this->tree.shift_list = this->document.shifts;
--- a/packages/settings/src/tree_parser.hpp
+++ b/packages/settings/src/tree_parser.hpp
@@ -26,9 +26,14 @@
                   const std::string& key_kind) const;
   [[nodiscard]] std::int64_t read_integer(const YAML::Node& node, const std::string& field,
                                           std::int64_t min_value, std::int64_t max_value) const;
+  /// Reads a field that must be present.
+  [[nodiscard]] std::int64_t read_required_integer(const YAML::Node& map, const std::string& field,
+                                                   std::int64_t min_value, std::int64_t max_value) const;
   [[nodiscard]] std::int64_t read_setting(const YAML::Node& node, const setting_descriptor& setting) const;
   void read_overrides(const YAML::Node& map, const std::string& path);
-  void read_places(const YAML::Node& places);
+  void read_places(const YAML::Node& root);
+  /// Fails if a failure domain of that name is declared already.
+  void check_new_domain(const YAML::Node& name, const region_id& region) const;
   void read_services(const YAML::Node& services);
   void read_service_region(const service_id& service, const region_id& region, const YAML::Node& node,
                            const std::string& path);
--- a/packages/settings/tests/settings_tree_test.cpp
+++ b/packages/settings/tests/settings_tree_test.cpp
@@ -46,6 +46,13 @@
   EXPECT_EQ(elsewhere.values.miss_penalty_percent, 20);
 }
 
+TEST(settings_tree, a_tree_without_places_names_line_and_field) {
+  const auto tree = settings_tree::parse(make_document("\ntree: test\n"), "test.yaml");
+  ASSERT_FALSE(tree);
+  EXPECT_EQ(tree.last_error().describe(),
+            "test.yaml:2: places: at least one region with a failure domain is required");
+}
+
 TEST(settings_tree, diff_lists_only_changed_paths) {
   const auto before = settings_tree::parse(make_document(tree_text), "a");
   std::string changed = tree_text;
@@ -93,24 +100,38 @@
 
 INSTANTIATE_TEST_SUITE_P(
     table, invalid_trees,
-    testing::Values(invalid_input{"unknown setting", "queue_limit: 10", "queue_limt: 10",
-                                  "test.yaml:3: unknown setting 'queue_limt'; did you mean 'queue_limit'?"},
-                    invalid_input{"unit in value", "queue_limit: 10", "queue_limit: 10ms",
-                                  "'10ms' is not a whole number"},
-                    invalid_input{"out of range", "miss_penalty_percent: 5", "miss_penalty_percent: 1095",
-                                  "1095 is out of range; allowed: 0 to 1000"},
-                    invalid_input{"wrong word", "leave_homes: never", "leave_homes: maybe",
-                                  "leave_homes: 'maybe' is not allowed; allowed: never, while-spare"},
-                    invalid_input{"caps over capacity", "capacity: 10", "capacity: 9",
-                                  "their sum 10 is over the link's capacity 9"},
-                    invalid_input{"unknown region", "from: klang", "from: klagn",
-                                  "unknown region 'klagn'; did you mean 'klang'?"},
-                    invalid_input{"unknown domain", "          klang-b:", "          klang-c:",
-                                  "unknown failure domain of region klang 'klang-c'"},
-                    invalid_input{"bad block", "10.1.0.0/17", "10.1.0.0/33", "'10.1.0.0/33' is not a block"},
-                    invalid_input{"overlap", "10.1.128.0/17", "10.1.0.0/24", "overlap"},
-                    invalid_input{"twice", "10.0.0.2:80", "10.0.0.1:80", "declared twice"},
-                    invalid_input{"not yaml", "tree: test", "tree: [test", "test.yaml"}),
+    testing::Values(
+        invalid_input{"unknown setting", "queue_limit: 10", "queue_limt: 10",
+                      "test.yaml:3: unknown setting 'queue_limt'; did you mean 'queue_limit'?"},
+        invalid_input{"unit in value", "queue_limit: 10", "queue_limit: 10ms",
+                      "'10ms' is not a whole number"},
+        invalid_input{"out of range", "miss_penalty_percent: 5", "miss_penalty_percent: 1095",
+                      "1095 is out of range; allowed: 0 to 1000"},
+        invalid_input{"wrong word", "leave_homes: never", "leave_homes: maybe",
+                      "leave_homes: 'maybe' is not allowed; allowed: never, while-spare"},
+        invalid_input{"caps over capacity", "capacity: 10", "capacity: 9",
+                      "their sum 10 is over the link's capacity 9"},
+        invalid_input{"unknown region", "from: klang", "from: klagn",
+                      "unknown region 'klagn'; did you mean 'klang'?"},
+        invalid_input{"unknown domain", "          klang-b:", "          klang-c:",
+                      "unknown failure domain of region klang 'klang-c'"},
+        invalid_input{"bad block", "10.1.0.0/17", "10.1.0.0/33", "'10.1.0.0/33' is not a block"},
+        invalid_input{"overlap", "10.1.128.0/17", "10.1.0.0/24", "overlap"},
+        invalid_input{"twice", "10.0.0.2:80", "10.0.0.1:80", "declared twice"},
+        invalid_input{"no delay", "delay_ms: 55, ", "",
+                      "test.yaml:17: delay_ms: a value is missing; allowed: 0 to 10000"},
+        invalid_input{"no capacity", "capacity: 10, ", "",
+                      "test.yaml:17: capacity: a value is missing; allowed: 0 to 10000000"},
+        invalid_input{"no places", "places:", "tree_of_places:", "unknown field 'tree_of_places'"},
+        invalid_input{"region without domains", "penang: {domains: {penang-a: {}}}", "penang: {}",
+                      "test.yaml:6: places: region 'penang' has no failure domain"},
+        invalid_input{"region with no domain", "{penang-a: {}}", "{}",
+                      "test.yaml:6: places: region 'penang' has no failure domain"},
+        invalid_input{"domain of two regions", "penang-a: {}", "klang-b: {}",
+                      "test.yaml:6: places: failure domain 'klang-b' is in regions klang and penang"},
+        invalid_input{"list of domains", "{penang-a: {}}", "[penang-a]",
+                      "test.yaml:6: places: domains of region 'penang': expected a mapping"},
+        invalid_input{"not yaml", "tree: test", "tree: [test", "test.yaml"}),
     [](const auto& info) {
       std::string name = info.param.name;
       std::replace(name.begin(), name.end(), ' ', '_');
