Give an error for settings that are not UTF-8

A tree in another encoding was accepted, and writing it, or an author or target in such an encoding, ended zinniactl with an uncaught exception of the JSON library. The line is named now; bytes of an author that are no UTF-8 are replaced.

Failed before: row other_encoding of invalid_trees, and settings_document.text_that_is_not_utf8_does_not_end_the_process.

--- a/packages/settings/src/settings_document.cpp
+++ b/packages/settings/src/settings_document.cpp
@@ -55,7 +55,8 @@
                              {"author", document.author},
                              {"tree_text", document.tree_text},
                              {"shifts", shifts}};
-  return value.dump();
+  // Author and targets may come from a command line in another encoding.
+  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 result<settings_document> decode_settings_document(const std::string& text) {
--- a/packages/settings/src/tree_parser.cpp
+++ b/packages/settings/src/tree_parser.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "zinnia/core/endpoint.hpp"
+#include "zinnia/core/utf8.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -294,6 +295,12 @@
 }
 
 result<settings_tree> settings_tree::parse(const settings_document& document, const std::string& file_name) {
+  if (const auto invalid = find_invalid_utf8(document.tree_text)) {
+    const auto& text = document.tree_text;
+    const auto line =
+        1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(*invalid), '\n');
+    return error{reason::invalid_setting, "the text is not UTF-8", file_name + ':' + std::to_string(line)};
+  }
   try {
     return tree_parser{document, file_name}.parse();
   } catch (const error& cause) {
--- a/packages/settings/tests/settings_tree_test.cpp
+++ b/packages/settings/tests/settings_tree_test.cpp
@@ -78,6 +78,19 @@
   EXPECT_FALSE(decode_settings_document("{\"edit_id\": 3}"));
 }
 
+/// The author and the names in a shift come from the command line and the environment.
+TEST(settings_document, text_that_is_not_utf8_does_not_end_the_process) {
+  settings_document document = make_document(tree_text);
+  document.author = "Jos\xe9";
+  document.shifts.push_back({"s", shift_kind::drain_region, "kl\xff", {}, {}, 100, 0});
+  std::string encoded;
+  ASSERT_NO_THROW(encoded = encode(document));
+  const auto read = decode_settings_document(encoded);
+  ASSERT_TRUE(read) << read.last_error().describe();
+  EXPECT_EQ(read->author, "Jos\xef\xbf\xbd");
+  EXPECT_EQ(read->tree_text, document.tree_text);
+}
+
 struct invalid_input {
   const char* name;
   const char* find;
@@ -131,6 +144,7 @@
                       "test.yaml:6: places: failure domain 'klang-b' is in regions klang and penang"},
         invalid_input{"list of domains", "{penang-a: {}}", "[penang-a]",
                       "test.yaml:6: places: domains of region 'penang': expected a mapping"},
+        invalid_input{"other encoding", "tree: test", "tree: t\xe9st", "test.yaml:2: the text is not UTF-8"},
         invalid_input{"not yaml", "tree: test", "tree: [test", "test.yaml"}),
     [](const auto& info) {
       std::string name = info.param.name;
