Leave stored settings alone that zinniactl cannot read

zinniactl apply and the drains took a document that they could not decode for an empty one and overwrote it, planned shifts included. They now say what cannot be read and write nothing.

--- a/apps/zinniactl/commands.cpp
+++ b/apps/zinniactl/commands.cpp
@@ -100,11 +100,21 @@
       continue;
     }
     found.version = object.version;
-    if (auto document = decode_settings_document(object.document)) {
-      found.document = *document;
-      if (auto tree = settings_tree::parse(*document, "stored settings")) {
-        found.tree = std::move(tree).value();
-      }
+    const auto unreadable = [&](const error& cause, const std::string& hint) {
+      this->print_error("the stored settings, version " + std::to_string(object.version.count()) +
+                        ", cannot be read and are left as they are: " + cause.describe() + hint);
+      return std::nullopt;
+    };
+    auto document = decode_settings_document(object.document);
+    if (!document) {
+      return unreadable(document.last_error(), "");
+    }
+    found.document = std::move(document).value();
+    auto tree = settings_tree::parse(found.document, "stored settings");
+    if (tree) {
+      found.tree = std::move(tree).value();
+    } else if (this->options.expected_version != object.version.count()) {
+      return unreadable(tree.last_error(), "; '--expect-version' with this version replaces them");
     }
   }
   return found;
@@ -226,9 +236,12 @@
 
 exit_code command_runner::show() {
   const auto base = this->load_settings();
-  if (!base || !base->tree) {
+  if (!base) {
+    return exit_code::failed;
+  }
+  if (!base->tree) {
     this->print_error("there are no settings");
-    return base ? exit_code::not_found : exit_code::failed;
+    return exit_code::not_found;
   }
   nlohmann::json shown{{"version", base->version.count()}, {"author", base->document.author}};
   auto services = base->tree->services();
