Let zinniactl survive answers that cannot be read

fate and status ended with an uncaught exception of the JSON library when a node answered something else than a record or a status, for instance during an upgrade. Such a node is named, and the others are shown.

Failed before: commands.fate_and_status_survive_answers_that_cannot_be_read.

--- a/apps/zinniactl/node_commands.cpp
+++ b/apps/zinniactl/node_commands.cpp
@@ -1,5 +1,7 @@
 // Implements the commands that query the running nodes: their status, restricted backend servers and request
 // fates.
+#include <algorithm>
+#include <array>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -32,6 +34,50 @@
   return answer;
 }
 
+using json = nlohmann::json;
+
+struct expected_field {
+  const char* name;
+  bool (json::*is_of_type)() const noexcept;
+};
+constexpr std::array<expected_field, 5> status_fields{{{"config_version", &json::is_number},
+                                                       {"backends", &json::is_number},
+                                                       {"nodes_alive", &json::is_array},
+                                                       {"requests_under_way", &json::is_number},
+                                                       {"shifts", &json::is_array}}};
+constexpr std::array<expected_field, 4> shift_fields{{{"id", &json::is_string},
+                                                      {"percent", &json::is_number},
+                                                      {"complete", &json::is_boolean},
+                                                      {"waits_for", &json::is_string}}};
+constexpr std::array<expected_field, 13> record_fields{{{"service", &json::is_string},
+                                                        {"route", &json::is_string},
+                                                        {"status", &json::is_number},
+                                                        {"verdict", &json::is_string},
+                                                        {"reason", &json::is_string},
+                                                        {"took_ms", &json::is_number},
+                                                        {"attempts", &json::is_string},
+                                                        {"placed_on", &json::is_string},
+                                                        {"candidates", &json::is_number},
+                                                        {"load_percent", &json::is_number},
+                                                        {"expected_ms", &json::is_number},
+                                                        {"waited_ms", &json::is_number},
+                                                        {"config_version", &json::is_number}}};
+
+/// Nodes of another version or broken ones may answer anything.
+template <std::size_t Count>
+[[nodiscard]] bool has_fields(const json& answer, const std::array<expected_field, Count>& fields) {
+  return answer.is_object() && std::all_of(fields.begin(), fields.end(), [&](const auto& field) {
+           const auto found = answer.find(field.name);
+           return found != answer.end() && ((*found).*(field.is_of_type))();
+         });
+}
+
+[[nodiscard]] bool is_status(const json& answer) {
+  return has_fields(answer, status_fields) &&
+         std::all_of(answer["shifts"].begin(), answer["shifts"].end(),
+                     [](const json& shift) { return has_fields(shift, shift_fields); });
+}
+
 }  // namespace
 }  // namespace impl
 
@@ -61,8 +107,10 @@
     call.url = "http://" + node.operator_address + "/v1/status";
     const auto response = perform(call);
     auto value = nlohmann::json::parse(response.body, nullptr, false);
-    if (response.status != impl::http_status_ok || value.is_discarded()) {
+    if (response.status == 0) {
       value = {{"unreachable", true}};
+    } else if (response.status != impl::http_status_ok || !impl::is_status(value)) {
+      value = {{"unreadable", true}};
     }
     value["node"] = node.id.str();
     value["region"] = node.where.region.str();
@@ -80,6 +128,10 @@
       std::cout << "  unreachable\n";
       continue;
     }
+    if (node.contains("unreadable")) {
+      std::cout << "  answer not readable\n";
+      continue;
+    }
     std::cout << "  configuration " << node["config_version"] << "  backend servers " << node["backends"]
               << "  nodes alive " << node["nodes_alive"].size() << "  under way "
               << node["requests_under_way"] << '\n';
@@ -132,20 +184,24 @@
     return exit_code::failed;
   }
   const auto& id = this->options.arguments[1];
-  std::vector<std::string> unreachable_nodes;
+  std::vector<std::string> problems;
   bool found = false;
   for (const auto& node : *registered) {
     http_call call;
     call.url = "http://" + node.operator_address + "/v1/requests/" + url_escape(id);
     const auto response = perform(call);
     if (response.status == 0) {
-      unreachable_nodes.push_back(node.id.str());
+      problems.push_back(node.id.str() + " does not answer");
     }
     if (response.status != impl::http_status_ok) {
       continue;
     }
-    found = true;
     auto record = nlohmann::json::parse(response.body, nullptr, false);
+    if (!impl::has_fields(record, impl::record_fields)) {
+      problems.push_back("the answer of " + node.id.str() + " is not readable");
+      continue;
+    }
+    found = true;
     record["node"] = node.id.str();
     if (this->options.as_json) {
       std::cout << record.dump() << '\n';
@@ -168,8 +224,8 @@
     return exit_code::ok;
   }
   std::string not_found_message = "no node that answers remembers request '" + id + "'; see the logs";
-  for (const auto& name : unreachable_nodes) {
-    not_found_message += "; " + name + " does not answer";
+  for (const auto& problem : problems) {
+    not_found_message += "; " + problem;
   }
   this->print_error(not_found_message);
   return exit_code::not_found;
--- a/apps/zinniactl/tests/commands_test.cpp
+++ b/apps/zinniactl/tests/commands_test.cpp
@@ -162,5 +162,19 @@
   }
 }
 
+TEST_F(commands, fate_and_status_survive_answers_that_cannot_be_read) {
+  for (const std::string body :
+       {"", "[]", "not json", "{}", "7", R"({"service":7})", R"({"shifts":7})", R"({"shifts":[7]})",
+        R"({"config_version":1,"backends":1,"nodes_alive":[],"requests_under_way":0,"shifts":[{}]})"}) {
+    this->add_node("n1", 200, body);
+    const auto fate = this->run_words({"fate", "r1"});
+    EXPECT_EQ(fate.code, exit_code::not_found) << body;
+    EXPECT_NE(fate.errors.find("n1"), std::string::npos) << body << ": " << fate.errors;
+    const auto status = this->run_words({"status"});
+    EXPECT_EQ(status.code, exit_code::ok) << body;
+    EXPECT_NE(status.output.find("n1  klang/klang-a"), std::string::npos) << body << ": " << status.output;
+  }
+}
+
 }  // namespace
 }  // namespace zinnia
