Bound what relayed changes decode to by their size

A FlatBuffers message can refer to the same bytes many times: 128,120 bytes with one document of 100,000 bytes in 1,000 changes became 100,001,000 bytes in the node that decoded them. Changes that do not fit into the message are malformed.

--- a/packages/store/src/change_relay_codec.cpp
+++ b/packages/store/src/change_relay_codec.cpp
@@ -6,6 +6,34 @@
 #include "generated/news_generated.h"
 
 namespace zinnia {
+namespace impl {
+namespace {
+
+/// The least that an encoded change or kind occupies: its offset in the vector and its table.
+constexpr std::size_t min_encoded_bytes = 8;
+
+/// Returns true if the values fit into the message. A message can refer to the same bytes many times, and
+/// what is decoded from it must not grow with that.
+[[nodiscard]] bool fits(const store::fbs::News& news, std::size_t message_bytes) {
+  std::size_t needed = 0;
+  for (const auto* const kind : *news.kinds()) {
+    needed += min_encoded_bytes;
+    if (kind->changes() == nullptr) {
+      continue;
+    }
+    for (const auto* const change : *kind->changes()) {
+      needed += min_encoded_bytes + change->name()->size() +
+                (change->document() == nullptr ? 0 : change->document()->size());
+      if (needed > message_bytes) {
+        return false;
+      }
+    }
+  }
+  return needed <= message_bytes;
+}
+
+}  // namespace
+}  // namespace impl
 
 std::string encode_relayed_changes(const std::vector<feed_reply>& kinds) {
   flatbuffers::FlatBufferBuilder builder;
@@ -30,7 +58,7 @@
 result<std::vector<feed_reply>> decode_relayed_changes(std::string_view bytes) {
   const auto* const data = reinterpret_cast<const std::uint8_t*>(bytes.data());
   flatbuffers::Verifier verifier{data, bytes.size()};
-  if (!store::fbs::VerifyNewsBuffer(verifier)) {
+  if (!store::fbs::VerifyNewsBuffer(verifier) || !impl::fits(*store::fbs::GetNews(data), bytes.size())) {
     return error{reason::malformed_frame,
                  std::to_string(bytes.size()) + " bytes are not valid relayed changes", "peer"};
   }
