--- a/apps/zinniactl/tests/commands_test.cpp
+++ b/apps/zinniactl/tests/commands_test.cpp
@@ -162,6 +162,22 @@
   }
 }
 
+TEST_F(commands, a_tree_that_is_not_valid_is_replaced_if_its_version_is_named) {
+  this->put_settings("tree: t\nnewer_field: 1\n");
+  const std::string file = testing::TempDir() + "commands_test_valid.yaml";
+  std::ofstream{file} << tree_text;
+  command_options options;
+  options.arguments = {"apply"};
+  options.file = file;
+  const auto refused = this->run(options);
+  EXPECT_EQ(refused.code, exit_code::failed);
+  const std::string marker = "version ";
+  const auto version = refused.errors.substr(refused.errors.find(marker) + marker.size());
+  options.expected_version = std::strtoll(version.c_str(), nullptr, 10);
+  EXPECT_EQ(this->run(options).code, exit_code::ok) << refused.errors;
+  EXPECT_EQ(this->run_words({"show"}).code, exit_code::ok);
+}
+
 TEST_F(commands, fate_and_status_survive_answers_that_cannot_be_read) {
   for (const std::string body :
        {"", "[]", "not json", "{}", "7", R"({"service":7})", R"({"shifts":7})", R"({"shifts":[7]})",
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -194,5 +194,13 @@
   's/if (this->evacuated.contains(declared.domain)) {/if (!this->evacuated.empty()) {/' "operators see an evacuation at servers of other domains"
 mutate test_zinniactl apps/zinniactl/server_report.cpp \
   's/      report.missing.push_back(answer);//' "a node that does not answer is not named"
+mutate test_store packages/store/src/change_relay_codec.cpp \
+  's/      if (needed > message_bytes) {/      if (false) {/; s/  return needed <= message_bytes;/  return true;/' "relayed changes grow with how often they refer to the same bytes"
+mutate test_platform platform/src/object_api.cpp \
+  's/  if (nesting_of(text) <= max_nesting) {/  if (true) {/' "an object that nests without end ends the process"
+mutate test_platform platform/src/document_decoding.cpp \
+  's/  if (!is_list_of_names) {/  if (false) {/' "regions that cannot be read allow every region"
+mutate test_zinniactl apps/zinniactl/commands.cpp \
+  's/  } else if (this->options.expected_version != object.version.count()) {/  } else if (false) {/' "settings that cannot be read are overwritten"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
