Notice and log when a node has lost its links to the servers

Nothing said that a node reaches no server any more: it had to be put together from the health checks of the single servers, and no other node could know.

A link monitor follows all calls. Several servers that fail or are silent raise a suspicion, and checks of three servers in different failure domains and services decide it: links are up, half open (open connections answer, new ones fail) or lost. Each change is logged, the metrics have the state, and heartbeats tell it. Nothing acts on it yet.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -20,6 +20,7 @@
 #include "zinnia/routing/backend_table.hpp"
 #include "zinnia/routing/crash_ledger.hpp"
 #include "zinnia/routing/declarations.hpp"
+#include "zinnia/routing/link_monitor.hpp"
 #include "zinnia/routing/retry_limiter.hpp"
 #include "zinnia/routing/route_table.hpp"
 #include "zinnia/routing/weighted_split.hpp"
@@ -50,6 +51,9 @@
   /// Called for each request that this node has quarantined, or released because a server answered it (level
   /// 0). May be empty.
   std::function<void(const crash_report&)> on_quarantine_change;
+  /// Called when this node has lost its links to all backend servers (false), and when it has regained them.
+  /// May be empty.
+  std::function<void(bool)> on_links_change;
   /// Limit for the reports that are repeated at a time.
   std::size_t max_repeated_reports{30};
 };
@@ -129,6 +133,12 @@
   /// Refuses the requests with this fingerprint that wait.
   void refuse_waiting(request_fingerprint request);
   void tick();
+  /// Acts on changes of the state of the links.
+  void update_links();
+  /// Starts a round of link checks if one is wanted.
+  void start_link_checks();
+  /// Starts a health check unless one of this server is in progress. Returns false if none can be made.
+  [[nodiscard]] bool start_health_check(const std::shared_ptr<backend_state>& backend);
   /// Closes expired idle connections and removes the pools of servers that no longer exist.
   void clean_up_pools();
   void start_health_checks();
@@ -139,6 +149,10 @@
   gateway_options options;
   backend_table backends;
   crash_ledger crashes;
+  link_monitor links;
+  // The state of the links that `update_links` has acted on.
+  link_condition handled_links{link_condition::up};
+  std::size_t link_rounds{0};
   weighted_split split;
   std::shared_ptr<const routing_snapshot> current_snapshot;
   std::map<backend_id, std::unique_ptr<backend_pool>> pools;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -314,6 +314,7 @@
       this->reassign_overdue(backend);
     }
   }
+  this->update_links();
   this->start_health_checks();
   auto notices = this->backends.take_notices();
   if (this->options.send_notices) {
@@ -348,15 +349,7 @@
 
 void gateway::start_health_checks() {
   for (const auto& backend : this->backends.due_for_health_check(this->clock.now())) {
-    const auto* const service = this->backends.service(backend->declared().service);
-    const auto* const pool = this->pool_for(*backend);
-    if (service == nullptr || pool == nullptr) {
-      continue;
-    }
-    auto& check = this->health_checks[backend->declared().id];
-    if (check == nullptr) {
-      check = std::make_unique<health_check>(*this, backend, pool->endpoint(), service->health_path);
-    }
+    static_cast<void>(this->start_health_check(backend));
   }
 }
 
@@ -399,6 +392,8 @@
       {"zinnia_requests_suspected", "", static_cast<std::int64_t>(this->crashes.count_from_level(1, now))},
       {"zinnia_requests_quarantined", "",
        static_cast<std::int64_t>(this->crashes.count_from_level(crash_ledger::quarantine_level, now))},
+      {"zinnia_links_lost", "", this->links.is_lost(now) ? 1 : 0},
+      {"zinnia_links_half_open", "", this->links.state() == link_condition::half_open ? 1 : 0},
       {"zinnia_nodes_registered", "", static_cast<std::int64_t>(this->nodes.registered_count)},
       {"zinnia_nodes_serving", "", static_cast<std::int64_t>(this->nodes.serving.size())},
       {"zinnia_log_lines_dropped", "", static_cast<std::int64_t>(dropped_log_lines())},
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -25,6 +25,7 @@
 health_check::health_check(gateway& owner_in, std::shared_ptr<backend_state> backend_in,
                            const boost::asio::ip::tcp::endpoint& address, const std::string& path)
     : owner{owner_in}, backend{std::move(backend_in)}, timeout_timer{owner_in.context} {
+  this->started_at = this->owner.clock.now();
   this->backend->on_health_check_started();
   const auto& declared = this->backend->declared();
   this->connection = std::make_shared<backend_connection>(this->owner.context, address, this->owner.clock);
@@ -45,6 +46,8 @@
 }
 
 void health_check::on_head(const response_head& head) {
+  this->answered = true;
+  this->owner.links.on_check_answered(this->backend->hash(), this->started_at, this->owner.clock.now());
   const auto& field_names = this->owner.options.field_names;
   const auto instance = find_field(head.fields, field_names.backend_id);
   this->responding_instance = std::string{instance.value_or("")};
@@ -87,6 +90,9 @@
   this->finished = true;
   this->connection->cancel();
   this->timeout_timer.cancel();
+  if (!this->answered) {
+    this->owner.links.on_check_failed(this->backend->hash(), this->owner.clock.now());
+  }
   this->backend->on_health_check(is_healthy, this->cold_left, this->owner.clock.now());
   log_line{log_level::info, "health_checked"}
       .field("backend", this->backend->declared().id.str())
--- a/packages/gateway/src/health_check.hpp
+++ b/packages/gateway/src/health_check.hpp
@@ -35,6 +35,8 @@
   std::shared_ptr<backend_state> backend;
   std::shared_ptr<backend_connection> connection;
   boost::asio::steady_timer timeout_timer;
+  time_point started_at;
+  bool answered{false};
   bool healthy{false};
   // The id in the response; empty without one.
   std::string responding_instance;
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -181,11 +181,16 @@
   this->response = {};
   this->held_body.clear();
   this->response_bytes = 0;
+  this->owner.links.on_sent(target->hash(), this->sent_at);
   this->connection->start(this->build_call(), *this);
 }
 
 void request_flow::on_head(const response_head& head) {
   this->response = head;
+  this->owner.links.on_life(this->owner.clock.now());
+  if (this->connection->connect_time()) {
+    this->owner.links.on_connected();
+  }
   if (head.status == impl::status_misdirected) {
     // Another instance now has the address and speaks of itself.
     return;
@@ -205,6 +210,7 @@
 
 void request_flow::on_body(std::string_view piece) {
   this->response_bytes += piece.size();
+  this->owner.links.on_life(this->owner.clock.now());
   this->owner.counts.add(counter::answer_bytes, piece.size());
   if (this->committed) {
     this->exchange->write(piece);
@@ -274,6 +280,7 @@
     this->owner.backends.record_round_trip(*target, *connected);
   }
   this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
+  this->note_link_result(end);
   this->owner.counts.record(timing::backend, took);
   this->record_attempt(attempt, took);
   this->run_verdict = combine(this->run_verdict, attempt.run_verdict);
@@ -310,6 +317,15 @@
   this->owner.dispatch_waiting(target);
 }
 
+void request_flow::note_link_result(const backend_call_result& end) {
+  const auto now = this->owner.clock.now();
+  const auto backend = this->decision.target->hash();
+  if (!end.complete && this->response.status == 0) {
+    this->owner.links.on_failed(backend, end.failure_reason == reason::connect_failed, now);
+  }
+  this->owner.links.on_ended(backend, now);
+}
+
 bool request_flow::try_retry(const attempt_result& attempt) {
   if (this->run_verdict != verdict::did_not_run && !this->idempotent) {
     return false;
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -67,6 +67,8 @@
   void leave_queue();
   /// Updates the backend server's state and the estimates with a finished attempt.
   void record_attempt(const attempt_result& attempt, duration took);
+  /// Tells the link monitor how the call to the target ended.
+  void note_link_result(const backend_call_result& end);
   /// Records the finished request and removes it from the gateway.
   /// \param status The status sent to the caller, or 0 if the caller left.
   void close(int status, reason why);
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -138,6 +138,7 @@
   this->connection->cancel();
   this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
   target->on_abandoned();
+  this->owner.links.on_ended(target->hash(), this->owner.clock.now());
   absl::StrAppend(&this->attempt_history, this->attempt_history.empty() ? "" : " ",
                   target->declared().id.str(), "=cancelled");
   this->owner.dispatch_waiting(target);
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -33,10 +33,12 @@
   bool serves{false};
   /// Port at the IP address of `peer_address` that receives holder notices; 0 if the node receives none.
   std::uint16_t notice_port{0};
+  /// False if the node has lost its links to all backend servers. Set by `member_table::alive`.
+  bool reaches_backends{true};
 
   friend bool operator==(const member& a, const member& b) noexcept {
     return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address &&
-           a.serves == b.serves;
+           a.serves == b.serves && a.reaches_backends == b.reaches_backends;
   }
 };
 
@@ -53,6 +55,8 @@
   bool watching{false};
   /// Version of the latest known change for each kind of object; empty unless `watching`.
   std::vector<object_version> latest_versions;
+  /// The node has links to backend servers.
+  bool reaches_backends{true};
 };
 
 /// \brief The nodes that are alive and accept requests.
@@ -70,10 +74,11 @@
   /// \brief Records a heartbeat. Ignores heartbeats of unregistered nodes and of other incarnations.
   void on_heartbeat(const node_heartbeat& heartbeat, time_point now);
   /// \brief Sets the state of this node itself, which sends itself no heartbeat.
-  void set_own_state(bool ready, bool leaving, const node_load& load) noexcept;
+  void set_own_state(bool ready, bool leaving, const node_load& load, bool reaches_backends = true) noexcept;
 
   /// \brief   Returns the nodes that are alive and accept requests.
-  /// \details Also updates the choice of serving nodes in each failure domain, and sets `member::serves`.
+  /// \details Also updates the choice of serving nodes in each failure domain, and sets `member::serves` and
+  ///          `member::reaches_backends`.
   [[nodiscard]] live_members alive(time_point now);
   /// \brief Returns the nodes to send heartbeats to, nearest first; empty until this node is registered.
   [[nodiscard]] std::vector<member> peers() const;
@@ -106,6 +111,7 @@
     time_point registered_at;
     bool ready{false};
     bool leaving{false};
+    bool reaches_backends{true};
     bool heartbeat_received{false};
   };
   /// Returns true if the other node sends its heartbeats to this one. The other node computes its peers from
@@ -121,6 +127,7 @@
   std::map<node_id, record> members;
   bool self_ready{false};
   bool self_leaving{false};
+  bool self_reaches_backends{true};
   node_load self_load;
   // Serving nodes of each failure domain, as chosen by the last call of `alive`.
   std::map<failure_domain_id, std::set<node_id>> serving_by_domain;
--- a/packages/membership/src/heartbeat_codec.cpp
+++ b/packages/membership/src/heartbeat_codec.cpp
@@ -16,7 +16,7 @@
   const auto changes = builder.CreateVector(versions);
   builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, heartbeat.ready, heartbeat.leaving,
                                              heartbeat.load.cpu_milli, heartbeat.load.link_kbit,
-                                             heartbeat.watching, changes));
+                                             heartbeat.watching, changes, !heartbeat.reaches_backends));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -35,6 +35,7 @@
   heartbeat.leaving = decoded->leaving();
   heartbeat.load = {decoded->cpu_milli(), decoded->link_kbit()};
   heartbeat.watching = decoded->watching();
+  heartbeat.reaches_backends = !decoded->lost_backends();
   if (decoded->changes() != nullptr) {
     for (const auto version : *decoded->changes()) {
       heartbeat.latest_versions.emplace_back(version);
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -48,15 +48,18 @@
   found->second.last_heartbeat_at = now;
   found->second.ready = heartbeat.ready;
   found->second.leaving = heartbeat.leaving;
+  found->second.reaches_backends = heartbeat.reaches_backends;
   found->second.load = heartbeat.load;
   found->second.watching = heartbeat.watching;
   found->second.latest_versions = heartbeat.latest_versions;
 }
 
-void member_table::set_own_state(bool ready, bool leaving, const node_load& load) noexcept {
+void member_table::set_own_state(bool ready, bool leaving, const node_load& load,
+                                 bool reaches_backends) noexcept {
   this->self_ready = ready;
   this->self_leaving = leaving;
   this->self_load = load;
+  this->self_reaches_backends = reaches_backends;
 }
 
 bool member_table::accepts_requests(const node_id& id, const record& entry, time_point now) const {
@@ -89,7 +92,8 @@
   live_members found;
   for (const auto& [id, entry] : this->members) {
     if (this->accepts_requests(id, entry, now)) {
-      found.emplace(id, entry.registered);
+      auto& added = found.emplace(id, entry.registered).first->second;
+      added.reaches_backends = id == this->self ? this->self_reaches_backends : entry.reaches_backends;
     }
   }
   return found;
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -66,6 +66,8 @@
   [[nodiscard]] bool is_ready() const noexcept { return this->ready.load() && !this->drained.load(); }
   /// \brief Announces to the other nodes that this node is about to stop, and removes its entry. Any thread.
   void begin_leaving();
+  /// \brief Announces to the other nodes if this node has links to backend servers. Any thread.
+  void set_reaches_backends(bool reaches);
   /// \brief Requests a check of the settings file without waiting for the next periodic one. Any thread.
   void reload_settings();
   /// \brief Stores a quarantined request, or removes one that was answered (level 0). Any thread.
@@ -200,6 +202,9 @@
   std::atomic<bool> leaving{false};
   std::atomic<bool> drained{false};
   std::atomic<bool> reload_requested{false};
+  std::atomic<bool> reaches_backends{true};
+  // The state that the last heartbeat announced.
+  bool announced_reaches_backends{true};
   std::atomic<bool> stopping{false};
   std::thread thread;
 };
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -139,6 +139,11 @@
   this->calls.wake();
 }
 
+void control_thread::set_reaches_backends(bool reaches) {
+  this->reaches_backends = reaches;
+  this->calls.wake();
+}
+
 void control_thread::reload_settings() {
   this->reload_requested = true;
   this->calls.wake();
@@ -448,7 +453,7 @@
     }
   }
   this->meter->sample(now, this->counts.value(counter::requests), this->counts.value(counter::answer_bytes));
-  this->members.set_own_state(this->ready, this->is_leaving(), this->meter->load());
+  this->members.set_own_state(this->ready, this->is_leaving(), this->meter->load(), this->reaches_backends);
   if (now < this->next_nodes_update) {
     return;
   }
@@ -463,6 +468,9 @@
         .field("count", static_cast<std::int64_t>(nodes.alive.size()))
         .field("serving", static_cast<std::int64_t>(serving))
         .field("registered", static_cast<std::int64_t>(nodes.registered_count))
+        .field("without_links",
+               std::count_if(nodes.alive.begin(), nodes.alive.end(),
+                             [](const auto& known) { return !known.second.reaches_backends; }))
         .field("self_serves", own_entry != nodes.alive.end() && own_entry->second.serves ? 1 : 0)
         .field("cpu_milli", this->meter->load().cpu_milli)
         .field("link_kbit", this->meter->load().link_kbit);
@@ -542,15 +550,18 @@
 }
 
 void control_thread::send_heartbeats(time_point now) {
-  if (now < this->next_heartbeat) {
+  const bool reaches = this->reaches_backends;
+  if (now < this->next_heartbeat && reaches == this->announced_reaches_backends) {
     return;
   }
+  this->announced_reaches_backends = reaches;
   this->next_heartbeat = now + heartbeat_period;
   node_heartbeat outgoing;
   outgoing.id = this->self.id;
   outgoing.incarnation = this->self.incarnation;
   outgoing.ready = this->ready;
   outgoing.leaving = this->is_leaving();
+  outgoing.reaches_backends = reaches;
   outgoing.load = this->meter->load();
   outgoing.watching = this->is_watching();
   if (outgoing.watching) {
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -150,6 +150,7 @@
   chosen.send_crash_reports = [this](const auto& reports) { this->notices.send(reports); };
   chosen.repeat_crash_reports = [this](const auto& reports) { this->notices.repeat(reports); };
   chosen.on_quarantine_change = [this](const auto& change) { this->control->save_quarantine(change); };
+  chosen.on_links_change = [this](bool reaches) { this->control->set_reaches_backends(reaches); };
   chosen.max_repeated_reports = max_notices_per_datagram;
   return chosen;
 }
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -35,6 +35,8 @@
   backend_crashes,
   /// Requests that were quarantined because they crash backend servers, also by the reports of other nodes.
   requests_quarantined,
+  /// How often this node has lost its links to all backend servers.
+  links_lost,
   count,
 };
 
--- a/packages/observe/src/metrics.cpp
+++ b/packages/observe/src/metrics.cpp
@@ -18,7 +18,8 @@
     "store_calls",       "store_failures",
     "settings_rejected", "answer_bytes",
     "limited_sends",     "services_without_backend",
-    "backend_crashes",   "requests_quarantined"};
+    "backend_crashes",   "requests_quarantined",
+    "links_lost"};
 static_assert(!counter_names.back().empty(), "every counter has a name");
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(timing::count)> timing_names{
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -124,6 +124,10 @@
   /// \}
 
   [[nodiscard]] std::vector<std::shared_ptr<backend_state>> due_for_health_check(time_point now) const;
+  /// \brief Returns false for servers that must not get even health checks: they are draining, leaving, busy
+  /// or
+  ///        evacuated.
+  [[nodiscard]] bool may_be_checked(const backend_state& backend, time_point now) const;
   /// \brief Returns true if the server can take another request now, given its slots, the requests and
   ///        responses in transit, and the overcommit.
   [[nodiscard]] bool has_capacity(const backend_state& backend, time_point now) const;
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -381,12 +381,16 @@
   return backend.load(now) + 1 <= slots + std::min(in_transit, slots) + group.settings.overcommit;
 }
 
+bool backend_table::may_be_checked(const backend_state& backend, time_point now) const {
+  const auto& declared = backend.declared();
+  return !backend.is_leaving() && !backend.is_busy(now) && declared.mode == backend_mode::ready &&
+         !this->evacuated.contains(declared.domain);
+}
+
 std::vector<std::shared_ptr<backend_state>> backend_table::due_for_health_check(time_point now) const {
   std::vector<std::shared_ptr<backend_state>> due;
   for (const auto& [id, backend] : this->backends) {
-    const auto& declared = backend->declared();
-    if (backend->needs_health_check(now) && !backend->is_leaving() && !backend->is_busy(now) &&
-        declared.mode == backend_mode::ready && !this->evacuated.contains(declared.domain)) {
+    if (backend->needs_health_check(now) && this->may_be_checked(*backend, now)) {
       due.push_back(backend);
     }
   }
