Tell links that are half open from lost ones by their idle connections

With few requests, nothing may be in flight on open connections when checks of new ones fail; the links counted as lost. Idle connections now keep them half open until a call on one of them is silent or reset.

--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -1,4 +1,7 @@
 // Health checks, link checks, and what changes when this node loses or regains its links to backend servers.
+#include <algorithm>
+#include <utility>
+
 #include "health_check.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/observe/log.hpp"
@@ -48,7 +51,10 @@
 
 void gateway::update_links() {
   const auto now = this->clock.now();
-  this->links.update(now);
+  const bool is_in_doubt = this->links.state() != link_condition::up;
+  this->links.update(
+      now, is_in_doubt && std::any_of(this->pools.begin(), this->pools.end(),
+                                      [](const auto& each) { return each.second->has_reusable(); }));
   this->start_link_checks();
   const auto current = this->links.state();
   if (current == this->handled_links) {
--- a/packages/http/include/zinnia/http/backend_pool.hpp
+++ b/packages/http/include/zinnia/http/backend_pool.hpp
@@ -31,6 +31,8 @@
   void close_expired();
   /// \brief Closes all idle connections.
   void close_idle();
+  /// \brief True if an idle connection could be used for a call.
+  [[nodiscard]] bool has_reusable() const;
   /// \brief True if no connection is lent out.
   [[nodiscard]] bool is_unused() const noexcept { return this->in_use == 0; }
   [[nodiscard]] const boost::asio::ip::tcp::endpoint& endpoint() const noexcept { return this->address; }
--- a/packages/http/src/backend_pool.cpp
+++ b/packages/http/src/backend_pool.cpp
@@ -36,6 +36,12 @@
   }
 }
 
+bool backend_pool::has_reusable() const {
+  const auto now = this->clock.now();
+  return std::any_of(this->idle.begin(), this->idle.end(),
+                     [now](const auto& connection) { return connection->is_reusable(now); });
+}
+
 void backend_pool::set_endpoint(const boost::asio::ip::tcp::endpoint& address_in) {
   this->close_idle();
   this->address = address_in;
--- a/packages/routing/include/zinnia/routing/link_monitor.hpp
+++ b/packages/routing/include/zinnia/routing/link_monitor.hpp
@@ -63,7 +63,8 @@
   /// \}
 
   /// \brief Brings the state up to date; called several times a second.
-  void update(time_point now);
+  /// \param has_open_connections True if there are idle connections to servers.
+  void update(time_point now, bool has_open_connections);
   [[nodiscard]] link_condition state() const noexcept { return this->current; }
   /// \brief True if no backend server can be reached.
   [[nodiscard]] bool is_lost(time_point now) const;
@@ -82,7 +83,9 @@
     time_point sent_at;
     time_point ended_at;
   };
-  [[nodiscard]] bool is_silent(const open_calls& calls, duration silence, time_point now) const noexcept;
+  /// True if calls to the server have had no sign of life for that long, and have not failed.
+  [[nodiscard]] bool is_silent(std::uint64_t backend, const open_calls& open, duration silence_needed,
+                               time_point now) const noexcept;
   /// True if several servers fail or are silent, or one is for a long time.
   [[nodiscard]] bool has_evidence(time_point now) const;
   /// True if no check of the suspicion's round was answered in time.
@@ -90,6 +93,8 @@
   /// True if no response has arrived since the round began, and for long enough.
   [[nodiscard]] bool is_silent_since_round(time_point now) const noexcept;
   void begin_round(time_point now);
+  /// True if connections are open and nothing suggests that they do not work.
+  [[nodiscard]] bool has_usable_connections(time_point now) const;
   /// Decides after a round in which no check was answered, if it can be decided already.
   void conclude(time_point now);
   void set_state(link_condition next, time_point now);
@@ -100,6 +105,10 @@
   absl::flat_hash_map<std::uint64_t, open_calls> calls;
   // Servers that failed since the last sign of life.
   absl::flat_hash_set<std::uint64_t> failed;
+  // A call on an established connection failed since the last sign of life.
+  bool was_reset{false};
+  // As of the last update.
+  bool has_open_connections{false};
   // Servers that could not be connected to since the last connection that had a response.
   absl::flat_hash_set<std::uint64_t> unconnected;
   time_point unconnected_since;
--- a/packages/routing/src/link_monitor.cpp
+++ b/packages/routing/src/link_monitor.cpp
@@ -68,6 +68,7 @@
 void link_monitor::on_life(time_point now) {
   this->last_life_at = now;
   this->failed.clear();
+  this->was_reset = false;
 }
 
 void link_monitor::on_connected() {
@@ -76,6 +77,7 @@
 
 void link_monitor::on_failed(std::uint64_t backend, bool connecting, time_point now) {
   this->failed.insert(backend);
+  this->was_reset = this->was_reset || !connecting;
   if (connecting) {
     if (this->unconnected.empty()) {
       this->unconnected_since = now;
@@ -84,9 +86,11 @@
   }
 }
 
-bool link_monitor::is_silent(const open_calls& open, duration silence, time_point now) const noexcept {
-  const bool is_open = open.count > 0 || open.ended_at > this->last_life_at;
-  return is_open && now - std::max(open.sent_at, this->last_life_at) >= silence;
+bool link_monitor::is_silent(std::uint64_t backend, const open_calls& open, duration silence_needed,
+                             time_point now) const noexcept {
+  const bool is_unanswered = open.count > 0 || open.ended_at > this->last_life_at;
+  return is_unanswered && !this->failed.contains(backend) &&
+         now - std::max(open.sent_at, this->last_life_at) >= silence_needed;
 }
 
 bool link_monitor::has_evidence(time_point now) const {
@@ -97,12 +101,10 @@
     return false;
   }
   std::size_t silent = this->failed.size();
-  bool one_is_long_silent = false;
+  bool one_is_long_silent = !this->failed.empty() && this->silence(now) >= impl::one_silent;
   for (const auto& [backend, open] : this->calls) {
-    if (!this->failed.contains(backend) && this->is_silent(open, impl::several_silent, now)) {
-      ++silent;
-    }
-    one_is_long_silent = one_is_long_silent || this->is_silent(open, impl::one_silent, now);
+    silent += this->is_silent(backend, open, impl::several_silent, now) ? 1 : 0;
+    one_is_long_silent = one_is_long_silent || this->is_silent(backend, open, impl::one_silent, now);
   }
   return silent >= impl::several || one_is_long_silent;
 }
@@ -167,16 +169,24 @@
 }
 
 void link_monitor::conclude(time_point now) {
-  if (this->is_silent_since_round(now)) {
-    this->trouble_began = this->last_life_at;
-    this->set_state(link_condition::lost, now);
-  } else if (this->last_life_at >= this->round_started_at) {
+  if (this->last_life_at >= this->round_started_at || this->has_usable_connections(now)) {
     this->trouble_began = this->unconnected.empty() ? this->last_life_at : this->unconnected_since;
     this->set_state(link_condition::half_open, now);
+  } else if (this->is_silent_since_round(now)) {
+    this->trouble_began = this->last_life_at;
+    this->set_state(link_condition::lost, now);
   }
 }
 
-void link_monitor::update(time_point now) {
+bool link_monitor::has_usable_connections(time_point now) const {
+  return this->has_open_connections && !this->was_reset && this->silence(now) >= impl::min_silence &&
+         std::none_of(this->calls.begin(), this->calls.end(), [&](const auto& each) {
+           return this->is_silent(each.first, each.second, impl::min_silence, now);
+         });
+}
+
+void link_monitor::update(time_point now, bool has_open_connections_in) {
+  this->has_open_connections = has_open_connections_in;
   switch (this->current) {
     case link_condition::up:
       if (now >= this->suspicion_allowed_at && this->has_evidence(now)) {
@@ -191,10 +201,8 @@
       }
       return;
     case link_condition::half_open: {
-      const bool has_open_calls = std::any_of(this->calls.begin(), this->calls.end(), [&](const auto& each) {
-        return this->is_silent(each.second, impl::several_silent, now);
-      });
-      if (now - this->last_life_at >= impl::several_silent && (has_open_calls || !this->failed.empty())) {
+      const bool is_unused = this->failed.empty() && this->calls.empty();
+      if (this->silence(now) >= impl::several_silent && !is_unused && !this->has_usable_connections(now)) {
         this->set_state(link_condition::lost, now);
       }
       return;
@@ -229,6 +237,7 @@
     this->round.clear();
     this->round_wanted = false;
     this->failed.clear();
+    this->was_reset = false;
     this->unconnected.clear();
     absl::erase_if(this->calls, [](const auto& each) { return each.second.count == 0; });
   }
@@ -237,7 +246,8 @@
 
 bool link_monitor::is_lost(time_point now) const {
   return this->current == link_condition::lost ||
-         (this->has_round_failed(now) && this->is_silent_since_round(now));
+         (this->has_round_failed(now) && this->is_silent_since_round(now) &&
+          !this->has_usable_connections(now));
 }
 
 std::vector<std::size_t> choose_link_checks(const std::vector<link_check_candidate>& candidates,
--- a/packages/routing/tests/link_monitor_test.cpp
+++ b/packages/routing/tests/link_monitor_test.cpp
@@ -36,7 +36,7 @@
         this->next_send = this->now + this->period;
         this->send();
       }
-      this->links.update(this->now);
+      this->links.update(this->now, this->open_connections);
       if (this->links.wants_checks(this->now)) {
         this->check();
       }
@@ -60,6 +60,7 @@
   [[nodiscard]] bool was_lost() const { return this->states.contains(link_condition::lost); }
 
   static constexpr duration step{5};
+  bool open_connections{false};
   link_monitor links;
   std::set<link_condition> states;
   time_point now{1'000'000};
@@ -217,6 +218,22 @@
   EXPECT_EQ(node.links.state(), link_condition::up);
 }
 
+TEST(link_monitor, keeps_using_open_connections_that_were_idle_when_new_ones_failed) {
+  simulated_node node{6, duration{1000}};
+  node.run(duration{3000});
+  node.open_connections = true;
+  node.set_new_connections(reach::refuses);
+  node.set(3, reach::refuses);
+  node.set(4, reach::refuses);
+  node.observe();
+  node.run(duration{10'000});
+  EXPECT_EQ(node.links.state(), link_condition::half_open);
+  EXPECT_FALSE(node.was_lost());
+  node.set_all(reach::hangs);
+  node.run(duration{3000});
+  EXPECT_EQ(node.links.state(), link_condition::lost) << "open connections turned out to be of no use";
+}
+
 TEST(link_monitor, stays_lost_while_the_links_come_and_go) {
   simulated_node node{12};
   node.run(duration{1000});
