--- a/standins/fault_proxy.cpp
+++ b/standins/fault_proxy.cpp
@@ -57,15 +57,15 @@
 
 void fault_proxy::set_state(link_state state_in) {
   const auto previous = this->state.exchange(state_in);
-  if (previous == link_state::refused && state_in != link_state::refused) {
+  if (refuses(previous) && !refuses(state_in)) {
     impl::asio::post(this->context, [this] { this->reopen(); });
   }
+  if (refuses(state_in) && !refuses(previous)) {
+    // Stops listening and keeps the port, which the kernel could give to somebody else.
+    impl::asio::post(this->context, [this] { ::shutdown(this->listener.native_handle(), SHUT_RDWR); });
+  }
   if (state_in == link_state::reset || state_in == link_state::refused) {
-    impl::asio::post(this->context, [this, state_in] {
-      if (state_in == link_state::refused) {
-        // Stops listening and keeps the port, which the kernel could give to somebody else.
-        ::shutdown(this->listener.native_handle(), SHUT_RDWR);
-      }
+    impl::asio::post(this->context, [this] {
       for (const auto& connection : this->connections) {
         reset_connection(*connection);
       }
@@ -74,6 +74,10 @@
   }
 }
 
+bool fault_proxy::refuses(link_state which) noexcept {
+  return which == link_state::refused || which == link_state::half_open;
+}
+
 void fault_proxy::reopen() {
   this->listener.listen();
   this->accept();
--- a/standins/fault_proxy.hpp
+++ b/standins/fault_proxy.hpp
@@ -20,6 +20,8 @@
   reset,
   /// As when the target's process has ended: existing connections are reset and new ones refused.
   refused,
+  /// Existing connections work and new ones are refused.
+  half_open,
   /// No data is forwarded. Connections stay open, and the pending data is forwarded once the state changes.
   stalled,
   /// Like `stalled`, but only for data sent by the target.
@@ -39,7 +41,9 @@
  private:
   struct proxied_connection;
 
-  /// Listens again after `link_state::refused`.
+  /// Returns true for states in which the proxy does not listen.
+  [[nodiscard]] static bool refuses(link_state which) noexcept;
+  /// Listens again after such a state.
   void reopen();
   void accept();
   void read_next(const std::shared_ptr<proxied_connection>& connection, bool from_target);
