Name no nodes to callers that have lost their links to the servers

Callers were sent to nodes that reached no server for as long as the cut lasted: only the node itself knew. If a whole domain is cut off, its callers are named nodes of their region, or of others. If no node has links, nothing changes.

The three tests of membership that failed (the directory named me and peer where only one had links) pass.

--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -29,7 +29,8 @@
   std::string operator_address;
   incarnation_id incarnation;
   node_capacity capacity;
-  /// True if the node is advertised to callers of its failure domain. Set by `member_table::alive`.
+  /// True if the node is advertised to callers of its failure domain. Set by `member_table::alive`. False for
+  /// a node without links to backend servers while any node has links.
   bool serves{false};
   /// Port at the IP address of `peer_address` that receives holder notices; 0 if the node receives none.
   std::uint16_t notice_port{0};
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -73,7 +73,13 @@
 live_members member_table::alive(time_point now) {
   auto found = this->accepting_members(now);
   std::map<failure_domain_id, std::vector<serving_candidate>> candidates;
+  // If no node has links, the servers are down rather than the links.
+  const bool any_reaches =
+      std::any_of(found.begin(), found.end(), [](const auto& each) { return each.second.reaches_backends; });
   for (const auto& [id, node] : found) {
+    if (any_reaches && !node.reaches_backends) {
+      continue;
+    }
     const auto& load = id == this->self ? this->self_load : this->members.at(id).load;
     candidates[node.where.domain].push_back({id, node.capacity, load});
   }
