Refuse requests at once on a node that has lost its links

A node without links to any server let requests hang to their deadlines, for 4 to 6 s, and then tried servers one by one. Callers learnt at the deadline that they should have gone elsewhere.

Once the link monitor has found the links lost, new requests are refused with 503 and Retry-After (reason links-lost), queued ones too, and calls in flight end: with 503 if nothing was sent, with 502 if an idempotent request may have run. Others that may have run stay, as their responses may still come.

--- a/packages/core/src/enum_names.cpp
+++ b/packages/core/src/enum_names.cpp
@@ -23,6 +23,7 @@
     "wait-exceeds-deadline",
     "deadline-passed",
     "request-quarantined",
+    "links-lost",
     "connect-failed",
     "backend-shed",
     "backend-replaced",
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -135,6 +135,8 @@
   void tick();
   /// Acts on changes of the state of the links.
   void update_links();
+  /// Ends queued requests and calls in flight, which no server will answer.
+  void end_calls_without_links();
   /// Starts a round of link checks if one is wanted.
   void start_link_checks();
   /// Starts a health check unless one of this server is in progress. Returns false if none can be made.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -269,7 +269,7 @@
 
 void gateway::dispatch_waiting(const std::shared_ptr<backend_state>& backend) {
   const auto now = this->clock.now();
-  while (!backend->queue.empty() && this->backends.is_eligible(*backend, now) &&
+  while (!this->links.is_lost(now) && !backend->queue.empty() && this->backends.is_eligible(*backend, now) &&
          this->backends.has_capacity(*backend, now)) {
     const auto next = backend->queue.pop();
     if (const auto flow = this->flows.find(next->ticket); flow != this->flows.end()) {
--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "health_check.hpp"
+#include "request_flow.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/observe/log.hpp"
 
@@ -49,6 +50,16 @@
   }
 }
 
+void gateway::end_calls_without_links() {
+  for (const auto& backend : this->backends.all()) {
+    this->reassign_waiting(backend);
+  }
+  const auto in_flight = this->flows;
+  for (const auto& [ticket, flow] : in_flight) {
+    flow->on_links_lost();
+  }
+}
+
 void gateway::update_links() {
   const auto now = this->clock.now();
   const bool is_in_doubt = this->links.state() != link_condition::up;
@@ -68,6 +79,7 @@
       .field("silent_ms", this->links.silence(now).ms);
   if (current == link_condition::lost) {
     this->counts.add(counter::links_lost);
+    this->end_calls_without_links();
   }
   const bool reaches_changed = (current == link_condition::lost) != (previous == link_condition::lost);
   if (reaches_changed && this->options.on_links_change) {
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -93,6 +93,10 @@
     return;
   }
   const auto now = this->owner.clock.now();
+  if (this->owner.links.is_lost(now)) {
+    this->end_without_links();
+    return;
+  }
   placement_request request;
   request.matched_route = &this->matched_route;
   request.service = this->service;
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -28,6 +28,10 @@
   /// \brief Places the request again after its removal from a queue, because the backend server is no longer
   ///        usable or the request has waited longer than expected.
   void reassign();
+  /// \brief   Stops waiting for a response because the links to all backend servers are lost.
+  /// \details A non-idempotent request that may have run stays: its response may arrive once the links are
+  ///          back.
+  void on_links_lost();
   /// \brief  Ends the request if it is quarantined because it crashes backend servers.
   /// \return True if so.
   [[nodiscard]] bool refuse_if_quarantined();
@@ -59,6 +63,8 @@
   void fail(int status, reason why);
   /// Refuses the request if it did not run, or else fails it with 502.
   void end_without_response(reason why);
+  /// Ends the request because this node reaches no backend server.
+  void end_without_links();
   void start_deadline_timer(std::chrono::milliseconds after);
   void on_deadline();
   void on_caller_left();
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -19,6 +19,9 @@
 /// Retry-After, in ms, if no attempt ran, for instance because a server had no room: about the time that one
 /// request takes.
 constexpr duration shed_retry_after{100};
+/// Retry-After, in ms, of a node without links: callers should choose another node, which the directory names
+/// by then.
+constexpr duration without_links_retry_after{300};
 /// Largest Retry-After as a fraction of the request's remaining time; callers ignore longer waits.
 constexpr double max_retry_after_fraction = 0.3;
 
@@ -61,6 +64,28 @@
   }
 }
 
+void request_flow::end_without_links() {
+  if (this->run_verdict == verdict::did_not_run) {
+    this->refuse(reason::links_lost, impl::without_links_retry_after);
+  } else {
+    this->fail(impl::status_bad_gateway, reason::links_lost);
+  }
+}
+
+void request_flow::on_links_lost() {
+  const bool has_response = this->response.status != 0;
+  if (this->closed || !this->has_active_call() || has_response) {
+    return;
+  }
+  const bool is_sent = !this->connection->is_connecting();
+  if (is_sent && !this->idempotent) {
+    return;
+  }
+  this->abandon_call();
+  this->run_verdict = combine(this->run_verdict, is_sent ? verdict::may_have_run : verdict::did_not_run);
+  this->place_request();
+}
+
 void request_flow::refuse(reason why, duration retry_after) {
   this->leave_queue();
   const auto left = this->deadline - this->owner.clock.now();
--- a/packages/membership/tests/lost_links_test.cpp
+++ b/packages/membership/tests/lost_links_test.cpp
@@ -31,7 +31,7 @@
   void set_lost(const std::set<std::string>& lost) {
     this->table.set_own_state(true, false, {}, !lost.contains("me"));
     for (const auto& id : this->names) {
-      node_heartbeat heartbeat{node_id{id}, incarnation_id{"1"}, true};
+      node_heartbeat heartbeat{node_id{id}, incarnation_id{"1"}, true, false, {}, false, {}};
       heartbeat.reaches_backends = !lost.contains(id);
       this->table.on_heartbeat(*decode_heartbeat(encode_heartbeat(heartbeat)), this->now);
     }
