Do not blame servers for links that this node has lost

A node without links counted resets and refused connections as crashes of the servers: after one cut a request that was in flight was suspected at all nodes, and cuts in succession would have quarantined it everywhere. After healing, six of six servers were suspended and requests refused.

A server that refuses connections while it has requests is now judged only once a check of another server, begun after that, has been answered. If the links turn out to be lost or half open, lost requests are forgotten, and failures and suspensions since the last response are taken back. A server without others to ask is judged at once, as before.

Three tests that failed before pass: requests are served again after healing (were refused), no server stays suspended (were 6 of 6), nothing is suspected at any node (was one request at both). The crash tests pass unchanged.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -125,8 +125,19 @@
   void reassign_waiting(const std::vector<wait_ticket>& tickets);
   /// Records that a request's connection ended without a response, and checks if the server has crashed.
   void on_request_lost(backend_state& backend, const lost_request& lost);
-  /// Records that no process listens at the server's address.
-  void on_backend_crashed(backend_state& backend);
+  /// Records that no process listens at the server's address. If it had requests, they are suspected only
+  /// once another server has shown that this node's links are up.
+  void on_backend_refused(backend_state& backend);
+  /// Records that the server has crashed.
+  void on_backend_crashed(std::uint64_t backend, time_point noticed_at);
+  /// Judges the servers that were found refusing before the links were shown to be up.
+  void judge_refusals();
+  /// Takes back what was concluded about servers since the links failed.
+  void on_links_failed();
+  /// True if failures are due to this node's links.
+  [[nodiscard]] bool has_link_trouble() const noexcept {
+    return this->links.state() >= link_condition::half_open;
+  }
   /// Logs quarantined and released requests, refuses those that wait, and tells other nodes.
   /// \param found_here False if other nodes have reported the changes.
   void publish_crashes(bool found_here);
@@ -155,6 +166,9 @@
   // The state of the links that `update_links` has acted on.
   link_condition handled_links{link_condition::up};
   std::size_t link_rounds{0};
+  // Servers that refused connections while they had requests, and when that was noticed, until it is known
+  // if the links are up.
+  std::vector<std::pair<std::uint64_t, time_point>> refusals;
   weighted_split split;
   std::shared_ptr<const routing_snapshot> current_snapshot;
   std::map<backend_id, std::unique_ptr<backend_pool>> pools;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -87,27 +87,6 @@
   this->publish_crashes(false);
 }
 
-void gateway::on_request_lost(backend_state& backend, const lost_request& lost) {
-  const auto now = this->clock.now();
-  this->crashes.on_lost(backend.hash(), lost, now);
-  if (this->crashes.awaits_confirmation(backend.hash(), now)) {
-    backend.request_health_check(now);
-    this->start_health_checks();
-  }
-  this->publish_crashes(true);
-}
-
-void gateway::on_backend_crashed(backend_state& backend) {
-  const auto now = this->clock.now();
-  if (this->crashes.awaits_confirmation(backend.hash(), now)) {
-    this->counts.add(counter::backend_crashes);
-    log_line{log_level::warn, "backend_crashed"}.field("backend", backend.declared().id.str());
-  }
-  backend.suspend_until_checked(now);
-  this->crashes.on_crashed(backend.hash(), now);
-  this->publish_crashes(true);
-}
-
 void gateway::publish_crashes(bool found_here) {
   const auto reports = this->crashes.take_reports();
   if (!reports.empty() && this->options.send_crash_reports) {
--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -22,6 +22,76 @@
   return true;
 }
 
+void gateway::on_request_lost(backend_state& backend, const lost_request& lost) {
+  if (this->has_link_trouble()) {
+    return;
+  }
+  const auto now = this->clock.now();
+  this->crashes.on_lost(backend.hash(), lost, now);
+  if (this->crashes.awaits_confirmation(backend.hash(), now)) {
+    backend.request_health_check(now);
+    this->start_health_checks();
+  }
+  this->publish_crashes(true);
+}
+
+void gateway::on_backend_refused(backend_state& backend) {
+  if (this->has_link_trouble()) {
+    return;
+  }
+  const auto now = this->clock.now();
+  backend.suspend_until_checked(now);
+  if (!this->crashes.awaits_confirmation(backend.hash(), now) && backend.in_flight() == 0) {
+    this->on_backend_crashed(backend.hash(), now);
+    return;
+  }
+  const auto& all = this->backends.all();
+  const bool others_can_be_asked = std::any_of(all.begin(), all.end(), [&](const auto& other) {
+    return other->hash() != backend.hash() && this->backends.may_be_checked(*other, now);
+  });
+  if (!others_can_be_asked) {
+    this->on_backend_crashed(backend.hash(), now);
+    return;
+  }
+  this->refusals.emplace_back(backend.hash(), now);
+  this->links.request_round(now);
+  this->start_link_checks();
+}
+
+void gateway::on_backend_crashed(std::uint64_t backend, time_point noticed_at) {
+  if (this->crashes.awaits_confirmation(backend, noticed_at)) {
+    this->counts.add(counter::backend_crashes);
+    const auto crashed = this->backends.find_by_hash(backend);
+    log_line{log_level::warn, "backend_crashed"}.field(
+        "backend", crashed == nullptr ? "" : crashed->declared().id.str());
+  }
+  this->crashes.on_crashed(backend, noticed_at);
+  this->publish_crashes(true);
+}
+
+void gateway::judge_refusals() {
+  const auto began = this->links.round_began();
+  const auto judged = std::stable_partition(this->refusals.begin(), this->refusals.end(),
+                                            [began](const auto& each) { return each.second > began; });
+  const std::vector<std::pair<std::uint64_t, time_point>> known(judged, this->refusals.end());
+  this->refusals.erase(judged, this->refusals.end());
+  for (const auto& [backend, noticed_at] : known) {
+    this->on_backend_crashed(backend, noticed_at);
+  }
+  if (!this->refusals.empty()) {
+    this->links.request_round(this->clock.now());
+    this->start_link_checks();
+  }
+}
+
+void gateway::on_links_failed() {
+  this->refusals.clear();
+  this->crashes.on_links_lost();
+  for (const auto& backend : this->backends.all()) {
+    backend->forgive_failures(this->links.trouble_since());
+  }
+}
+
 void gateway::start_link_checks() {
   const auto now = this->clock.now();
   if (!this->links.wants_checks(now)) {
@@ -68,6 +138,9 @@
                                       [](const auto& each) { return each.second->has_reusable(); }));
   this->start_link_checks();
   const auto current = this->links.state();
+  if (current == link_condition::up && !this->refusals.empty()) {
+    this->judge_refusals();
+  }
   if (current == this->handled_links) {
     return;
   }
@@ -77,6 +150,9 @@
       .field("from", to_string(previous))
       .field("to", to_string(current))
       .field("silent_ms", this->links.silence(now).ms);
+  if (current >= link_condition::half_open) {
+    this->on_links_failed();
+  }
   if (current == link_condition::lost) {
     this->counts.add(counter::links_lost);
     this->end_calls_without_links();
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -48,6 +48,7 @@
 void health_check::on_head(const response_head& head) {
   this->answered = true;
   this->owner.links.on_check_answered(this->backend->hash(), this->started_at, this->owner.clock.now());
+  this->owner.update_links();
   const auto& field_names = this->owner.options.field_names;
   const auto instance = find_field(head.fields, field_names.backend_id);
   this->responding_instance = std::string{instance.value_or("")};
@@ -74,8 +75,11 @@
   const auto now = this->owner.clock.now();
   const bool is_other_instance =
       !this->responding_instance.empty() && this->responding_instance != this->backend->declared().id.str();
-  if (end.connection_refused || is_other_instance) {
-    this->owner.on_backend_crashed(*this->backend);
+  if (end.connection_refused) {
+    this->owner.on_backend_refused(*this->backend);
+  } else if (is_other_instance) {
+    this->backend->suspend_until_checked(now);
+    this->owner.on_backend_crashed(this->backend->hash(), now);
   } else if (end.complete) {
     this->owner.crashes.on_alive(this->backend->hash());
   } else if (this->owner.crashes.awaits_confirmation(this->backend->hash(), now)) {
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -268,6 +268,12 @@
 
 void request_flow::record_attempt(const attempt_result& attempt, duration took) {
   constexpr double bytes_per_kib = 1024;
+  const bool is_link_failure =
+      attempt.outcome == backend_outcome::no_response || attempt.outcome == backend_outcome::unreachable;
+  if (is_link_failure && this->owner.has_link_trouble()) {
+    this->decision.target->on_abandoned();
+    return;
+  }
   this->owner.backends.record_attempt(
       {this->matched_route, this->service, this->decision, this->object_hash, attempt.outcome, took,
        static_cast<double>(this->response_bytes) / bytes_per_kib},
@@ -294,7 +300,7 @@
   } else if (attempt.outcome == backend_outcome::no_response) {
     this->owner.on_request_lost(*target, {this->fingerprint, this->crash_level, this->sent_at});
   } else if (end.connection_refused) {
-    this->owner.on_backend_crashed(*target);
+    this->owner.on_backend_refused(*target);
   }
   absl::StrAppend(
       &this->attempt_history, this->attempt_history.empty() ? "" : " ", target->declared().id.str(), "=",
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -99,6 +99,10 @@
   void on_ended(backend_outcome outcome, duration took, duration expected, time_point now);
   /// \brief Records that a request was abandoned. Does not affect the server's health.
   void on_abandoned() noexcept { --this->own_in_flight; }
+  /// \brief Takes back the server's failures without a response since `since`, and a suspension for them:
+  /// they
+  ///        were this node's links' fault.
+  void forgive_failures(time_point since) noexcept;
   void on_health_check(bool healthy, duration cold_remaining, time_point now);
   /// \brief Suspends the server until a health check succeeds; the first check is due after `pause`.
   void suspend(duration pause, time_point now) noexcept;
@@ -136,6 +140,7 @@
   wait_queue queue;
 
  private:
+  void note_failure(time_point now) noexcept;
   [[nodiscard]] double decayed(double value, double neutral, time_point since, time_point now) const noexcept;
 
   backend_declaration declaration;
@@ -161,6 +166,10 @@
   time_point extra_check_at{far_future};
   duration check_pause;
   int consecutive_no_responses{0};
+  // The first failure without a response since the last response, and the average before it.
+  time_point failing_since{far_future};
+  double failure_average_before{0};
+  bool suspended_for_failures{false};
   double failure_average{0};
   double slowness_average{1};
   time_point last_outcome_at;
--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -72,6 +72,8 @@
   void on_crashed(std::uint64_t backend, time_point now);
   /// \brief Records that the server still runs; the requests that it lost are not suspected.
   void on_alive(std::uint64_t backend) { this->unconfirmed.erase(backend); }
+  /// \brief Forgets the lost requests of all servers: this node's links failed, not the servers.
+  void on_links_lost() { this->unconfirmed.clear(); }
   /// \}
 
   /// \name Other nodes
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -150,6 +150,11 @@
 
 void backend_state::on_ended(backend_outcome outcome, duration took, duration expected, time_point now) {
   --this->own_in_flight;
+  if (outcome == backend_outcome::no_response || outcome == backend_outcome::unreachable) {
+    this->note_failure(now);
+  } else {
+    this->failing_since = far_future;
+  }
   const double failure = impl::failure_weight(outcome);
   const double previous_slowness = this->slowness(now);
   this->failure_average =
@@ -170,9 +175,11 @@
   }
   if (outcome == backend_outcome::no_response &&
       ++this->consecutive_no_responses >= impl::no_responses_before_suspension) {
+    this->suspended_for_failures = this->suspended_for_failures || !this->is_suspended();
     this->suspend(impl::initial_check_pause, now);
   }
   if (outcome == backend_outcome::unreachable || outcome == backend_outcome::replaced) {
+    this->suspended_for_failures = this->suspended_for_failures || !this->is_suspended();
     this->suspend(impl::initial_check_pause, now);
   }
 }
@@ -186,7 +193,29 @@
   this->next_check_at = now + pause;
 }
 
+void backend_state::note_failure(time_point now) noexcept {
+  if (this->failing_since == far_future) {
+    this->failing_since = now;
+    this->failure_average_before = this->failure_ratio(now);
+  }
+}
+
+void backend_state::forgive_failures(time_point since) noexcept {
+  if (this->failing_since == far_future || this->failing_since < since) {
+    return;
+  }
+  this->failing_since = far_future;
+  this->failure_average = this->failure_average_before;
+  this->consecutive_no_responses = 0;
+  if (this->suspended_for_failures) {
+    this->suspended_for_failures = false;
+    this->availability = backend_availability::available;
+  }
+}
+
 void backend_state::suspend_until_checked(time_point now) noexcept {
+  this->note_failure(now);
+  this->suspended_for_failures = this->suspended_for_failures || !this->is_suspended();
   this->suspend(impl::initial_check_pause, now);
 }
 
@@ -199,6 +228,8 @@
   }
   if (this->is_suspended()) {
     this->availability = backend_availability::available;
+    this->suspended_for_failures = false;
+    this->failing_since = far_future;
     this->consecutive_no_responses = 0;
   }
   this->cold_until = std::max(this->cold_until, now + cold_remaining);
