Keep using open connections while new ones are refused

A refused connection no longer suspends a server to which another connection is open, as the end of a process closes all. With half-open links, requests use open connections only; while links are in doubt, they are tried at more servers that refuse. A suspension is taken back even if a response on an open connection came after it, and also if it came a second before the trouble.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -128,6 +128,9 @@
   /// Records that no process listens at the server's address. If it had requests, they are suspected only
   /// once another server has shown that this node's links are up.
   void on_backend_refused(backend_state& backend);
+  /// True if a connection to the server is open. The process has not ended then, even if new
+  /// connections are refused.
+  [[nodiscard]] bool has_open_connection(const backend_state& backend) const;
   /// Records that the server has crashed.
   void on_backend_crashed(std::uint64_t backend, time_point noticed_at);
   /// Judges the servers that were found refusing before the links were shown to be up.
--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -8,6 +8,14 @@
 #include "zinnia/observe/log.hpp"
 
 namespace zinnia {
+namespace impl {
+namespace {
+
+/// Pause before a server is checked again that refuses connections while others to it are open.
+constexpr duration blocked_check_pause{50};
+
+}  // namespace
+}  // namespace impl
 
 bool gateway::start_health_check(const std::shared_ptr<backend_state>& backend) {
   const auto* const service = this->backends.service(backend->declared().service);
@@ -40,16 +48,19 @@
     return;
   }
   const auto now = this->clock.now();
-  backend.suspend_until_checked(now);
-  if (!this->crashes.awaits_confirmation(backend.hash(), now) && backend.in_flight() == 0) {
-    this->on_backend_crashed(backend.hash(), now);
-    return;
-  }
   const auto& all = this->backends.all();
   const bool others_can_be_asked = std::any_of(all.begin(), all.end(), [&](const auto& other) {
     return other->hash() != backend.hash() && this->backends.may_be_checked(*other, now);
   });
-  if (!others_can_be_asked) {
+  if (others_can_be_asked && this->has_open_connection(backend)) {
+    if (this->crashes.awaits_confirmation(backend.hash(), now)) {
+      backend.request_health_check(now + impl::blocked_check_pause);
+    }
+    return;
+  }
+  backend.suspend_until_checked(now);
+  const bool has_requests = this->crashes.awaits_confirmation(backend.hash(), now) || backend.in_flight() > 0;
+  if (!has_requests || !others_can_be_asked) {
     this->on_backend_crashed(backend.hash(), now);
     return;
   }
@@ -58,6 +69,11 @@
   this->start_link_checks();
 }
 
+bool gateway::has_open_connection(const backend_state& backend) const {
+  const auto pool = this->pools.find(backend.declared().id);
+  return pool != this->pools.end() && pool->second->has_established();
+}
+
 void gateway::on_backend_crashed(std::uint64_t backend, time_point noticed_at) {
   if (this->crashes.awaits_confirmation(backend, noticed_at)) {
     this->counts.add(counter::backend_crashes);
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_held_response_bytes = 64 << 10;
 /// A request is retried after up to this many failed connects, which do not count as attempts.
 constexpr int max_connect_failures = 2;
+/// The same while the links are in doubt: a server to which a connection is open may be among the next ones.
+constexpr int max_blocked_connects = 16;
 /// Time in ms that a queued request waits beyond the expected wait before it is placed again.
 constexpr duration overdue_slack{40};
 
@@ -118,7 +120,9 @@
            now + (this->decision.expected_total - this->decision.expected_work) + impl::overdue_slack});
       return;
     case placement_action::refuse:
-      if (this->run_verdict == verdict::did_not_run) {
+      if (this->owner.links.state() == link_condition::half_open) {
+        this->end_without_links();
+      } else if (this->run_verdict == verdict::did_not_run) {
         this->refuse(this->decision.refusal_reason, this->decision.retry_after);
       } else {
         this->fail(impl::status_bad_gateway, this->decision.refusal_reason);
@@ -170,7 +174,10 @@
 void request_flow::send() {
   const auto& target = this->decision.target;
   auto* const pool = this->owner.pool_for(*target);
-  this->connection = pool == nullptr ? nullptr : pool->acquire(this->owner.connection_limit(*target));
+  // Half-open links take no new connections.
+  const bool may_use_pool =
+      pool != nullptr && (this->owner.links.state() != link_condition::half_open || pool->has_reusable());
+  this->connection = may_use_pool ? pool->acquire(this->owner.connection_limit(*target)) : nullptr;
   if (this->connection == nullptr) {
     this->tried_backends.push_back(target->declared().id);
     this->place_request();
@@ -292,7 +299,12 @@
   this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
   this->note_link_result(end);
   this->owner.counts.record(timing::backend, took);
-  this->record_attempt(attempt, took);
+  const bool is_blocked = end.connection_refused && this->owner.has_open_connection(*target);
+  if (is_blocked) {
+    target->on_abandoned();
+  } else {
+    this->record_attempt(attempt, took);
+  }
   this->run_verdict = combine(this->run_verdict, attempt.run_verdict);
   if (attempt.outcome == backend_outcome::responded) {
     this->owner.crashes.on_answered(this->fingerprint, this->owner.clock.now());
@@ -347,7 +359,9 @@
   this->tried_backends.push_back(this->decision.target->declared().id);
   const auto now = this->owner.clock.now();
   if (attempt.outcome == backend_outcome::unreachable) {
-    return static_cast<int>(this->tried_backends.size()) <= this->sent_count + impl::max_connect_failures;
+    const int max_failures = this->owner.links.state() == link_condition::up ? impl::max_connect_failures
+                                                                             : impl::max_blocked_connects;
+    return static_cast<int>(this->tried_backends.size()) <= this->sent_count + max_failures;
   }
   return this->sent_count < this->matched_route.max_attempts && now < this->deadline &&
          this->owner.retry_limiters[this->service].try_consume(
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -80,6 +80,9 @@
   [[nodiscard]] std::optional<duration> connect_time() const noexcept { return this->connect_duration; }
   /// \brief True while nothing of the call has been sent, because the connection is not established yet.
   [[nodiscard]] bool is_connecting() const noexcept { return this->phase == connection_phase::connecting; }
+  [[nodiscard]] bool is_established() const noexcept {
+    return this->phase == connection_phase::busy || this->phase == connection_phase::idle;
+  }
   [[nodiscard]] bool is_open() const noexcept { return this->phase != connection_phase::closed; }
   /// \brief True if another call may be started at time `now`.
   [[nodiscard]] bool is_reusable(time_point now) const noexcept {
--- a/packages/http/include/zinnia/http/backend_pool.hpp
+++ b/packages/http/include/zinnia/http/backend_pool.hpp
@@ -33,8 +33,10 @@
   void close_idle();
   /// \brief True if an idle connection could be used for a call.
   [[nodiscard]] bool has_reusable() const;
+  /// \brief True if any connection is established, idle or lent out.
+  [[nodiscard]] bool has_established() const;
   /// \brief True if no connection is lent out.
-  [[nodiscard]] bool is_unused() const noexcept { return this->in_use == 0; }
+  [[nodiscard]] bool is_unused() const noexcept { return this->lent.empty(); }
   [[nodiscard]] const boost::asio::ip::tcp::endpoint& endpoint() const noexcept { return this->address; }
 
  private:
@@ -42,7 +44,7 @@
   boost::asio::ip::tcp::endpoint address;
   const clock_source& clock;
   std::vector<std::shared_ptr<backend_connection>> idle;
-  std::size_t in_use{0};
+  std::vector<std::shared_ptr<backend_connection>> lent;
 };
 
 }  // namespace zinnia
--- a/packages/http/src/backend_pool.cpp
+++ b/packages/http/src/backend_pool.cpp
@@ -15,20 +15,20 @@
     auto connection = std::move(this->idle.back());
     this->idle.pop_back();
     if (connection->is_reusable(now)) {
-      ++this->in_use;
+      this->lent.push_back(connection);
       return connection;
     }
     connection->cancel();
   }
-  if (this->in_use >= max_connections) {
+  if (this->lent.size() >= max_connections) {
     return nullptr;
   }
-  ++this->in_use;
-  return std::make_shared<backend_connection>(this->context, this->address, this->clock);
+  return this->lent.emplace_back(
+      std::make_shared<backend_connection>(this->context, this->address, this->clock));
 }
 
 void backend_pool::release(std::shared_ptr<backend_connection> connection) {
-  --this->in_use;
+  std::erase(this->lent, connection);
   if (connection->is_reusable(this->clock.now()) && connection->endpoint() == this->address) {
     this->idle.push_back(std::move(connection));
   } else {
@@ -42,6 +42,12 @@
                      [now](const auto& connection) { return connection->is_reusable(now); });
 }
 
+bool backend_pool::has_established() const {
+  return this->has_reusable() ||
+         std::any_of(this->lent.begin(), this->lent.end(),
+                     [](const auto& connection) { return connection->is_established(); });
+}
+
 void backend_pool::set_endpoint(const boost::asio::ip::tcp::endpoint& address_in) {
   this->close_idle();
   this->address = address_in;
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -141,6 +141,7 @@
 
  private:
   void note_failure(time_point now) noexcept;
+  void suspend_for_failure(time_point now) noexcept;
   [[nodiscard]] double decayed(double value, double neutral, time_point since, time_point now) const noexcept;
 
   backend_declaration declaration;
@@ -169,7 +170,8 @@
   // The first failure without a response since the last response, and the average before it.
   time_point failing_since{far_future};
   double failure_average_before{0};
-  bool suspended_for_failures{false};
+  // When the server was suspended for such a failure; `far_future` if it is not.
+  time_point suspended_for_failure_at{far_future};
   double failure_average{0};
   double slowness_average{1};
   time_point last_outcome_at;
--- a/packages/routing/include/zinnia/routing/link_monitor.hpp
+++ b/packages/routing/include/zinnia/routing/link_monitor.hpp
@@ -105,6 +105,8 @@
   absl::flat_hash_map<std::uint64_t, open_calls> calls;
   // Servers that failed since the last sign of life.
   absl::flat_hash_set<std::uint64_t> failed;
+  // When the first of them did.
+  time_point failing_since;
   // A call on an established connection failed since the last sign of life.
   bool was_reset{false};
   // As of the last update.
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -175,12 +175,10 @@
   }
   if (outcome == backend_outcome::no_response &&
       ++this->consecutive_no_responses >= impl::no_responses_before_suspension) {
-    this->suspended_for_failures = this->suspended_for_failures || !this->is_suspended();
-    this->suspend(impl::initial_check_pause, now);
+    this->suspend_for_failure(now);
   }
   if (outcome == backend_outcome::unreachable || outcome == backend_outcome::replaced) {
-    this->suspended_for_failures = this->suspended_for_failures || !this->is_suspended();
-    this->suspend(impl::initial_check_pause, now);
+    this->suspend_for_failure(now);
   }
 }
 
@@ -200,23 +198,28 @@
   }
 }
 
+void backend_state::suspend_for_failure(time_point now) noexcept {
+  if (!this->is_suspended()) {
+    this->suspended_for_failure_at = now;
+  }
+  this->suspend(impl::initial_check_pause, now);
+}
+
 void backend_state::forgive_failures(time_point since) noexcept {
-  if (this->failing_since == far_future || this->failing_since < since) {
-    return;
+  if (this->failing_since != far_future && this->failing_since >= since) {
+    this->failing_since = far_future;
+    this->failure_average = this->failure_average_before;
+    this->consecutive_no_responses = 0;
   }
-  this->failing_since = far_future;
-  this->failure_average = this->failure_average_before;
-  this->consecutive_no_responses = 0;
-  if (this->suspended_for_failures) {
-    this->suspended_for_failures = false;
+  if (this->suspended_for_failure_at != far_future && this->suspended_for_failure_at >= since) {
+    this->suspended_for_failure_at = far_future;
     this->availability = backend_availability::available;
   }
 }
 
 void backend_state::suspend_until_checked(time_point now) noexcept {
   this->note_failure(now);
-  this->suspended_for_failures = this->suspended_for_failures || !this->is_suspended();
-  this->suspend(impl::initial_check_pause, now);
+  this->suspend_for_failure(now);
 }
 
 void backend_state::on_health_check(bool healthy, duration cold_remaining, time_point now) {
@@ -228,7 +231,7 @@
   }
   if (this->is_suspended()) {
     this->availability = backend_availability::available;
-    this->suspended_for_failures = false;
+    this->suspended_for_failure_at = far_future;
     this->failing_since = far_future;
     this->consecutive_no_responses = 0;
   }
--- a/packages/routing/src/link_monitor.cpp
+++ b/packages/routing/src/link_monitor.cpp
@@ -23,6 +23,8 @@
 /// Silence from which on links without an answered check are lost. Until then a response on an open
 /// connection may still show that they are half open.
 constexpr duration min_silence{200};
+/// Links may fail this long before the last response is read or the last connection is made.
+constexpr duration trouble_margin{1000};
 /// Pause between rounds while the links are not up.
 constexpr duration round_period{250};
 /// Least time between suspicions, so that silent servers do not cause checks all the time.
@@ -76,6 +78,9 @@
 }
 
 void link_monitor::on_failed(std::uint64_t backend, bool connecting, time_point now) {
+  if (this->failed.empty()) {
+    this->failing_since = now;
+  }
   this->failed.insert(backend);
   this->was_reset = this->was_reset || !connecting;
   if (connecting) {
@@ -101,7 +106,7 @@
     return false;
   }
   std::size_t silent = this->failed.size();
-  bool one_is_long_silent = !this->failed.empty() && this->silence(now) >= impl::one_silent;
+  bool one_is_long_silent = !this->failed.empty() && now - this->failing_since >= impl::one_silent;
   for (const auto& [backend, open] : this->calls) {
     silent += this->is_silent(backend, open, impl::several_silent, now) ? 1 : 0;
     one_is_long_silent = one_is_long_silent || this->is_silent(backend, open, impl::one_silent, now);
@@ -170,10 +175,11 @@
 
 void link_monitor::conclude(time_point now) {
   if (this->last_life_at >= this->round_started_at || this->has_usable_connections(now)) {
-    this->trouble_began = this->unconnected.empty() ? this->last_life_at : this->unconnected_since;
+    const auto began = this->unconnected.empty() ? this->last_life_at : this->unconnected_since;
+    this->trouble_began = began - impl::trouble_margin;
     this->set_state(link_condition::half_open, now);
   } else if (this->is_silent_since_round(now)) {
-    this->trouble_began = this->last_life_at;
+    this->trouble_began = this->last_life_at - impl::trouble_margin;
     this->set_state(link_condition::lost, now);
   }
 }
@@ -203,6 +209,7 @@
     case link_condition::half_open: {
       const bool is_unused = this->failed.empty() && this->calls.empty();
       if (this->silence(now) >= impl::several_silent && !is_unused && !this->has_usable_connections(now)) {
+        this->trouble_began = std::min(this->trouble_began, this->last_life_at - impl::trouble_margin);
         this->set_state(link_condition::lost, now);
       }
       return;
