--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -188,5 +188,35 @@
   's/    for (const auto\& name : watched.guard.take_due(now)) {/    for (const auto\& name : std::set<std::string>{}) {/' "what a copy undoes is held for ever"
 mutate test_store packages/store/src/object_feed.cpp \
   's/(this->listing \&\& is_other_era)/false/' "pages of different eras make one list"
+mutate test_routing packages/routing/src/link_monitor.cpp \
+  's/  return is_unanswered \&\& !this->failed.contains(backend) \&\&/  return false \&\&/' "silent servers raise no suspicion"
+mutate test_routing packages/routing/src/link_monitor.cpp \
+  's/    silent += this->is_silent(.*/    ;/;s/  bool one_is_long_silent = .*/  bool one_is_long_silent = false;/' "one server that fails is never checked"
+mutate test_routing packages/routing/src/link_monitor.cpp \
+  's/this->unconnected.size() >= impl::several ||/false ||/' "links that are half open are not suspected"
+mutate test_routing packages/routing/src/link_monitor.cpp \
+  's/  if (settles \&\& started_at >= this->round_started_at) {/  if (false) {/' "an answered check does not end a suspicion"
+mutate test_routing packages/routing/src/link_monitor.cpp \
+  's/    this->flaps = is_flapping .*/    this->flaps = 0;/' "links that come and go are used each time"
+mutate test_routing packages/routing/src/link_monitor.cpp \
+  's/         (this->current >= link_condition::half_open \&\& now >= this->next_round_at)/         this->current >= link_condition::half_open/' "lost links are checked without a pause"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/    if (any_reaches \&\& !node.reaches_backends) {/    if (false) {/' "nodes without links are advertised"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/    if (any_reaches \&\& !node.reaches_backends) {/    if (!node.reaches_backends) {/' "nobody is advertised while the servers are down"
+mutate test_membership packages/membership/src/heartbeat_codec.cpp \
+  's/!heartbeat.reaches_backends/false/' "heartbeats do not tell of lost links"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/  if (this->owner.links.is_lost(now)) {/  if (false) {/' "requests are tried on lost links"
+mutate test_gateway packages/gateway/src/gateway_links.cpp \
+  's/    flow->on_links_lost();/    ;/' "calls in flight wait on lost links"
+mutate test_gateway packages/gateway/src/gateway_links.cpp \
+  's/    backend->forgive_failures(.*/    ;/' "servers are blamed for lost links"
+mutate test_gateway packages/gateway/src/gateway_links.cpp \
+  's/  if (!has_requests || !others_can_be_asked) {/  if (true) {/' "a refused connection is a crash whatever the links"
+mutate test_gateway packages/gateway/src/gateway_links.cpp \
+  's/  this->crashes.on_links_lost();/  ;/;s/  this->refusals.clear();/  ;/' "lost links leave requests suspected"
+mutate test_gateway packages/gateway/src/gateway_links.cpp \
+  's/  if (others_can_be_asked \&\& this->has_open_connection(backend)) {/  if (false) {/' "a blocked new connection suspends a server"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
