--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -20,6 +20,7 @@
 #include "zinnia/routing/backend_table.hpp"
 #include "zinnia/routing/crash_ledger.hpp"
 #include "zinnia/routing/declarations.hpp"
+#include "zinnia/routing/link_monitor.hpp"
 #include "zinnia/routing/retry_limiter.hpp"
 #include "zinnia/routing/route_table.hpp"
 #include "zinnia/routing/weighted_split.hpp"
@@ -50,6 +51,9 @@
   /// Called for each request that this node has quarantined, or released because a server answered it (level
   /// 0), and for its share in `repeat_quarantine_changes`. May be empty.
   std::function<void(const crash_report&)> on_quarantine_change;
+  /// Called when this node has lost its links to all backend servers (false), and when it has regained them.
+  /// May be empty.
+  std::function<void(bool)> on_links_change;
   /// Limit for the reports that are repeated at a time.
   std::size_t max_repeated_reports{30};
 };
@@ -129,14 +133,36 @@
   void reassign_waiting(const std::vector<wait_ticket>& tickets);
   /// Records that a request's connection ended without a response, and checks if the server has crashed.
   void on_request_lost(backend_state& backend, const lost_request& lost);
-  /// Records that no process listens at the server's address.
-  void on_backend_crashed(backend_state& backend);
+  /// Records that no process listens at the server's address. If it had requests, they are suspected only
+  /// once another server has shown that this node's links are up.
+  void on_backend_refused(backend_state& backend);
+  /// True if a connection to the server is open. The process has not ended then, even if new
+  /// connections are refused.
+  [[nodiscard]] bool has_open_connection(const backend_state& backend) const;
+  /// Records that the server has crashed.
+  void on_backend_crashed(std::uint64_t backend, time_point noticed_at);
+  /// Judges the servers that were found refusing before the links were shown to be up.
+  void judge_refusals();
+  /// Takes back what was concluded about servers since the links failed.
+  void on_links_failed();
+  /// True if failures are due to this node's links.
+  [[nodiscard]] bool has_link_trouble() const noexcept {
+    return this->links.state() >= link_condition::half_open;
+  }
   /// Logs quarantined and released requests, refuses those that wait, and tells other nodes.
   /// \param found_here False if other nodes have reported the changes.
   void publish_crashes(bool found_here);
   /// Refuses the requests with this fingerprint that wait.
   void refuse_waiting(request_fingerprint request);
   void tick();
+  /// Acts on changes of the state of the links.
+  void update_links();
+  /// Ends queued requests and calls in flight, which no server will answer.
+  void end_calls_without_links();
+  /// Starts a round of link checks if one is wanted.
+  void start_link_checks();
+  /// Starts a health check unless one of this server is in progress. Returns false if none can be made.
+  [[nodiscard]] bool start_health_check(const std::shared_ptr<backend_state>& backend);
   /// Closes expired idle connections and removes the pools of servers that no longer exist.
   void clean_up_pools();
   void start_health_checks();
@@ -147,6 +173,13 @@
   gateway_options options;
   backend_table backends;
   crash_ledger crashes;
+  link_monitor links;
+  // The state of the links that `update_links` has acted on.
+  link_condition handled_links{link_condition::up};
+  std::size_t link_rounds{0};
+  // Servers that refused connections while they had requests, and when that was noticed, until it is known
+  // if the links are up.
+  std::vector<std::pair<std::uint64_t, time_point>> refusals;
   weighted_split split;
   std::shared_ptr<const routing_snapshot> current_snapshot;
   std::map<backend_id, std::unique_ptr<backend_pool>> pools;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -89,27 +89,6 @@
   this->publish_crashes(false);
 }
 
-void gateway::on_request_lost(backend_state& backend, const lost_request& lost) {
-  const auto now = this->clock.now();
-  this->crashes.on_lost(backend.hash(), lost, now);
-  if (this->crashes.awaits_confirmation(backend.hash(), now)) {
-    backend.request_health_check(now);
-    this->start_health_checks();
-  }
-  this->publish_crashes(true);
-}
-
-void gateway::on_backend_crashed(backend_state& backend) {
-  const auto now = this->clock.now();
-  if (this->crashes.awaits_confirmation(backend.hash(), now)) {
-    this->counts.add(counter::backend_crashes);
-    log_line{log_level::warn, "backend_crashed"}.field("backend", backend.declared().id.str());
-  }
-  backend.suspend_until_checked(now);
-  this->crashes.on_crashed(backend.hash(), now);
-  this->publish_crashes(true);
-}
-
 void gateway::publish_crashes(bool found_here) {
   const auto reports = this->crashes.take_reports();
   if (!reports.empty() && this->options.send_crash_reports) {
@@ -287,7 +266,7 @@
 
 void gateway::dispatch_waiting(const std::shared_ptr<backend_state>& backend) {
   const auto now = this->clock.now();
-  while (!backend->queue.empty() && this->backends.is_eligible(*backend, now) &&
+  while (!this->links.is_lost(now) && !backend->queue.empty() && this->backends.is_eligible(*backend, now) &&
          this->backends.has_capacity(*backend, now)) {
     const auto next = backend->queue.pop();
     if (const auto flow = this->flows.find(next->ticket); flow != this->flows.end()) {
@@ -332,6 +311,7 @@
       this->reassign_overdue(backend);
     }
   }
+  this->update_links();
   this->start_health_checks();
   auto notices = this->backends.take_notices();
   if (this->options.send_notices) {
@@ -366,15 +346,7 @@
 
 void gateway::start_health_checks() {
   for (const auto& backend : this->backends.due_for_health_check(this->clock.now())) {
-    const auto* const service = this->backends.service(backend->declared().service);
-    const auto* const pool = this->pool_for(*backend);
-    if (service == nullptr || pool == nullptr) {
-      continue;
-    }
-    auto& check = this->health_checks[backend->declared().id];
-    if (check == nullptr) {
-      check = std::make_unique<health_check>(*this, backend, pool->endpoint(), service->health_path);
-    }
+    static_cast<void>(this->start_health_check(backend));
   }
 }
 
@@ -417,6 +389,8 @@
       {"zinnia_requests_suspected", "", static_cast<std::int64_t>(this->crashes.count_from_level(1, now))},
       {"zinnia_requests_quarantined", "",
        static_cast<std::int64_t>(this->crashes.count_from_level(crash_ledger::quarantine_level, now))},
+      {"zinnia_links_lost", "", this->links.is_lost(now) ? 1 : 0},
+      {"zinnia_links_half_open", "", this->links.state() == link_condition::half_open ? 1 : 0},
       {"zinnia_nodes_registered", "", static_cast<std::int64_t>(this->nodes.registered_count)},
       {"zinnia_nodes_serving", "", static_cast<std::int64_t>(this->nodes.serving.size())},
       {"zinnia_log_lines_dropped", "", static_cast<std::int64_t>(dropped_log_lines())},
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_held_response_bytes = 64 << 10;
 /// A request is retried after up to this many failed connects, which do not count as attempts.
 constexpr int max_connect_failures = 2;
+/// The same while the links are in doubt: a server to which a connection is open may be among the next ones.
+constexpr int max_blocked_connects = 16;
 /// Time in ms that a queued request waits beyond the expected wait before it is placed again.
 constexpr duration overdue_slack{40};
 
@@ -93,6 +95,10 @@
     return;
   }
   const auto now = this->owner.clock.now();
+  if (this->owner.links.is_lost(now)) {
+    this->end_without_links();
+    return;
+  }
   placement_request request;
   request.matched_route = &this->matched_route;
   request.service = this->service;
@@ -114,7 +120,9 @@
            now + (this->decision.expected_total - this->decision.expected_work) + impl::overdue_slack});
       return;
     case placement_action::refuse:
-      if (this->run_verdict == verdict::did_not_run) {
+      if (this->owner.links.state() == link_condition::half_open) {
+        this->end_without_links();
+      } else if (this->run_verdict == verdict::did_not_run) {
         this->refuse(this->decision.refusal_reason, this->decision.retry_after);
       } else {
         this->fail(impl::status_bad_gateway, this->decision.refusal_reason);
@@ -166,7 +174,10 @@
 void request_flow::send() {
   const auto& target = this->decision.target;
   auto* const pool = this->owner.pool_for(*target);
-  this->connection = pool == nullptr ? nullptr : pool->acquire(this->owner.connection_limit(*target));
+  // Half-open links take no new connections.
+  const bool may_use_pool =
+      pool != nullptr && (this->owner.links.state() != link_condition::half_open || pool->has_reusable());
+  this->connection = may_use_pool ? pool->acquire(this->owner.connection_limit(*target)) : nullptr;
   if (this->connection == nullptr) {
     this->tried_backends.push_back(target->declared().id);
     this->place_request();
@@ -181,11 +192,16 @@
   this->response = {};
   this->held_body.clear();
   this->response_bytes = 0;
+  this->owner.links.on_sent(target->hash(), this->sent_at);
   this->connection->start(this->build_call(), *this);
 }
 
 void request_flow::on_head(const response_head& head) {
   this->response = head;
+  this->owner.links.on_life(this->owner.clock.now());
+  if (this->connection->connect_time()) {
+    this->owner.links.on_connected();
+  }
   if (head.status == impl::status_misdirected) {
     // Another instance now has the address and speaks of itself.
     return;
@@ -205,6 +221,7 @@
 
 void request_flow::on_body(std::string_view piece) {
   this->response_bytes += piece.size();
+  this->owner.links.on_life(this->owner.clock.now());
   this->owner.counts.add(counter::answer_bytes, piece.size());
   if (this->committed) {
     this->exchange->write(piece);
@@ -258,6 +275,12 @@
 
 void request_flow::record_attempt(const attempt_result& attempt, duration took) {
   constexpr double bytes_per_kib = 1024;
+  const bool is_link_failure =
+      attempt.outcome == backend_outcome::no_response || attempt.outcome == backend_outcome::unreachable;
+  if (is_link_failure && this->owner.has_link_trouble()) {
+    this->decision.target->on_abandoned();
+    return;
+  }
   this->owner.backends.record_attempt(
       {this->matched_route, this->service, this->decision, this->object_hash, attempt.outcome, took,
        static_cast<double>(this->response_bytes) / bytes_per_kib},
@@ -274,8 +297,14 @@
     this->owner.backends.record_round_trip(*target, *connected);
   }
   this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
+  this->note_link_result(end);
   this->owner.counts.record(timing::backend, took);
-  this->record_attempt(attempt, took);
+  const bool is_blocked = end.connection_refused && this->owner.has_open_connection(*target);
+  if (is_blocked) {
+    target->on_abandoned();
+  } else {
+    this->record_attempt(attempt, took);
+  }
   this->run_verdict = combine(this->run_verdict, attempt.run_verdict);
   if (attempt.outcome == backend_outcome::responded) {
     this->owner.crashes.on_answered(this->fingerprint, this->owner.clock.now());
@@ -283,7 +312,7 @@
   } else if (attempt.outcome == backend_outcome::no_response) {
     this->owner.on_request_lost(*target, {this->fingerprint, this->crash_level, this->sent_at});
   } else if (end.connection_refused) {
-    this->owner.on_backend_crashed(*target);
+    this->owner.on_backend_refused(*target);
   }
   absl::StrAppend(
       &this->attempt_history, this->attempt_history.empty() ? "" : " ", target->declared().id.str(), "=",
@@ -310,6 +339,15 @@
   this->owner.dispatch_waiting(target);
 }
 
+void request_flow::note_link_result(const backend_call_result& end) {
+  const auto now = this->owner.clock.now();
+  const auto backend = this->decision.target->hash();
+  if (!end.complete && this->response.status == 0) {
+    this->owner.links.on_failed(backend, end.failure_reason == reason::connect_failed, now);
+  }
+  this->owner.links.on_ended(backend, now);
+}
+
 bool request_flow::try_retry(const attempt_result& attempt) {
   if (this->run_verdict != verdict::did_not_run && !this->idempotent) {
     return false;
@@ -321,7 +359,9 @@
   this->tried_backends.push_back(this->decision.target->declared().id);
   const auto now = this->owner.clock.now();
   if (attempt.outcome == backend_outcome::unreachable) {
-    return static_cast<int>(this->tried_backends.size()) <= this->sent_count + impl::max_connect_failures;
+    const int max_failures = this->owner.links.state() == link_condition::up ? impl::max_connect_failures
+                                                                             : impl::max_blocked_connects;
+    return static_cast<int>(this->tried_backends.size()) <= this->sent_count + max_failures;
   }
   return this->sent_count < this->matched_route.max_attempts && now < this->deadline &&
          this->owner.retry_limiters[this->service].try_consume(
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -30,14 +30,17 @@
   std::string operator_address;
   incarnation_id incarnation;
   node_capacity capacity;
-  /// True if the node is advertised to callers of its failure domain. Set by `member_table::alive`.
+  /// True if the node is advertised to callers of its failure domain. Set by `member_table::alive`. False for
+  /// a node without links to backend servers while any node has links.
   bool serves{false};
   /// Port at the IP address of `peer_address` that receives holder notices; 0 if the node receives none.
   std::uint16_t notice_port{0};
+  /// False if the node has lost its links to all backend servers. Set by `member_table::alive`.
+  bool reaches_backends{true};
 
   friend bool operator==(const member& a, const member& b) noexcept {
     return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address &&
-           a.serves == b.serves;
+           a.serves == b.serves && a.reaches_backends == b.reaches_backends;
   }
 };
 
@@ -55,6 +58,8 @@
   /// Version of the latest known change for each kind of object; empty unless `watching`.
   std::vector<object_version> latest_versions;
   state_summary state{};
+  /// The node has links to backend servers.
+  bool reaches_backends{true};
 };
 
 /// \brief The nodes that are alive and accept requests.
@@ -72,10 +77,11 @@
   /// \brief Records a heartbeat. Ignores heartbeats of unregistered nodes and of other incarnations.
   void on_heartbeat(const node_heartbeat& heartbeat, time_point now);
   /// \brief Sets the state of this node itself, which sends itself no heartbeat.
-  void set_own_state(bool ready, bool leaving, const node_load& load) noexcept;
+  void set_own_state(bool ready, bool leaving, const node_load& load, bool reaches_backends = true) noexcept;
 
   /// \brief   Returns the nodes that are alive and accept requests.
-  /// \details Also updates the choice of serving nodes in each failure domain, and sets `member::serves`.
+  /// \details Also updates the choice of serving nodes in each failure domain, and sets `member::serves` and
+  ///          `member::reaches_backends`.
   [[nodiscard]] live_members alive(time_point now);
   /// \brief Returns the nodes to send heartbeats to, nearest first; empty until this node is registered.
   [[nodiscard]] std::vector<member> peers() const;
@@ -112,6 +118,7 @@
     time_point registered_at;
     bool ready{false};
     bool leaving{false};
+    bool reaches_backends{true};
     bool heartbeat_received{false};
   };
   /// Returns true if the other node sends its heartbeats to this one. The other node computes its peers from
@@ -127,6 +134,7 @@
   std::map<node_id, record> members;
   bool self_ready{false};
   bool self_leaving{false};
+  bool self_reaches_backends{true};
   node_load self_load;
   // Serving nodes of each failure domain, as chosen by the last call of `alive`.
   std::map<failure_domain_id, std::set<node_id>> serving_by_domain;
--- a/packages/membership/src/heartbeat_codec.cpp
+++ b/packages/membership/src/heartbeat_codec.cpp
@@ -17,7 +17,7 @@
   builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, heartbeat.ready, heartbeat.leaving,
                                              heartbeat.load.cpu_milli, heartbeat.load.link_kbit,
                                              heartbeat.watching, changes, heartbeat.state.configuration,
-                                             heartbeat.state.retained_digest));
+                                             heartbeat.state.retained_digest, !heartbeat.reaches_backends));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -37,6 +37,7 @@
   heartbeat.load = {decoded->cpu_milli(), decoded->link_kbit()};
   heartbeat.watching = decoded->watching();
   heartbeat.state = {decoded->configuration(), decoded->retained()};
+  heartbeat.reaches_backends = !decoded->lost_backends();
   if (decoded->changes() != nullptr) {
     for (const auto version : *decoded->changes()) {
       heartbeat.latest_versions.emplace_back(version);
