Hand requests to a peer while the links to the backend servers are lost

Callers of nodes that had lost their links to all servers were served far worse than others: such a node had nothing to do with a request but to fail it, though other nodes reached the servers.

Such a node now hands a request to a peer, on a port of its own between nodes. The peer serves it as one of its own, and the response goes back unchanged. It is handed on once, within its deadline, attempts and retry budget, and, if it must not run twice, only while it has not run. A peer marks its own responses with a verdict and a reason; without the mark the request may have run. Beyond its bound, without links or with an older configuration a peer refuses on arrival, and another is tried. Without any peer the request is refused at once (links-lost).

Requests now know when their first byte was read, since the time in which a forwarded body comes in counts towards its deadline.

--- a/apps/zinniad/daemon_options.cpp
+++ b/apps/zinniad/daemon_options.cpp
@@ -29,11 +29,13 @@
   void (*assign)(node_settings&, std::int64_t);
 };
 
-constexpr std::array<number_option, 9> number_options{{
+constexpr std::array<number_option, 10> number_options{{
     {"peer-port", "7100", 1, max_port, "UDP port for heartbeats between nodes", true,
      [](node_settings& s, std::int64_t v) { s.peer_port = static_cast<std::uint16_t>(v); }},
     {"notice-port", "0", 0, max_port, "UDP port for notices about objects; 0 for any free port", true,
      [](node_settings& s, std::int64_t v) { s.notice_port = static_cast<std::uint16_t>(v); }},
+    {"forward-port", "0", 0, max_port, "TCP port for requests that other nodes forward; 0 for any free port",
+     true, [](node_settings& s, std::int64_t v) { s.forward_port = static_cast<std::uint16_t>(v); }},
     {"stop-limit-ms", "6000", 3000, 3'600'000, "time limit of a graceful stop, in ms", true,
      [](node_settings& s, std::int64_t v) { s.stop_limit = {v}; }},
     {"drain-limit-ms", "2500", 0, 3'600'000,
--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -23,6 +23,8 @@
   wait_exceeds_deadline,
   deadline_passed,
   request_quarantined,
+  links_lost,
+  peer_busy,
   // During forwarding to a backend server.
   connect_failed,
   backend_shed,
--- a/packages/core/src/enum_names.cpp
+++ b/packages/core/src/enum_names.cpp
@@ -23,6 +23,8 @@
     "wait-exceeds-deadline",
     "deadline-passed",
     "request-quarantined",
+    "links-lost",
+    "peer-busy",
     "connect-failed",
     "backend-shed",
     "backend-replaced",
--- a/packages/gateway/include/zinnia/gateway/fwd.hpp
+++ b/packages/gateway/include/zinnia/gateway/fwd.hpp
@@ -7,5 +7,7 @@
 struct gateway_options;
 class gateway;
 class request_flow;
+class peer_forwarding;
+struct forwarded_request;
 
 }  // namespace zinnia
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/gateway/fwd.hpp"
 #include "zinnia/gateway/header_field_names.hpp"
 #include "zinnia/http/backend_pool.hpp"
 #include "zinnia/http/caller_connection.hpp"
@@ -20,6 +21,8 @@
 #include "zinnia/routing/backend_table.hpp"
 #include "zinnia/routing/crash_ledger.hpp"
 #include "zinnia/routing/declarations.hpp"
+#include "zinnia/routing/link_monitor.hpp"
+#include "zinnia/routing/peer_choice.hpp"
 #include "zinnia/routing/retry_limiter.hpp"
 #include "zinnia/routing/route_table.hpp"
 #include "zinnia/routing/weighted_split.hpp"
@@ -62,6 +65,8 @@
   std::set<region_id> regions_with_nodes;
   /// The number of registered nodes. Limits for all nodes together are divided by it.
   std::size_t registered_count{1};
+  /// Other nodes that serve requests which this node forwards while it cannot reach the backend servers.
+  std::vector<forwarding_peer> forwarding_peers;
 };
 
 /// \brief   Routes requests and keeps the state of the backend servers.
@@ -85,7 +90,10 @@
   void apply_crash_reports(const std::vector<crash_report>& reports);
   /// \brief Handles a caller's request and writes the response to the exchange.
   void handle(const std::shared_ptr<caller_exchange>& exchange);
+  /// \brief Handles a request that another node has forwarded, and writes the response to the exchange.
+  void handle_forwarded(const std::shared_ptr<caller_exchange>& exchange);
 
+  [[nodiscard]] link_monitor& link_state() noexcept { return this->links; }
   [[nodiscard]] std::size_t requests_in_flight() const noexcept { return this->flows.size(); }
   [[nodiscard]] const routing_snapshot* snapshot() const noexcept { return this->current_snapshot.get(); }
   /// \brief Returns the record of a finished request as JSON, or nullopt if it is no longer kept.
@@ -101,6 +109,14 @@
   friend class request_flow;
   friend class health_check;
 
+  /// Starts the flow of a request, or refuses it.
+  /// \param forwarded What the node that forwarded the request tells; null if it comes from a caller.
+  void admit(const std::shared_ptr<caller_exchange>& exchange, const forwarded_request* forwarded);
+  /// Responds to a request that has no flow.
+  void refuse_unplaced(caller_exchange& exchange, int status, reason why, bool is_forwarded);
+  /// Hands requests that wait for a backend server, or may be repeated, to other nodes while the links to the
+  /// servers are lost.
+  void forward_stranded_requests();
   /// Returns the pool for the backend server's current address, created on first use; null if the address
   /// cannot be read.
   [[nodiscard]] backend_pool* pool_for(const backend_state& backend);
@@ -152,6 +168,10 @@
   // Bytes of the bodies of all requests in flight. Invariant: at most `max_buffered_body_bytes`.
   std::size_t buffered_body_bytes{0};
   gateway_nodes nodes;
+  link_monitor links;
+  std::unique_ptr<peer_forwarding> peers;
+  // Requests of other nodes among `flows`.
+  std::size_t forwarded_in_flight{0};
   boost::asio::steady_timer tick_timer;
   time_point pools_cleaned_at;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -8,6 +8,8 @@
 #include <chrono>
 
 #include "health_check.hpp"
+#include "hop_fields.hpp"
+#include "peer_forwarding.hpp"
 #include "request_flow.hpp"
 #include "zinnia/observe/log.hpp"
 
@@ -40,6 +42,7 @@
       options{std::move(options_in)},
       backends{this->options.own_location, this->options.regions},
       records{this->options.fate_records},
+      peers{std::make_unique<peer_forwarding>(context_in, clock_in, this->options.own_location)},
       tick_timer{context_in} {
   // Reports may come before the first snapshot.
   this->crashes.set_longest_term(placement_settings{}.crash_quarantine);
@@ -74,6 +77,7 @@
   this->nodes = std::move(nodes_in);
   this->backends.set_nodes(this->nodes.serving, this->nodes.regions_with_nodes, this->options.self,
                            this->clock.now());
+  this->peers->set_peers(this->nodes.forwarding_peers, this->nodes.registered_count);
 }
 
 void gateway::apply_notices(const std::vector<holder_notice>& notices) {
@@ -146,48 +150,65 @@
 
 void gateway::handle(const std::shared_ptr<caller_exchange>& exchange) {
   this->counts.add(counter::requests);
-  const auto& head = exchange->head();
-  const auto id = find_field(head.fields, this->options.field_names.request_id).value_or("");
-  const auto refuse = [&](int status, reason why, header_fields fields) {
-    fields.push_back({this->options.field_names.request_id, std::string{id}});
-    exchange->respond(status, fields, "");
-    this->counts.record_refusal(why);
-    log_line{log_level::warn, "request_refused"}
-        .field("request", id)
-        .field("status", status)
-        .field("reason", to_string(why))
-        .field("path", head.path())
-        .field("config_version", this->current_snapshot
-                                     ? static_cast<std::int64_t>(this->current_snapshot->version.count())
-                                     : 0);
+  this->admit(exchange, nullptr);
+}
+
+void gateway::admit(const std::shared_ptr<caller_exchange>& exchange, const forwarded_request* forwarded) {
+  const auto refuse = [&](int status, reason why) {
+    this->refuse_unplaced(*exchange, status, why, forwarded != nullptr);
   };
   if (this->current_snapshot == nullptr || this->current_snapshot->routes == nullptr) {
-    refuse(impl::status_unavailable, reason::no_settings,
-           {{"Retry-After", std::string{impl::unplaced_retry_after_s}}});
+    refuse(impl::status_unavailable, reason::no_settings);
     return;
   }
+  const auto& head = exchange->head();
   const auto host = find_field(head.fields, "Host");
   if (!host) {
-    refuse(impl::status_bad_request, reason::bad_request, {});
+    refuse(impl::status_bad_request, reason::bad_request);
     return;
   }
   const auto* const route = this->current_snapshot->routes->find(*host, head.path());
   if (route == nullptr) {
-    refuse(impl::status_not_found, reason::no_route, {});
+    refuse(impl::status_not_found, reason::no_route);
     return;
   }
   if (this->buffered_body_bytes + exchange->body().size() > this->options.max_buffered_body_bytes) {
-    refuse(impl::status_unavailable, reason::memory_short,
-           {{"Retry-After", std::string{impl::unplaced_retry_after_s}}});
+    refuse(impl::status_unavailable, reason::memory_short);
     return;
   }
   this->buffered_body_bytes += exchange->body().size();
   const auto ticket = this->next_ticket++;
-  const auto flow = std::make_shared<request_flow>(*this, ticket, exchange, this->current_snapshot, *route);
+  const auto flow =
+      std::make_shared<request_flow>(*this, ticket, exchange, this->current_snapshot, *route, forwarded);
   this->flows.emplace(ticket, flow);
   flow->start();
 }
 
+void gateway::refuse_unplaced(caller_exchange& exchange, int status, reason why, bool is_forwarded) {
+  const auto& head = exchange.head();
+  const auto id = find_field(head.fields, this->options.field_names.request_id).value_or("");
+  header_fields fields;
+  if (status == impl::status_unavailable) {
+    fields.push_back({"Retry-After", std::string{impl::unplaced_retry_after_s}});
+  }
+  fields.push_back({this->options.field_names.request_id, std::string{id}});
+  if (is_forwarded) {
+    for (auto& field : encode_hop_fields({verdict::did_not_run, why, 0})) {
+      fields.push_back(std::move(field));
+    }
+  }
+  exchange.respond(status, fields, "");
+  this->counts.record_refusal(why);
+  log_line{log_level::warn, "request_refused"}
+      .field("request", id)
+      .field("status", status)
+      .field("reason", to_string(why))
+      .field("path", head.path())
+      .field("forwarded", is_forwarded ? 1 : 0)
+      .field("config_version",
+             this->current_snapshot ? static_cast<std::int64_t>(this->current_snapshot->version.count()) : 0);
+}
+
 backend_pool* gateway::pool_for(const backend_state& backend) {
   const auto& declared = backend.declared();
   boost::system::error_code problem;
@@ -314,6 +335,7 @@
       this->reassign_overdue(backend);
     }
   }
+  this->forward_stranded_requests();
   this->start_health_checks();
   auto notices = this->backends.take_notices();
   if (this->options.send_notices) {
@@ -326,6 +348,7 @@
   if (now - this->pools_cleaned_at > impl::pool_cleanup_period) {
     this->pools_cleaned_at = now;
     this->clean_up_pools();
+    this->peers->clean_up();
   }
   this->tick_timer.expires_after(impl::tick_period);
   this->tick_timer.async_wait([this](const boost::system::error_code& stopped) {
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -22,6 +22,10 @@
 /// Time in ms that a queued request waits beyond the expected wait before it is placed again.
 constexpr duration overdue_slack{40};
 
+/// Retry-After, in ms, if neither this node nor a peer reaches the backend servers: about the time in which
+/// nodes hear of peers that do.
+constexpr duration links_lost_retry_after{500};
+
 constexpr int status_misdirected = 421;
 constexpr int status_bad_gateway = 502;
 
@@ -30,18 +34,28 @@
 
 request_flow::request_flow(gateway& owner_in, wait_ticket ticket_in,
                            std::shared_ptr<caller_exchange> exchange_in,
-                           std::shared_ptr<const routing_snapshot> snapshot_in, const route& route_in)
+                           std::shared_ptr<const routing_snapshot> snapshot_in, const route& route_in,
+                           const forwarded_request* forwarded_in)
     : owner{owner_in},
       ticket{ticket_in},
       exchange{std::move(exchange_in)},
       snapshot{std::move(snapshot_in)},
       matched_route{route_in},
+      forwarded{forwarded_in == nullptr ? std::nullopt : std::optional{*forwarded_in}},
+      max_attempts{route_in.max_attempts},
       idempotent{is_repeatable(route_in.kind, this->exchange->head().method)},
       arrived_at{this->exchange->received_at()},
       deadline_timer{owner_in.context} {
   const auto& fields = this->exchange->head().fields;
   const auto& field_names = this->owner.options.field_names;
   this->request_id = std::string{find_field(fields, field_names.request_id).value_or("")};
+  if (this->forwarded) {
+    // The time left was that at the first byte.
+    this->arrived_at = this->exchange->started_at();
+    this->max_attempts = std::min(this->max_attempts, this->forwarded->attempts_left);
+    this->tried_backends = this->forwarded->tried;
+    ++this->owner.forwarded_in_flight;
+  }
   this->deadline = this->arrived_at + this->matched_route.timeout;
   if (const auto left = find_field(fields, field_names.time_left_ms)) {
     if (const auto ms = parse_number(*left)) {
@@ -58,9 +72,7 @@
 }
 
 void request_flow::start() {
-  this->service = this->owner.split.pick(this->matched_route);
-  this->owner.retry_limiters[this->service].on_request(this->owner.options.retry_budget,
-                                                       this->owner.clock.now());
+  this->choose_service();
   const auto self = this->shared_from_this();
   this->exchange->on_disconnect = [self] { self->on_caller_left(); };
   const auto left = this->deadline - this->owner.clock.now();
@@ -78,6 +90,21 @@
   });
 }
 
+void request_flow::choose_service() {
+  const auto& destinations = this->matched_route.destinations;
+  const auto is_chosen = [&](const weighted_destination& destination) {
+    return this->forwarded && destination.service == this->forwarded->service;
+  };
+  const auto chosen = std::find_if(destinations.begin(), destinations.end(), is_chosen);
+  this->service =
+      chosen == destinations.end() ? this->owner.split.pick(this->matched_route) : chosen->service;
+  if (!this->forwarded) {
+    // The node that forwards a request has counted it.
+    this->owner.retry_limiters[this->service].on_request(this->owner.options.retry_budget,
+                                                         this->owner.clock.now());
+  }
+}
+
 void request_flow::start_deadline_timer(std::chrono::milliseconds after) {
   this->deadline_timer.expires_after(after);
   this->deadline_timer.async_wait(
@@ -93,6 +120,10 @@
     return;
   }
   const auto now = this->owner.clock.now();
+  if (this->owner.links.is_lost(now)) {
+    this->forward_to_peer(reason::links_lost, impl::links_lost_retry_after);
+    return;
+  }
   placement_request request;
   request.matched_route = &this->matched_route;
   request.service = this->service;
@@ -126,6 +157,10 @@
 void request_flow::send_waiting() {
   this->queued = false;
   this->queue_wait = this->queue_wait + (this->owner.clock.now() - this->placed_at);
+  if (this->owner.links.is_lost(this->owner.clock.now())) {
+    this->place_request();
+    return;
+  }
   this->send();
 }
 
@@ -135,7 +170,7 @@
   this->place_request();
 }
 
-backend_call request_flow::build_call() const {
+backend_call request_flow::build_call(std::string_view target, const header_fields& added) const {
   const auto& field_names = this->owner.options.field_names;
   const auto& head = this->exchange->head();
   backend_call call;
@@ -144,15 +179,15 @@
     call.id_field = field_names.request_id;
     call.id = this->request_id;
   }
-  const auto target = std::string_view{head.target}.substr(this->matched_route.stripped_prefix_length);
   absl::StrAppend(&call.bytes, head.method, " ", absl::string_view{target.data(), target.size()},
                   " HTTP/1.1\r\n");
-  append_fields(call.bytes,
-                end_to_end_fields(head.fields, {field_names.time_left_ms, field_names.expected_backend}));
+  auto replaced = hop_field_names();
+  replaced.emplace_back(field_names.time_left_ms);
+  replaced.emplace_back(field_names.expected_backend);
+  append_fields(call.bytes, end_to_end_fields(head.fields, replaced));
   const auto left = std::max<std::int64_t>((this->deadline - this->owner.clock.now()).ms, 1);
   absl::StrAppend(&call.bytes, field_names.time_left_ms, ": ", left, "\r\n");
-  absl::StrAppend(&call.bytes, field_names.expected_backend, ": ", this->decision.target->declared().id.str(),
-                  "\r\n");
+  append_fields(call.bytes, added);
   const bool has_body = !this->exchange->body().empty() ||
                         (head.method != "GET" && head.method != "HEAD" && head.method != "DELETE");
   if (has_body) {
@@ -181,13 +216,17 @@
   this->response = {};
   this->held_body.clear();
   this->response_bytes = 0;
-  this->connection->start(this->build_call(), *this);
+  const auto path =
+      std::string_view{this->exchange->head().target}.substr(this->matched_route.stripped_prefix_length);
+  this->connection->start(this->build_call(path, {{this->owner.options.field_names.expected_backend,
+                                                   target->declared().id.str()}}),
+                          *this);
 }
 
 void request_flow::on_head(const response_head& head) {
   this->response = head;
-  if (head.status == impl::status_misdirected) {
-    // Another instance now has the address and speaks of itself.
+  if (this->peer || head.status == impl::status_misdirected) {
+    // Another instance now has the address and speaks of itself. A peer has applied the server's statements.
     return;
   }
   const auto& field_names = this->owner.options.field_names;
@@ -212,7 +251,7 @@
     this->held_body += piece;
   }
   if (!this->committed && this->held_body.size() > impl::max_held_response_bytes) {
-    const auto attempt = classify_response(this->response, this->owner.options.field_names);
+    const auto attempt = this->classify_head();
     if (!attempt.can_forward) {
       // The rest of the response would be of no use.
       this->connection->cancel();
@@ -233,9 +272,7 @@
 
 void request_flow::commit() {
   this->committed = true;
-  response_head head = this->response;
-  head.fields = end_to_end_fields(this->response.fields, {});
-  this->exchange->begin(head);
+  this->exchange->begin(this->make_forwarded_head());
   this->exchange->write(this->held_body);
   this->held_body.clear();
 }
@@ -245,8 +282,7 @@
     if (this->response.content_length) {
       this->commit();
     } else {
-      response_head head = this->response;
-      head.fields = end_to_end_fields(this->response.fields, {});
+      auto head = this->make_forwarded_head();
       head.content_length = this->held_body.size();
       this->committed = true;
       this->exchange->begin(head);
@@ -267,6 +303,10 @@
 void request_flow::on_end(const backend_call_result& end) {
   // Keeps this object alive: `close` removes it from the gateway, which may hold the last other reference.
   const auto self = this->shared_from_this();
+  if (this->peer) {
+    this->on_peer_end(end);
+    return;
+  }
   const auto target = this->decision.target;
   const auto attempt = classify_attempt(end, this->response, this->owner.options.field_names);
   const auto took = this->owner.clock.now() - this->sent_at;
@@ -291,6 +331,9 @@
       took.ms, "ms");
   if (attempt.outcome == backend_outcome::unreachable) {
     --this->sent_count;
+    ++this->connect_failures;
+  } else {
+    this->reached_backends.push_back(target->declared().id);
   }
   if (this->committed && !end.complete) {
     this->exchange->abort();
@@ -321,9 +364,9 @@
   this->tried_backends.push_back(this->decision.target->declared().id);
   const auto now = this->owner.clock.now();
   if (attempt.outcome == backend_outcome::unreachable) {
-    return static_cast<int>(this->tried_backends.size()) <= this->sent_count + impl::max_connect_failures;
+    return this->connect_failures <= impl::max_connect_failures || this->owner.links.is_lost(now);
   }
-  return this->sent_count < this->matched_route.max_attempts && now < this->deadline &&
+  return this->sent_count < this->max_attempts && now < this->deadline &&
          this->owner.retry_limiters[this->service].try_consume(
              this->owner.options.retry_budget, static_cast<int>(this->owner.nodes.registered_count), now);
 }
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -4,10 +4,14 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "attempt_result.hpp"
+#include "hop_fields.hpp"
+#include "peer_forwarding.hpp"
+#include "peer_result.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/backend_connection.hpp"
 #include "zinnia/observe/json_object.hpp"
@@ -16,11 +20,15 @@
 namespace zinnia {
 
 /// \brief   Places a request, sends it, classifies the response and retries where that is allowed.
-/// \details Invariant: a non-idempotent request is sent again only while `run_verdict` is `did_not_run`.
+/// \details While the links to the backend servers are lost, a peer takes the place of a server. Invariants:
+/// a
+///          non-idempotent request is sent again only while `run_verdict` is `did_not_run`; a request that
+///          another node has forwarded is not forwarded again.
 class request_flow final : public backend_call_handler, public std::enable_shared_from_this<request_flow> {
  public:
   request_flow(gateway& owner_in, wait_ticket ticket_in, std::shared_ptr<caller_exchange> exchange_in,
-               std::shared_ptr<const routing_snapshot> snapshot_in, const route& route_in);
+               std::shared_ptr<const routing_snapshot> snapshot_in, const route& route_in,
+               const forwarded_request* forwarded_in);
 
   void start();
   /// \brief Sends the request to the backend server in whose queue it waited; the queue no longer holds it.
@@ -28,6 +36,10 @@
   /// \brief Places the request again after its removal from a queue, because the backend server is no longer
   ///        usable or the request has waited longer than expected.
   void reassign();
+  /// \brief Hands the request to a peer, as the links to the servers are lost, if it waits for a server or
+  /// may
+  ///        be repeated.
+  void leave_lost_links();
   /// \brief  Ends the request if it is quarantined because it crashes backend servers.
   /// \return True if so.
   [[nodiscard]] bool refuse_if_quarantined();
@@ -40,10 +52,27 @@
   void on_end(const backend_call_result& end) override;
 
  private:
+  /// Chooses the route's destination, and counts the request for it.
+  void choose_service();
   /// Chooses a backend server; then sends the request, queues it or refuses it.
   void place_request();
   void send();
-  [[nodiscard]] backend_call build_call() const;
+  /// Builds a request for a server or a peer.
+  /// \param added Fields in addition to the caller's and the time left.
+  [[nodiscard]] backend_call build_call(std::string_view target, const header_fields& added) const;
+  /// Sends the request to a peer, or ends it if there is none.
+  /// \param why        The reason if it is refused.
+  void forward_to_peer(reason why, duration retry_after);
+  void on_peer_end(const backend_call_result& end);
+  /// Ends a request that a peer did not serve.
+  void end_after_peer(const peer_result& result);
+  /// Returns a connection to the peer that lent it.
+  void release_peer(peer_forwarding::ending how, std::string_view noted);
+  [[nodiscard]] peer_request wanted_peer() const;
+  /// Returns true if the response's head allows it to be forwarded.
+  [[nodiscard]] attempt_result classify_head() const;
+  /// Returns the head to forward: the server's, without fields that apply to one connection.
+  [[nodiscard]] response_head make_forwarded_head() const;
   /// Returns true if the request may be sent again. Takes the retry from the budget, except after a failed
   /// connect.
   [[nodiscard]] bool try_retry(const attempt_result& attempt);
@@ -71,7 +100,7 @@
   /// \param status The status sent to the caller, or 0 if the caller left.
   void close(int status, reason why);
   /// Returns the header fields of responses that the node makes itself.
-  [[nodiscard]] header_fields make_own_fields() const;
+  [[nodiscard]] header_fields make_own_fields(reason why) const;
   [[nodiscard]] json_object make_record(int status, reason why, duration took) const;
   [[nodiscard]] bool has_active_call() const noexcept { return this->connection != nullptr; }
 
@@ -83,6 +112,10 @@
   const route& matched_route;
   service_id service;
   std::string request_id;
+  // Set if another node has forwarded the request.
+  std::optional<forwarded_request> forwarded;
+  // The number of attempts that this node may make.
+  int max_attempts{1};
   // Hash of the route's prefix and the object key; nullopt if the route is not sticky or there is no key.
   std::optional<std::uint64_t> object_hash;
   request_fingerprint fingerprint;
@@ -92,7 +125,14 @@
   boost::asio::steady_timer deadline_timer;
 
   placement_decision decision;
+  // Includes those that another node tried before it forwarded the request.
   std::vector<backend_id> tried_backends;
+  // Those of `tried_backends` that could not be connected to.
+  int connect_failures{0};
+  // Backend servers that may have got the request.
+  std::vector<backend_id> reached_backends;
+  // In order.
+  std::vector<node_id> tried_peers;
   // The number of attempts, without those that could not connect.
   int sent_count{0};
   // Combined over all attempts.
@@ -105,6 +145,8 @@
   int crash_level{0};
   // Over all queues in which the request waited.
   duration queue_wait{0};
+  // The peer at which the request is; nullopt if the call in progress is one to a backend server.
+  std::optional<node_id> peer;
   // Null while no call is in progress.
   std::shared_ptr<backend_connection> connection;
   // Of the latest attempt.
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -45,11 +45,16 @@
   return true;
 }
 
-header_fields request_flow::make_own_fields() const {
+header_fields request_flow::make_own_fields(reason why) const {
   header_fields fields;
   if (!this->request_id.empty()) {
     fields.push_back({this->owner.options.field_names.request_id, this->request_id});
   }
+  if (this->forwarded) {
+    for (auto& field : encode_hop_fields({this->run_verdict, why, this->sent_count})) {
+      fields.push_back(std::move(field));
+    }
+  }
   return fields;
 }
 
@@ -77,7 +82,7 @@
 }
 
 void request_flow::respond_unavailable(reason why, duration retry_after) {
-  auto fields = this->make_own_fields();
+  auto fields = this->make_own_fields(why);
   constexpr double ms_per_second = 1000;
   fields.push_back(
       {"Retry-After", absl::StrFormat("%.3f", static_cast<double>(retry_after.ms) / ms_per_second)});
@@ -88,7 +93,7 @@
 
 void request_flow::fail(int status, reason why) {
   this->leave_queue();
-  this->exchange->respond(status, this->make_own_fields(), "");
+  this->exchange->respond(status, this->make_own_fields(why), "");
   this->owner.counts.record_refusal(why);
   this->close(status, why);
 }
@@ -134,6 +139,11 @@
   if (!this->has_active_call()) {
     return;
   }
+  if (this->peer) {
+    this->connection->cancel();
+    this->release_peer(peer_forwarding::ending::answered, "cancelled");
+    return;
+  }
   const auto target = this->decision.target;
   this->connection->cancel();
   this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
@@ -167,6 +177,7 @@
   log_line{served ? log_level::info : log_level::warn, "request_ended"}.merge(record);
   this->owner.records.add(this->request_id, record);
   this->owner.buffered_body_bytes -= this->exchange->body().size();
+  this->owner.forwarded_in_flight -= this->forwarded ? 1 : 0;
   this->owner.flows.erase(this->ticket);
 }
 
@@ -183,6 +194,8 @@
       .field("verdict", to_string(this->run_verdict))
       .field("reason", to_string(why))
       .field("attempts", this->attempt_history)
+      .field("forwarded_to", this->tried_peers.empty() ? "" : this->tried_peers.back().str())
+      .field("forwarded_from", this->forwarded ? this->forwarded->sender.str() : "")
       .field("took_ms", took.ms)
       .field("waited_ms", this->queue_wait.ms)
       .field("time_left_ms", (this->deadline - this->arrived_at - took).ms)
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -34,10 +34,12 @@
 class caller_exchange : public std::enable_shared_from_this<caller_exchange> {
  public:
   caller_exchange(std::shared_ptr<caller_connection> owner, request_head head, std::string body,
-                  time_point received);
+                  time_point started, time_point received);
 
   [[nodiscard]] const request_head& head() const noexcept { return this->request; }
   [[nodiscard]] const std::string& body() const noexcept { return this->request_body; }
+  /// \brief The time at which the request's first byte was read.
+  [[nodiscard]] time_point started_at() const noexcept { return this->started; }
   /// \brief The time at which the request's last byte was read.
   [[nodiscard]] time_point received_at() const noexcept { return this->received; }
   /// \brief True if the response is unfinished and the caller is still connected.
@@ -82,6 +84,7 @@
   std::shared_ptr<caller_connection> connection;
   request_head request;
   std::string request_body;
+  time_point started;
   time_point received;
   std::string output;
   std::function<void()> first_in_pipeline_callback;
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <utility>
 
 #include "zinnia/http/socket_options.hpp"
 
@@ -49,10 +50,11 @@
 }  // namespace impl
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_connection> owner, request_head head_in,
-                                 std::string body_in, time_point received_in)
+                                 std::string body_in, time_point started_in, time_point received_in)
     : connection{std::move(owner)},
       request{std::move(head_in)},
       request_body{std::move(body_in)},
+      started{started_in},
       received{received_in} {}
 
 void caller_exchange::respond(int status, const header_fields& fields, std::string_view text) {
@@ -279,9 +281,9 @@
     this->input_ended = true;
     this->input.clear();
   }
-  this->request_started = this->clock.now();
+  const auto started = std::exchange(this->request_started, this->clock.now());
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head),
-                                                    std::move(body), this->request_started);
+                                                    std::move(body), started, this->request_started);
   this->pending.push_back(exchange);
   this->on_request(exchange);
 }
@@ -293,7 +295,7 @@
   request_head placeholder;
   placeholder.keep_alive = false;
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(placeholder),
-                                                    std::string{}, this->clock.now());
+                                                    std::string{}, this->request_started, this->clock.now());
   this->pending.push_back(exchange);
   exchange->respond(status, {}, "");
 }
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -33,6 +33,10 @@
   bool serves{false};
   /// Port at the IP address of `peer_address` that receives holder notices; 0 if the node receives none.
   std::uint16_t notice_port{0};
+  /// Port at the IP address of `peer_address` that receives forwarded requests; 0 if the node receives none.
+  std::uint16_t forward_port{0};
+  /// True if the node reaches backend servers. Set by `member_table::alive`.
+  bool reaches_backends{true};
 
   friend bool operator==(const member& a, const member& b) noexcept {
     return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address &&
--- a/packages/membership/tests/holder_notice_codec_test.cpp
+++ b/packages/membership/tests/holder_notice_codec_test.cpp
@@ -69,4 +69,19 @@
   EXPECT_FALSE(decode_member("n", wrong));
 }
 
+TEST(member_codec, keeps_the_port_for_forwarded_requests_and_accepts_entries_without_one) {
+  member entry;
+  entry.id = node_id{"n"};
+  entry.peer_address = {"10.0.0.1", 70};
+  entry.forward_port = 72;
+  const auto document = encode_member(entry);
+  EXPECT_EQ(decode_member("n", document)->forward_port, 72);
+  auto earlier = document;
+  earlier.replace(earlier.find("\"forwards\""), 10, "\"unknown\"");
+  EXPECT_EQ(decode_member("n", earlier)->forward_port, 0);
+  auto wrong = document;
+  wrong.replace(wrong.find(":72"), 3, ":-1");
+  EXPECT_FALSE(decode_member("n", wrong));
+}
+
 }  // namespace
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "zinnia/core/clock.hpp"
@@ -34,6 +35,9 @@
   std::uint16_t peer_port{0};
   /// The UDP port for holder notices; 0 lets the system choose one.
   std::uint16_t notice_port{0};
+  /// The TCP port for requests that other nodes forward; 0 lets the system choose one, and without a port the
+  /// node receives none.
+  std::optional<std::uint16_t> forward_port;
 
   std::size_t max_descriptors{1024};
   node_capacity capacity;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -20,6 +20,7 @@
 
 #include "change_relay_server.hpp"
 #include "notice_exchange.hpp"
+#include "zinnia/gateway/forwarding_limits.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
 #include "zinnia/membership/notice_peers.hpp"
@@ -76,6 +77,8 @@
   [[nodiscard]] control_events events();
   [[nodiscard]] member self() const;
   [[nodiscard]] bool listen();
+  /// Returns the nodes that serve requests of this one while it cannot reach the backend servers.
+  [[nodiscard]] std::vector<forwarding_peer> forwarding_peers() const;
   void respond_to_directory_query(const std::shared_ptr<caller_exchange>& exchange);
   void respond_to_readiness_check(const std::shared_ptr<caller_exchange>& exchange);
   /// How long callers may cache a directory response, from the current settings tree.
@@ -97,6 +100,9 @@
   http_listener directory;
   http_listener operators;
   http_listener peers;
+  http_listener forwarded;
+  // The bound port for forwarded requests; 0 without one.
+  std::uint16_t forward_port{0};
   boost::asio::signal_set signals;
   boost::asio::steady_timer stop_timer;
   live_members alive;
@@ -133,6 +139,8 @@
                 }},
       peers{this->context, this->clock, max_internal_connections,
             [this](const auto& exchange) { this->relay_server->handle(exchange); }},
+      forwarded{this->context, this->clock, max_forwarding_connections,
+                [this](const auto& exchange) { this->traffic.handle_forwarded(exchange); }},
       signals{this->context, SIGTERM, SIGINT, SIGHUP},
       stop_timer{this->context} {}
 
@@ -162,6 +170,7 @@
   own.operator_address = this->settings.operator_endpoint.str();
   own.peer_address = {this->settings.ip, this->settings.peer_port};
   own.notice_port = this->notices.port();
+  own.forward_port = this->forward_port;
   own.incarnation = make_incarnation();
   own.capacity = this->settings.capacity;
   return own;
@@ -173,7 +182,12 @@
     boost::asio::post(this->context, [this, snapshot] { this->traffic.apply(snapshot); });
   };
   handlers.on_limits = [this](const caller_limits& limits) {
-    boost::asio::post(this->context, [this, limits] { this->callers.set_limits(limits); });
+    boost::asio::post(this->context, [this, limits] {
+      this->callers.set_limits(limits);
+      auto hop_limits = limits;
+      hop_limits.max_header_bytes += max_hop_field_bytes;
+      this->forwarded.set_limits(hop_limits);
+    });
   };
   handlers.on_nodes = [this](const membership_view& nodes) {
     boost::asio::post(this->context, [this, nodes] {
@@ -190,7 +204,8 @@
         // This node is not ready or is leaving; it still serves the requests that it has read.
         serving.emplace(this->settings.node, this->settings.own_location);
       }
-      this->traffic.set_nodes({std::move(serving), nodes.regions_with_nodes, nodes.registered_count});
+      this->traffic.set_nodes(
+          {std::move(serving), nodes.regions_with_nodes, nodes.registered_count, this->forwarding_peers()});
     });
   };
   handlers.on_relay_update = [this] {
@@ -205,19 +220,33 @@
   return handlers;
 }
 
+std::vector<forwarding_peer> node::forwarding_peers() const {
+  std::vector<forwarding_peer> chosen;
+  for (const auto& [id, known] : this->alive) {
+    if (id != this->settings.node && known.reaches_backends && known.forward_port != 0) {
+      chosen.push_back({id, known.where, {known.peer_address.ip, known.forward_port}});
+    }
+  }
+  return chosen;
+}
+
 bool node::listen() {
   const auto start = [](http_listener& listener, const ip_endpoint& address) {
     const auto started = listener.listen(to_endpoint(address));
     if (!started) {
       std::cerr << "zinniad: " << started.last_error().describe() << '\n';
     }
-    return static_cast<bool>(started);
+    return started ? *started : std::uint16_t{0};
   };
-  return start(this->callers, this->settings.caller_endpoint) &&
-         start(this->readiness, this->settings.readiness_endpoint) &&
-         start(this->directory, this->settings.directory_endpoint) &&
-         start(this->operators, this->settings.operator_endpoint) &&
-         start(this->peers, {this->settings.ip, this->settings.peer_port});
+  if (this->settings.forward_port) {
+    // A node without this port only gets no forwarded requests.
+    this->forward_port = start(this->forwarded, {this->settings.ip, *this->settings.forward_port});
+  }
+  return start(this->callers, this->settings.caller_endpoint) != 0 &&
+         start(this->readiness, this->settings.readiness_endpoint) != 0 &&
+         start(this->directory, this->settings.directory_endpoint) != 0 &&
+         start(this->operators, this->settings.operator_endpoint) != 0 &&
+         start(this->peers, {this->settings.ip, this->settings.peer_port}) != 0;
 }
 
 int node::run() {
@@ -294,6 +323,7 @@
       .field("connections", static_cast<std::int64_t>(this->callers.open_connections()));
   this->control->begin_leaving();
   this->callers.drain();
+  this->forwarded.drain();
   this->continue_stop();
 }
 
@@ -306,10 +336,12 @@
   if (!this->reading_stopped && (is_idle || elapsed > read_limit)) {
     this->reading_stopped = true;
     this->callers.stop_reading();
+    this->forwarded.stop_reading();
     this->reading_stopped_at = this->clock.now();
   }
   const bool is_finished = this->reading_stopped && this->traffic.requests_in_flight() == 0 &&
                            !this->callers.has_requests_in_flight() &&
+                           !this->forwarded.has_requests_in_flight() &&
                            this->clock.now() - this->reading_stopped_at > response_flush_time;
   if (elapsed > limit || is_finished) {
     this->context.stop();
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -35,6 +35,12 @@
   backend_crashes,
   /// Requests that were quarantined because they crash backend servers, also by the reports of other nodes.
   requests_quarantined,
+  /// Requests that were handed to another node because this one had lost its links to the backend servers.
+  requests_forwarded,
+  /// Requests that other nodes handed to this one, those refused included.
+  forwarded_received,
+  /// Requests of other nodes that were refused on arrival, for lack of room or of links.
+  forwarded_refused,
   count,
 };
 
--- a/packages/observe/src/metrics.cpp
+++ b/packages/observe/src/metrics.cpp
@@ -13,12 +13,14 @@
 constexpr double max_bucket_ms = 60'000;
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(counter::count)> counter_names{
-    "requests",          "lookups",
-    "caller_closed",     "malformed_frames",
-    "store_calls",       "store_failures",
-    "settings_rejected", "answer_bytes",
-    "limited_sends",     "services_without_backend",
-    "backend_crashes",   "requests_quarantined"};
+    "requests",           "lookups",
+    "caller_closed",      "malformed_frames",
+    "store_calls",        "store_failures",
+    "settings_rejected",  "answer_bytes",
+    "limited_sends",      "services_without_backend",
+    "backend_crashes",    "requests_quarantined",
+    "requests_forwarded", "forwarded_received",
+    "forwarded_refused"};
 static_assert(!counter_names.back().empty(), "every counter has a name");
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(timing::count)> timing_names{
--- a/scripts/check-flags.sh
+++ b/scripts/check-flags.sh
@@ -32,7 +32,7 @@
 ZINNIA_RETYR_PERCENT=1 refused "ZINNIA_RETYR_PERCENT" "${good[@]}"
 ZINNIAFIELD_CONFIG=/no/such/file refused "/no/such/file: cannot be read"
 for option in node region domain store tree listen-callers listen-ready listen-directory listen-operators log-level \
-  peer-port notice-port stop-limit-ms drain-limit-ms retry-percent max-descriptors fate-records; do
+  peer-port notice-port forward-port stop-limit-ms drain-limit-ms retry-percent max-descriptors fate-records; do
   "$build/zinniad" --help | grep -q -- "--$option" || { echo "--help lacks --$option"; failures=$((failures + 1)); }
 done
 exit "$failures"
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -38,6 +38,40 @@
   's/this->exchange->abort();/this->exchange->finish();/' "a cut answer is ended as if it were whole"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/this->sent_count < this->matched_route.max_attempts/this->sent_count < 1/' "nothing is ever repeated"
+mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
+  's/if (!this->forwarded \&\& attempts_left/if (attempts_left/' "a forwarded request is forwarded again"
+mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
+  's/ || !this->idempotent ||/ ||/' "an unsafe request at a server is handed to a peer"
+mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
+  's/const int attempts_left = .*/const int attempts_left = this->max_attempts;/' "a peer may send as often as if nothing had been sent"
+mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
+  's/this->reached_backends});/{}});/' "a peer does not hear which servers were tried"
+mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
+  's/end_to_end_fields(this->response.fields, hop_field_names())/end_to_end_fields(this->response.fields, {})/' "callers get the fields between nodes"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/auto replaced = hop_field_names();/std::vector<std::string_view> replaced;/' "servers get the fields between nodes"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/  if (!this->forwarded) {/  if (true) {/' "a forwarded request earns retries at both nodes"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/this->arrived_at = this->exchange->started_at();//' "the time in which a forwarded body comes in does not count"
+mutate test_gateway packages/gateway/src/peer_result.cpp \
+  's/result.can_try_other_peer = end.outcome == verdict::did_not_run;/result.can_try_other_peer = true;/' "a request is handed on after a peer broke the connection"
+mutate test_gateway packages/gateway/src/peer_result.cpp \
+  's/result.can_forward = attempt.can_forward;/result.can_forward = true;/' "a peer's success without a stamp is passed on"
+mutate test_gateway packages/gateway/src/hop_fields.cpp \
+  's/ || result.sent_count > 0) {/) {/' "a request that a peer has sent goes to another peer"
+mutate test_gateway packages/gateway/src/gateway_forwarding.cpp \
+  's/this->forwarded_in_flight >= max_forwarded_requests/false/' "a peer takes any number of requests"
+mutate test_gateway packages/gateway/src/gateway_forwarding.cpp \
+  's/this->current_snapshot->version < forwarded->version/false/' "a peer serves by an older configuration"
+mutate test_routing packages/routing/src/peer_choice.cpp \
+  's/in_allowed_region \&\& !was_tried/!was_tried/' "a request leaves its allowed regions"
+mutate test_routing packages/routing/src/peer_choice.cpp \
+  's/if (near.size() < min_spread) {/if (near.empty()) {/' "one near peer gets all requests"
+mutate test_routing packages/routing/src/peer_choice.cpp \
+  's/return is_less_loaded(\*b, \*a, now) ? \&b->peer : \&a->peer;/return \&a->peer;/' "a slow peer gets as many requests"
+mutate test_routing packages/routing/src/peer_choice.cpp \
+  's/ \&\& !is_excluded;/;/' "a peer that cannot be reached is chosen again"
 mutate test_http packages/http/src/backend_connection.cpp \
   's/if (id \&\& \*id != this->current.id) {/if (false) {/' "another request's answer is taken"
 mutate test_http packages/http/src/backend_connection.cpp \
