Name the reason if all connections to peers are in use

A node that used all of its connections to the peers refused with links-lost, as if no peer reached the servers. It says peer-busy now. A test also covers a forwarded request that waits at a peer when that loses its links: breaking the rule that it is not forwarded again had not been noticed.

--- a/packages/gateway/src/request_flow_forwarding.cpp
+++ b/packages/gateway/src/request_flow_forwarding.cpp
@@ -28,6 +28,10 @@
     lent = this->owner.peers->acquire(this->wanted_peer());
   }
   if (!lent) {
+    if (!this->forwarded && this->tried_peers.empty() && this->owner.peers->has_peer(this->wanted_peer())) {
+      // All connections to the peers are in use.
+      why = reason::peer_busy;
+    }
     if (this->run_verdict == verdict::did_not_run) {
       this->refuse(why, retry_after);
     } else {
--- a/packages/gateway/tests/forwarding_fixture.hpp
+++ b/packages/gateway/tests/forwarding_fixture.hpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -79,10 +80,10 @@
   static constexpr int patience_ms = 10'000;
 
   forwarding_fixture() {
-    this->snapshot.services[service_id{"desk"}] = {service_id{"desk"}, "/health", 1000, 0};
+    this->snapshot.services[service_id{"desk"}] = {service_id{"desk"}, "/health", 10'000, 0};
     this->snapshot.version = config_version{5};
   }
-  ~forwarding_fixture() override {
+  void TearDown() override {
     this->context.stop();
     if (this->thread.joinable()) {
       this->thread.join();
@@ -150,14 +151,16 @@
         }
       }
       this->apply_to(*node);
-      this->set_peers(*node, peers);
+      set_peers(*node, peers);
     }
     this->thread = std::thread{[this] { this->context.run(); }};
   }
-  void set_peers(node_under_test& node, const std::vector<forwarding_peer>& peers) const {
+  /// \param registered_count The number of nodes that share the connections of each peer.
+  static void set_peers(node_under_test& node, const std::vector<forwarding_peer>& peers,
+                        std::size_t registered_count = 10) {
     gateway_nodes known;
     known.serving = {{node_id{node.name}, node.where}};
-    known.registered_count = peers.size() + 1;
+    known.registered_count = registered_count;
     known.forwarding_peers = peers;
     node.traffic->set_nodes(known);
   }
@@ -232,6 +235,15 @@
     return this->run_there([&] { return server.requests.size(); });
   }
 
+  /// Returns the number of requests that wait for a backend server at that node.
+  [[nodiscard]] std::int64_t queued_at(node_under_test& node) {
+    const auto gauges = this->run_there([&] { return node.traffic->gauges(); });
+    const auto found = std::find_if(gauges.begin(), gauges.end(), [](const gauge& value) {
+      return value.name == "zinnia_requests_waiting";
+    });
+    return found == gauges.end() ? 0 : found->value;
+  }
+
   retry_budget_settings budget{0.2, 100, duration{10'000}};
   int slots{3};
   boot_clock clock;
--- a/packages/gateway/tests/forwarding_limits_test.cpp
+++ b/packages/gateway/tests/forwarding_limits_test.cpp
@@ -152,23 +152,15 @@
   first.send(make_request("POST", "", "", "r1"));
   ASSERT_TRUE(this->wait_until([&] { return server.requests.size() == 1; }));
   std::vector<std::unique_ptr<raw_tcp_client>> waiting;
-  const auto queued = [&] {
-    for (const auto& value : a.traffic->gauges()) {
-      if (value.name == "zinnia_requests_waiting") {
-        return value.value;
-      }
-    }
-    return std::int64_t{0};
-  };
   // Some are sent at once, as a server takes more than it has slots for.
-  for (int i = 0; i < 30 && this->run_there(queued) == 0; ++i) {
+  for (int i = 0; i < 30 && this->queued_at(a) == 0; ++i) {
     waiting.push_back(std::make_unique<raw_tcp_client>(a.caller_port));
     waiting.back()->send(make_request("POST", "", "", "w" + std::to_string(i)));
     this->run_there([&] { server.respond = [](const auto&) {}; });
     static_cast<void>(
         this->wait_until([&] { return a.traffic->requests_in_flight() == waiting.size() + 1; }));
   }
-  ASSERT_GT(this->run_there(queued), 0);
+  ASSERT_GT(this->queued_at(a), 0);
   this->run_there(
       [&] { server.respond = [](const auto& exchange) { backend_server::answer(*exchange, 200, "data"); }; });
   this->set_links_lost(a);
@@ -176,6 +168,31 @@
   EXPECT_EQ(b.counts.value(counter::forwarded_received), 1U);
 }
 
+/// A peer that loses its links too does not hand the request on; the node that sent it may.
+TEST_F(forwarding_limits, a_forwarded_request_that_waits_is_not_forwarded_again) {
+  this->slots = 1;
+  auto& server = this->add_server("s1");
+  server.respond = [](const auto&) {};
+  this->set_route(request_kind::unsafe, 20'000);
+  auto& b = this->add_node("b");
+  auto& c = this->add_node("c");
+  this->start();
+  const forwarded_request forwarded{node_id{"a"}, config_version{5}, service_id{"desk"}, 2, {}};
+  std::vector<std::unique_ptr<raw_tcp_client>> clients;
+  for (std::size_t i = 0; i < 30 && this->queued_at(b) == 0; ++i) {
+    clients.push_back(std::make_unique<raw_tcp_client>(b.forward_port));
+    clients.back()->send(forwarded_request_text(forwarded, "r" + std::to_string(i)));
+    ASSERT_TRUE(this->wait_until([&] { return b.traffic->requests_in_flight() == i + 1; }));
+  }
+  ASSERT_GT(this->queued_at(b), 0);
+  this->set_links_lost(b);
+  const auto response = clients.back()->read_until("\r\n\r\n", patience_ms);
+  EXPECT_EQ(status_of(response), 503) << response;
+  EXPECT_NE(response.find("Zinnia-Hop-Reason: links-lost"), std::string::npos) << response;
+  EXPECT_NE(response.find("Zinnia-Hop-Verdict: did-not-run"), std::string::npos) << response;
+  EXPECT_EQ(c.counts.value(counter::forwarded_received), 0U);
+}
+
 TEST_F(forwarding_limits, a_second_attempt_at_a_peer_takes_from_the_retry_budget) {
   this->budget = {0, 0, duration{10'000}};
   auto& server = this->add_server("s1");
@@ -297,6 +314,26 @@
   EXPECT_TRUE(this->wait_until([&] { return server.requests.size() == max_forwarded_requests + 1; }));
 }
 
+TEST_F(forwarding_limits, a_node_uses_no_more_than_its_share_of_a_peers_connections) {
+  auto& server = this->add_server("s1");
+  server.respond = [](const auto&) {};
+  this->set_route(request_kind::unsafe, 20'000);
+  auto& a = this->add_node("a");
+  auto& b = this->add_node("b");
+  this->start();
+  this->set_links_lost(a);
+  this->run_there([&] { set_peers(a, {make_peer("b", b.forward_port)}, max_forwarding_connections / 2); });
+  std::vector<std::unique_ptr<raw_tcp_client>> clients;
+  for (std::size_t i = 0; i < 2; ++i) {
+    clients.push_back(std::make_unique<raw_tcp_client>(a.caller_port));
+    clients.back()->send(make_request("POST", "", "", "r" + std::to_string(i)));
+    ASSERT_TRUE(this->wait_until([&] { return server.requests.size() == i + 1; }));
+  }
+  EXPECT_EQ(status_of(exchange_with(a.caller_port, make_request("POST", "", "", "beyond"))), 503);
+  EXPECT_EQ(a.counts.refusals_for(reason::peer_busy), 1U);
+  EXPECT_EQ(b.counts.value(counter::forwarded_received), 2U);
+}
+
 /// A peer applies a server's own words as for requests of its callers.
 TEST_F(forwarding_limits, a_peer_keeps_to_what_servers_say) {
   auto& server = this->add_server("s1");
--- a/packages/gateway/tests/forwarding_test.cpp
+++ b/packages/gateway/tests/forwarding_test.cpp
@@ -280,7 +280,7 @@
     const scripted_tcp_server other{[&](int) { return row.response; }};
     const std::string name{row.name};
     this->run_there([&] {
-      this->set_peers(a, {make_peer(name + "1", one.port()), make_peer(name + "2", other.port())});
+      set_peers(a, {make_peer(name + "1", one.port()), make_peer(name + "2", other.port())});
     });
     const auto response = exchange_with(a.caller_port, make_request("POST"));
     EXPECT_EQ(status_of(response), row.expected_status) << row.name << ": " << response;
@@ -303,9 +303,7 @@
   }
   this->start();
   this->set_links_lost(a);
-  this->run_there([&] {
-    this->set_peers(a, {make_peer("b", b.forward_port), make_peer("gone", closed_port)});
-  });
+  this->run_there([&] { set_peers(a, {make_peer("b", b.forward_port), make_peer("gone", closed_port)}); });
   for (int i = 0; i < 8; ++i) {
     EXPECT_EQ(status_of(exchange_with(a.caller_port, make_request("POST", "", "", "r" + std::to_string(i)))),
               200);
