--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -193,6 +193,7 @@
   }
   fields.push_back({this->options.field_names.request_id, std::string{id}});
   if (is_forwarded) {
+    this->counts.add(counter::forwarded_refused);
     for (auto& field : encode_hop_fields({verdict::did_not_run, why, 0})) {
       fields.push_back(std::move(field));
     }
--- a/packages/gateway/src/gateway_forwarding.cpp
+++ b/packages/gateway/src/gateway_forwarding.cpp
@@ -33,7 +33,6 @@
     why = reason::no_settings;
   }
   if (why != reason::none) {
-    this->counts.add(counter::forwarded_refused);
     this->refuse_unplaced(*exchange, impl::status_unavailable, why, true);
     return;
   }
--- a/packages/gateway/tests/forwarding_limits_test.cpp
+++ b/packages/gateway/tests/forwarding_limits_test.cpp
@@ -3,6 +3,7 @@
 #include "zinnia/gateway/forwarding_limits.hpp"
 #include "forwarding_fixture.hpp"
 #include "hop_fields.hpp"
+#include "request_fingerprint.hpp"
 
 using namespace zinnia;
 using namespace zinnia::testing_support;
@@ -353,4 +354,30 @@
   EXPECT_EQ(b.counts.refusals_for(reason::backend_busy), 3U);
 }
 
+TEST_F(forwarding_limits, a_request_that_the_peer_has_quarantined_is_refused) {
+  auto& server = this->add_server("s1");
+  this->set_route(request_kind::safe);
+  auto& a = this->add_node("a");
+  auto& b = this->add_node("b");
+  this->start();
+  this->set_links_lost(a);
+  request_head head;
+  head.method = "GET";
+  head.target = "/x/1?q=2";
+  head.fields = {{"Host", "h"}};
+  this->run_there([&] {
+    for (int level = 1; level <= crash_ledger::quarantine_level; ++level) {
+      b.traffic->apply_crash_reports(
+          {{fingerprint_of(head, "", std::nullopt), static_cast<std::uint64_t>(level), level, level,
+            duration{0}, duration{0}}});
+    }
+  });
+  const auto response = exchange_with(a.caller_port, make_request());
+  EXPECT_EQ(status_of(response), 503) << response;
+  EXPECT_EQ(this->request_count(server), 0U);
+  EXPECT_EQ(a.counts.refusals_for(reason::request_quarantined), 1U);
+  EXPECT_EQ(b.counts.refusals_for(reason::request_quarantined), 1U);
+  EXPECT_EQ(status_of(exchange_with(a.caller_port, make_request("GET", "other"))), 200);
+}
+
 }  // namespace
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -39,7 +39,7 @@
   requests_forwarded,
   /// Requests that other nodes handed to this one, those refused included.
   forwarded_received,
-  /// Requests of other nodes that were refused on arrival, for lack of room or of links.
+  /// Requests of other nodes that were refused on arrival, for instance for lack of room or of links.
   forwarded_refused,
   count,
 };
