--- a/packages/gateway/tests/forwarding_fixture.hpp
+++ b/packages/gateway/tests/forwarding_fixture.hpp
@@ -84,6 +84,21 @@
     this->snapshot.version = config_version{5};
   }
   void TearDown() override {
+    if (this->thread.joinable()) {
+      // Requests in flight keep their connections alive, and those them.
+      this->run_there([&] {
+        for (const auto& server : this->servers) {
+          server->respond = [](const auto& exchange) { exchange->abort(); };
+          for (const auto& request : server->requests) {
+            request->abort();
+          }
+        }
+      });
+      EXPECT_TRUE(this->wait_until([&] {
+        return std::all_of(this->nodes.begin(), this->nodes.end(),
+                           [](const auto& node) { return node->traffic->requests_in_flight() == 0; });
+      }));
+    }
     this->context.stop();
     if (this->thread.joinable()) {
       this->thread.join();
