--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -23,8 +23,10 @@
   wait_exceeds_deadline,
   deadline_passed,
   request_quarantined,
-  /// This node has lost its links to the backend servers.
+  /// This node has lost its links to the backend servers, and no peer can serve the request.
   links_lost,
+  /// All connections to the peers that could serve the request are in use, or the peer has no room.
+  peer_busy,
   // During forwarding to a backend server.
   connect_failed,
   backend_shed,
--- a/packages/core/src/enum_names.cpp
+++ b/packages/core/src/enum_names.cpp
@@ -24,6 +24,7 @@
     "deadline-passed",
     "request-quarantined",
     "links-lost",
+    "peer-busy",
     "connect-failed",
     "backend-shed",
     "backend-replaced",
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -19,9 +19,6 @@
 /// Retry-After, in ms, if no attempt ran, for instance because a server had no room: about the time that one
 /// request takes.
 constexpr duration shed_retry_after{100};
-/// Retry-After, in ms, of a node without links: callers should choose another node, which the directory names
-/// by then.
-constexpr duration without_links_retry_after{300};
 /// Largest Retry-After as a fraction of the request's remaining time; callers ignore longer waits.
 constexpr double max_retry_after_fraction = 0.3;
 
@@ -48,11 +45,16 @@
   return true;
 }
 
-header_fields request_flow::make_own_fields() const {
+header_fields request_flow::make_own_fields(reason why) const {
   header_fields fields;
   if (!this->request_id.empty()) {
     fields.push_back({this->owner.options.field_names.request_id, this->request_id});
   }
+  if (this->forwarded) {
+    for (auto& field : encode_hop_fields({this->run_verdict, why, this->sent_count})) {
+      fields.push_back(std::move(field));
+    }
+  }
   return fields;
 }
 
@@ -64,28 +66,6 @@
   }
 }
 
-void request_flow::end_without_links() {
-  if (this->run_verdict == verdict::did_not_run) {
-    this->refuse(reason::links_lost, impl::without_links_retry_after);
-  } else {
-    this->fail(impl::status_bad_gateway, reason::links_lost);
-  }
-}
-
-void request_flow::on_links_lost() {
-  const bool has_response = this->response.status != 0;
-  if (this->closed || !this->has_active_call() || has_response) {
-    return;
-  }
-  const bool is_sent = !this->connection->is_connecting();
-  if (is_sent && !this->idempotent) {
-    return;
-  }
-  this->abandon_call();
-  this->run_verdict = combine(this->run_verdict, is_sent ? verdict::may_have_run : verdict::did_not_run);
-  this->place_request();
-}
-
 void request_flow::refuse(reason why, duration retry_after) {
   this->leave_queue();
   const auto left = this->deadline - this->owner.clock.now();
@@ -102,7 +82,7 @@
 }
 
 void request_flow::respond_unavailable(reason why, duration retry_after) {
-  auto fields = this->make_own_fields();
+  auto fields = this->make_own_fields(why);
   constexpr double ms_per_second = 1000;
   fields.push_back(
       {"Retry-After", absl::StrFormat("%.3f", static_cast<double>(retry_after.ms) / ms_per_second)});
@@ -113,7 +93,7 @@
 
 void request_flow::fail(int status, reason why) {
   this->leave_queue();
-  this->exchange->respond(status, this->make_own_fields(), "");
+  this->exchange->respond(status, this->make_own_fields(why), "");
   this->owner.counts.record_refusal(why);
   this->close(status, why);
 }
@@ -159,6 +139,11 @@
   if (!this->has_active_call()) {
     return;
   }
+  if (this->peer) {
+    this->connection->cancel();
+    this->release_peer(peer_forwarding::ending::answered, "cancelled");
+    return;
+  }
   const auto target = this->decision.target;
   this->connection->cancel();
   this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
@@ -193,6 +178,7 @@
   log_line{served ? log_level::info : log_level::warn, "request_ended"}.merge(record);
   this->owner.records.add(this->request_id, record);
   this->owner.buffered_body_bytes -= this->exchange->body().size();
+  this->owner.forwarded_in_flight -= this->forwarded ? 1 : 0;
   this->owner.flows.erase(this->ticket);
 }
 
@@ -209,6 +195,8 @@
       .field("verdict", to_string(this->run_verdict))
       .field("reason", to_string(why))
       .field("attempts", this->attempt_history)
+      .field("forwarded_to", this->tried_peers.empty() ? "" : this->tried_peers.back().str())
+      .field("forwarded_from", this->forwarded ? this->forwarded->sender.str() : "")
       .field("took_ms", took.ms)
       .field("waited_ms", this->queue_wait.ms)
       .field("time_left_ms", (this->deadline - this->arrived_at - took).ms)
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <utility>
 
 #include "zinnia/http/socket_options.hpp"
 
@@ -149,9 +150,9 @@
     this->input_ended = true;
     this->input.clear();
   }
-  this->request_started = this->clock.now();
+  const auto started = std::exchange(this->request_started, this->clock.now());
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head),
-                                                    std::move(body), this->request_started);
+                                                    std::move(body), started, this->request_started);
   this->pending.push_back(exchange);
   this->on_request(exchange);
 }
@@ -163,7 +164,7 @@
   request_head placeholder;
   placeholder.keep_alive = false;
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(placeholder),
-                                                    std::string{}, this->clock.now());
+                                                    std::string{}, this->request_started, this->clock.now());
   this->pending.push_back(exchange);
   exchange->respond(status, {}, "");
 }
--- a/packages/http/src/caller_exchange.cpp
+++ b/packages/http/src/caller_exchange.cpp
@@ -25,10 +25,11 @@
 }  // namespace impl
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_connection> owner, request_head head_in,
-                                 std::string body_in, time_point received_in)
+                                 std::string body_in, time_point started_in, time_point received_in)
     : connection{std::move(owner)},
       request{std::move(head_in)},
       request_body{std::move(body_in)},
+      started{started_in},
       received{received_in} {}
 
 void caller_exchange::respond(int status, const header_fields& fields, std::string_view text) {
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -35,6 +35,8 @@
   bool serves{false};
   /// Port at the IP address of `peer_address` that receives holder notices; 0 if the node receives none.
   std::uint16_t notice_port{0};
+  /// Port at the IP address of `peer_address` that receives forwarded requests; 0 if the node receives none.
+  std::uint16_t forward_port{0};
   /// False if the node has lost its links to all backend servers. Set by `member_table::alive`.
   bool reaches_backends{true};
 
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -38,6 +38,12 @@
   requests_quarantined,
   /// How often this node has lost its links to all backend servers.
   links_lost,
+  /// Requests that were handed to another node because this one had lost its links to the backend servers.
+  requests_forwarded,
+  /// Requests that other nodes handed to this one, those refused included.
+  forwarded_received,
+  /// Requests of other nodes that were refused on arrival, for instance for lack of room or of links.
+  forwarded_refused,
   count,
 };
 
--- a/packages/routing/include/zinnia/routing/link_monitor.hpp
+++ b/packages/routing/include/zinnia/routing/link_monitor.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -65,9 +66,11 @@
   /// \brief Brings the state up to date; called several times a second.
   /// \param has_open_connections True if there are idle connections to servers.
   void update(time_point now, bool has_open_connections);
-  [[nodiscard]] link_condition state() const noexcept { return this->current; }
+  [[nodiscard]] link_condition state() const noexcept { return this->pinned.value_or(this->current); }
   /// \brief True if no backend server can be reached.
   [[nodiscard]] bool is_lost(time_point now) const;
+  /// \brief Shows this state whatever happens, or the real one again; for tests of what depends on it.
+  void pin(std::optional<link_condition> state_in) noexcept { this->pinned = state_in; }
   /// \brief The time since the last sign of life.
   [[nodiscard]] duration silence(time_point now) const noexcept { return now - this->last_life_at; }
   /// \brief The beginning of the current or last round of checks.
@@ -101,6 +104,7 @@
   [[nodiscard]] std::size_t answers_to_regain() const noexcept;
 
   link_condition current{link_condition::up};
+  std::optional<link_condition> pinned;
   time_point last_life_at;
   absl::flat_hash_map<std::uint64_t, open_calls> calls;
   // Servers that failed since the last sign of life.
--- a/packages/routing/src/link_monitor.cpp
+++ b/packages/routing/src/link_monitor.cpp
@@ -252,6 +252,9 @@
 }
 
 bool link_monitor::is_lost(time_point now) const {
+  if (this->pinned) {
+    return *this->pinned == link_condition::lost;
+  }
   return this->current == link_condition::lost ||
          (this->has_round_failed(now) && this->is_silent_since_round(now) &&
           !this->has_usable_connections(now));
--- a/scripts/check-flags.sh
+++ b/scripts/check-flags.sh
@@ -58,7 +58,7 @@
   timeout 10 "$build/$program" --help | grep -q -- "--help" || { echo "$program --help fails"; failures=$((failures + 1)); }
 done
 for option in node region domain store tree listen-callers listen-ready listen-directory listen-operators log-level \
-  peer-port notice-port stop-limit-ms drain-limit-ms retry-percent max-descriptors fate-records; do
+  peer-port notice-port forward-port stop-limit-ms drain-limit-ms retry-percent max-descriptors fate-records; do
   "$build/zinniad" --help | grep -q -- "--$option" || { echo "--help lacks --$option"; failures=$((failures + 1)); }
 done
 exit "$failures"
