--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -69,7 +69,7 @@
   /// The number of registered nodes. Limits for all nodes together are divided by it.
   std::size_t registered_count{1};
   /// Other nodes that serve requests which this node forwards while it cannot reach the backend servers.
-  std::vector<forwarding_peer> forwarding_peers;
+  std::vector<forwarding_peer> forwarding_peers{};
 };
 
 /// \brief   Routes requests and keeps the state of the backend servers.
