Bound a start also while the list of nodes is incomplete

A node that can't list the other nodes (refused for that kind alone, or many pages when all nodes start) was not ready although it knew all that routing needs: the limit of a start began with the questions to other nodes, and these need the list.

Change: the limit begins once all kinds are known that routing depends on. peer_state_sync.a_start_does_not_wait_for_the_list_of_nodes_without_end did not exist before; the function that it tests did not either.

--- a/packages/membership/include/zinnia/membership/peer_state_sync.hpp
+++ b/packages/membership/include/zinnia/membership/peer_state_sync.hpp
@@ -42,7 +42,9 @@
 ///          changes that it has not been told of yet.
 class peer_state_sync {
  public:
-  /// \brief Begins to ask, once the store's objects are known.
+  /// \brief Begins the limit on the time of a start, once all is known that this node needs from the store.
+  void expect(time_point now) noexcept;
+  /// \brief Begins to ask, once the other nodes are known.
   /// \param candidates The other registered nodes, in the order in which they are asked.
   void begin(std::vector<node_id> candidates, time_point now);
   [[nodiscard]] bool has_begun() const noexcept { return this->begun; }
@@ -65,7 +67,8 @@
   bool done{false};
   // Some asked node has not noticed yet that the store was restored.
   bool waits_for_peers{false};
-  time_point begun_at;
+  // When `expect` was first called.
+  std::optional<time_point> expected_at;
   // Nodes that are still to be asked at the start, and when.
   std::deque<std::pair<node_id, time_point>> waiting;
   // Nodes whose replies are outstanding, with the digest that they were asked for.
--- a/packages/membership/src/peer_state_sync.cpp
+++ b/packages/membership/src/peer_state_sync.cpp
@@ -25,9 +25,13 @@
 }  // namespace
 }  // namespace impl
 
+void peer_state_sync::expect(time_point now) noexcept {
+  this->expected_at = this->expected_at.value_or(now);
+}
+
 void peer_state_sync::begin(std::vector<node_id> candidates, time_point now) {
+  this->expect(now);
   this->begun = true;
-  this->begun_at = now;
   candidates.resize(std::min(candidates.size(), impl::max_candidates));
   for (auto& candidate : candidates) {
     this->waiting.emplace_back(std::move(candidate), now);
@@ -36,11 +40,12 @@
 }
 
 time_point peer_state_sync::start_limit() const noexcept {
-  return this->begun_at + (this->waits_for_peers ? impl::start_limit_with_peers : impl::start_limit);
+  return this->expected_at.value_or(far_future) +
+         (this->waits_for_peers ? impl::start_limit_with_peers : impl::start_limit);
 }
 
 bool peer_state_sync::is_done(time_point now) const noexcept {
-  return this->done || (this->begun && now >= this->start_limit());
+  return this->done || now >= this->start_limit();
 }
 
 void peer_state_sync::end_start() noexcept {
@@ -95,9 +100,6 @@
 }
 
 time_point peer_state_sync::next_action_at(time_point now) const noexcept {
-  if (!this->begun) {
-    return far_future;
-  }
   if (this->is_done(now)) {
     return this->ahead ? this->next_ask_at : far_future;
   }
--- a/packages/membership/tests/peer_state_sync_test.cpp
+++ b/packages/membership/tests/peer_state_sync_test.cpp
@@ -54,6 +54,18 @@
   EXPECT_TRUE(silent.is_done(start + duration{600}));
 }
 
+TEST(peer_state_sync, a_start_does_not_wait_for_the_list_of_nodes_without_end) {
+  peer_state_sync sync;
+  EXPECT_FALSE(sync.is_done(start));
+  sync.expect(start);
+  sync.expect(start + duration{500});
+  EXPECT_FALSE(sync.is_done(start + duration{599}));
+  EXPECT_EQ(sync.next_action_at(start), start + duration{600});
+  EXPECT_TRUE(sync.is_done(start + duration{600}));
+  sync.begin(nodes(2), start + duration{700});
+  EXPECT_TRUE(sync.is_done(start + duration{700}));
+}
+
 TEST(peer_state_sync, a_start_waits_longer_for_a_node_that_has_not_noticed_the_restore_yet) {
   peer_state_sync sync;
   sync.begin(nodes(1), start);
--- a/packages/node/src/control_thread_state.cpp
+++ b/packages/node/src/control_thread_state.cpp
@@ -26,7 +26,11 @@
 }
 
 void control_thread::ask_peers(time_point now) {
-  if (!this->is_complete() || !this->node_watch().feed.is_complete()) {
+  if (!this->is_complete()) {
+    return;
+  }
+  this->state_exchange->expect(now);
+  if (!this->node_watch().feed.is_complete()) {
     return;
   }
   this->state_exchange->begin(now);
--- a/packages/node/src/peer_state_exchange.hpp
+++ b/packages/node/src/peer_state_exchange.hpp
@@ -29,6 +29,8 @@
                       const member_table& members_in, event_handlers handlers_in)
       : calls{calls_in}, clock{clock_in}, members{members_in}, handlers{std::move(handlers_in)} {}
 
+  /// \brief Begins the limit on the time of a node's start, unless it has begun.
+  void expect(time_point now) noexcept { this->sync.expect(now); }
   /// \brief Begins the questions of a node's start, unless they have begun.
   void begin(time_point now);
   /// \brief Returns true once this node need not wait for others before it is ready.
