Keep a server that was just removed out of use after a restore

A server whose entry was removed less than 1.8 s before a restore came back into use with the copy: it was still found as ready during its grace, so it was not looked up among those that had left. A server whose entry the store removed again only after 5.3 s was in use for 2.1 s, as it was held back for 5 s.

It stays out for 8 s: three of a server's heartbeats, and time to hear of the removal.

--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -222,6 +223,8 @@
   bool tree_is_lost{false};
   // Start times of backend servers that are gone, bounded, and evacuations that have ended.
   std::map<backend_id, std::int64_t> removed_backends;
+  // The servers in `removed_backends`, the first removed one first.
+  std::deque<backend_id> removal_order;
   std::set<failure_domain_id> ended_evacuations;
   bool write_active{false};
   bool removal_sent{false};
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -338,9 +338,12 @@
       .field("backend", entry.name)
       .field("version", entry.version.count());
   if (const auto* const known = this->builder.find_backend(backend_id{entry.name})) {
-    this->removed_backends[known->id] = known->started_unix_ms;
-    if (this->removed_backends.size() > impl::max_removed_backends) {
-      this->removed_backends.erase(this->removed_backends.begin());
+    if (this->removed_backends.insert_or_assign(known->id, known->started_unix_ms).second) {
+      this->removal_order.push_back(known->id);
+    }
+    if (this->removal_order.size() > impl::max_removed_backends) {
+      this->removed_backends.erase(this->removal_order.front());
+      this->removal_order.pop_front();
     }
   }
   this->builder.remove_backend(backend_id{entry.name}, this->clock.now(), grace);
@@ -370,6 +373,9 @@
       .field("draining", decoded->mode == backend_mode::draining ? 1 : 0)
       .field("cold_left_ms", (decoded->cold_until - this->clock.now()).ms)
       .field("version", object.version.count());
+  if (this->removed_backends.erase(decoded->id) > 0) {
+    std::erase(this->removal_order, decoded->id);
+  }
   this->builder.set_backend(*decoded);
 }
 
--- a/packages/node/src/control_thread_restore.cpp
+++ b/packages/node/src/control_thread_restore.cpp
@@ -14,7 +14,7 @@
 constexpr duration operator_rewrite_time{10'000};
 /// How long servers that have left stay away from use: the store removes the copy's entries after a few of a
 /// server's heartbeats, or the server writes again that it is there.
-constexpr duration server_rewrite_time{5000};
+constexpr duration server_rewrite_time{8000};
 /// Upper limit on the time for which a drain stays in force that is not written again. A server that drains
 /// does not return to use, so this ends only a drain whose server never writes again, nor is removed.
 constexpr duration drain_time{60'000};
@@ -134,11 +134,14 @@
   if (!declared || declared->mode != backend_mode::ready) {
     return false;
   }
-  if (const auto* const known = this->builder.find_backend(declared->id)) {
-    return known->mode == backend_mode::draining && known->started_unix_ms == declared->started_unix_ms;
-  }
+  // A removed server may still be in use for a grace period.
   const auto removed = this->removed_backends.find(declared->id);
-  return removed != this->removed_backends.end() && removed->second == declared->started_unix_ms;
+  if (removed != this->removed_backends.end()) {
+    return removed->second == declared->started_unix_ms;
+  }
+  const auto* const known = this->builder.find_backend(declared->id);
+  return known != nullptr && known->mode == backend_mode::draining &&
+         known->started_unix_ms == declared->started_unix_ms;
 }
 
 bool control_thread::undoes_evacuation(const object_change& change) const {
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -191,6 +191,22 @@
   }));
 }
 
+TEST_F(control_thread_contract, a_copy_does_not_bring_back_a_server_that_was_just_removed) {
+  this->store.put("servers", "i-gone", make_server("ready"));
+  ASSERT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return current.backends.contains(backend_id{"i-gone"}); }));
+  this->store.take_copy();
+  const auto before = this->store.calls_for("servers");
+  this->store.erase("servers", "i-gone");
+  // Heard of, as the watch is renewed; the server is in use for a grace period.
+  while (this->store.calls_for("servers") == before) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{1});
+  }
+  this->store.restore_copy();
+  EXPECT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return !current.backends.contains(backend_id{"i-gone"}); }));
+}
+
 TEST_F(control_thread_contract, writes_its_entry_again_that_a_copy_of_the_store_lacks) {
   this->store.take_copy();
   ASSERT_TRUE(this->wait_for_route("/one/"));
