Learn from peers which objects a restored store has had written since

A settings edit made after a restore was undone, at a node that noticed the restore later and, as that node wrote its own tree again, at all nodes and in the store.

Cause: a node took all that the store held when it first saw the new era for the copy's, also what had been written before that moment. That another node had seen the era earlier reached it only with a retained change.

Change: a node that notices a restore asks its peers, without waiting for them, and takes the earliest version that any has seen of the copy; what it held back and has been written since is applied.

restart_at_old_copy.a_node_that_notices_the_restore_late_takes_what_was_ written_since failed before (the edit was gone at the peers, too) and passes.

--- a/packages/membership/include/zinnia/membership/peer_state_sync.hpp
+++ b/packages/membership/include/zinnia/membership/peer_state_sync.hpp
@@ -47,6 +47,8 @@
   /// \brief Begins to ask, once the other nodes are known.
   /// \param candidates The other registered nodes, in the order in which they are asked.
   void begin(std::vector<node_id> candidates, time_point now);
+  /// \brief Asks nodes again, without waiting for them: this node has noticed that the store was restored.
+  void ask_again(std::vector<node_id> candidates, time_point now);
   [[nodiscard]] bool has_begun() const noexcept { return this->begun; }
   /// \brief Returns true once this node may rely on what it knows. Changes by time, too.
   [[nodiscard]] bool is_done(time_point now) const noexcept;
@@ -61,6 +63,9 @@
 
  private:
   void end_start() noexcept;
+  [[nodiscard]] bool is_asking(time_point now) const noexcept {
+    return !this->is_done(now) || now < this->ask_again_until;
+  }
   [[nodiscard]] time_point start_limit() const noexcept;
 
   bool begun{false};
@@ -69,7 +74,9 @@
   bool waits_for_peers{false};
   // When `expect` was first called.
   std::optional<time_point> expected_at;
-  // Nodes that are still to be asked at the start, and when.
+  // Until when nodes are asked again after a restore.
+  time_point ask_again_until;
+  // Nodes that are still to be asked at the start or after a restore, and when.
   std::deque<std::pair<node_id, time_point>> waiting;
   // Nodes whose replies are outstanding, with the digest that they were asked for.
   std::map<node_id, std::uint64_t> asked;
--- a/packages/membership/src/peer_state_sync.cpp
+++ b/packages/membership/src/peer_state_sync.cpp
@@ -39,6 +39,19 @@
   this->done = this->waiting.empty();
 }
 
+void peer_state_sync::ask_again(std::vector<node_id> candidates, time_point now) {
+  if (!this->is_done(now)) {
+    // The start asks already.
+    return;
+  }
+  this->ask_again_until = now + impl::start_limit_with_peers;
+  candidates.resize(std::min(candidates.size(), impl::max_asked_together));
+  this->waiting.clear();
+  for (auto& candidate : candidates) {
+    this->waiting.emplace_back(std::move(candidate), now);
+  }
+}
+
 time_point peer_state_sync::start_limit() const noexcept {
   return this->expected_at.value_or(far_future) +
          (this->waits_for_peers ? impl::start_limit_with_peers : impl::start_limit);
@@ -50,6 +63,7 @@
 
 void peer_state_sync::end_start() noexcept {
   this->done = true;
+  this->ask_again_until = {};
   this->waiting.clear();
 }
 
@@ -76,20 +90,22 @@
   if (!this->begun) {
     return due;
   }
-  if (!this->is_done(now)) {
+  if (this->is_asking(now)) {
     for (auto next = this->waiting.begin();
          next != this->waiting.end() && this->asked.size() < impl::max_asked_together;) {
       if (next->second > now) {
         ++next;
         continue;
       }
-      this->asked.emplace(next->first, 0);
+      if (!this->asked.try_emplace(next->first, 0).second) {
+        next = this->waiting.erase(next);
+        continue;
+      }
       due.push_back(std::move(next->first));
       next = this->waiting.erase(next);
     }
-    return due;
   }
-  if (this->ahead && now >= this->next_ask_at && !this->asked.contains(*this->ahead)) {
+  if (this->is_done(now) && this->ahead && now >= this->next_ask_at && !this->asked.contains(*this->ahead)) {
     this->next_ask_at = now + impl::ask_pause;
     this->asked.emplace(*this->ahead, this->ahead_digest);
     due.push_back(*this->ahead);
@@ -100,11 +116,13 @@
 }
 
 time_point peer_state_sync::next_action_at(time_point now) const noexcept {
-  if (this->is_done(now)) {
-    return this->ahead ? this->next_ask_at : far_future;
+  auto next = far_future;
+  if (!this->is_done(now)) {
+    next = this->start_limit();
+  } else if (this->ahead) {
+    next = this->next_ask_at;
   }
-  auto next = this->start_limit();
-  if (this->asked.size() < impl::max_asked_together) {
+  if (this->is_asking(now) && this->asked.size() < impl::max_asked_together) {
     for (const auto& [candidate, at] : this->waiting) {
       next = std::min(next, at);
     }
@@ -128,7 +146,7 @@
     }
     return;
   }
-  if (this->is_done(now)) {
+  if (!this->is_asking(now)) {
     return;
   }
   if (reply == state_reply::too_early) {
--- a/packages/membership/tests/peer_state_sync_test.cpp
+++ b/packages/membership/tests/peer_state_sync_test.cpp
@@ -78,6 +78,22 @@
   EXPECT_TRUE(sync.is_done(start + duration{2'500}));
 }
 
+TEST(peer_state_sync, a_node_that_notices_a_restore_asks_without_waiting) {
+  peer_state_sync sync;
+  sync.begin({}, start);
+  sync.ask_again(nodes(6), start);
+  EXPECT_TRUE(sync.is_done(start));
+  EXPECT_EQ(sync.take_due(start).size(), 4U);
+  sync.on_reply(node_id{"n0"}, state_reply::too_early, start + duration{10});
+  EXPECT_TRUE(sync.is_done(start + duration{10}));
+  EXPECT_TRUE(sync.take_due(start + duration{20}).empty());
+  EXPECT_EQ(sync.next_action_at(start + duration{20}), start + duration{110});
+  EXPECT_EQ(sync.take_due(start + duration{110}), std::vector{node_id{"n0"}});
+  sync.on_reply(node_id{"n1"}, state_reply::applied, start + duration{120});
+  sync.on_reply(node_id{"n0"}, state_reply::too_early, start + duration{130});
+  EXPECT_TRUE(sync.take_due(start + duration{500}).empty());
+}
+
 TEST(peer_state_sync, a_newer_configuration_is_asked_for_once_the_store_is_late_with_it) {
   peer_state_sync sync;
   sync.begin({}, start);
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -122,7 +122,9 @@
   // Questions to other nodes, and what they are told.
   void ask_peers(time_point now);
   [[nodiscard]] state_reply apply_peer_state(const node_id& from, const retained_state& state);
-  void apply_retained_change(const retained_change& retained, object_version copy_version);
+  void apply_retained_change(const retained_change& retained);
+  /// Applies what was held for the copy's and turns out to have been written since.
+  void release_rewritten_objects(watched_kind& watched);
   void publish_state();
   /// The version of the store up to which this node knows the objects of all kinds that routing depends on.
   [[nodiscard]] object_version oldest_known_version() const;
--- a/packages/node/src/control_thread_restore.cpp
+++ b/packages/node/src/control_thread_restore.cpp
@@ -1,6 +1,7 @@
 // What the control thread does when the store comes back from a copy that lacks the last seconds.
 #include <algorithm>
 
+#include "peer_state_exchange.hpp"
 #include "zinnia/core/rendezvous.hpp"
 #include "zinnia/node/control_thread.hpp"
 #include "zinnia/observe/log.hpp"
@@ -55,6 +56,7 @@
   this->store_regained_at = now;
   this->undelivered_version = {};
   this->list_kinds_of_earlier_eras(era_of(version));
+  this->state_exchange->ask_again(now);
   if (&watched == &this->configuration_watch() && this->events.on_store_restored) {
     this->events.on_store_restored();
   }
--- a/packages/node/src/control_thread_state.cpp
+++ b/packages/node/src/control_thread_state.cpp
@@ -43,8 +43,8 @@
   if (has_newer_configuration) {
     this->apply_configuration({*state.configuration, false});
   }
-  const auto own_era = era_of(this->oldest_known_version());
   const auto their_era = era_of(state.store_version);
+  const auto own_era = era_of(this->oldest_known_version());
   log_line{log_level::info, "peer_state_received"}
       .field("from", from.str())
       .field("config_version", static_cast<std::int64_t>(state.configuration_number))
@@ -54,22 +54,39 @@
   if (their_era != own_era || state.copy_versions.size() != this->watches.size()) {
     return state_reply::too_early;
   }
+  for (std::size_t kind = 0; kind < this->watches.size(); ++kind) {
+    this->watches[kind].guard.on_copy_version(state.copy_versions[kind]);
+    this->release_rewritten_objects(this->watches[kind]);
+  }
   for (const auto& retained : state.changes) {
     if (retained.kind < this->watches.size()) {
-      this->apply_retained_change(retained, state.copy_versions[retained.kind]);
+      this->apply_retained_change(retained);
     }
   }
   return state_reply::applied;
 }
 
-void control_thread::apply_retained_change(const retained_change& retained, object_version copy_version) {
+void control_thread::release_rewritten_objects(watched_kind& watched) {
+  std::vector<object_change> rewritten;
+  for (const auto& [name, held] : watched.guard.held_changes()) {
+    const auto stored = watched.feed.objects().find(name);
+    if (stored != watched.feed.objects().end() && stored->second.version > watched.guard.copy()) {
+      rewritten.push_back({stored->second, false});
+    }
+  }
+  for (const auto& change : rewritten) {
+    watched.guard.release(change.object.name);
+    (this->*watched.apply)(change);
+  }
+}
+
+void control_thread::apply_retained_change(const retained_change& retained) {
   auto& watched = this->watches[retained.kind];
   const auto& change = retained.change;
   const auto& name = change.object.name;
   if (watched.undoes == nullptr || watched.guard.held_changes().contains(name)) {
     return;
   }
-  watched.guard.on_copy_version(copy_version);
   const auto stored = watched.feed.objects().find(name);
   const bool is_stored = stored != watched.feed.objects().end();
   if (is_stored ? stored->second.version > watched.guard.copy() : change.deleted) {
--- a/packages/node/src/peer_state_exchange.cpp
+++ b/packages/node/src/peer_state_exchange.cpp
@@ -20,6 +20,10 @@
   }
 }
 
+void peer_state_exchange::ask_again(time_point now) {
+  this->sync.ask_again(this->members.others_in_random_order(), now);
+}
+
 void peer_state_exchange::on_heartbeat(const node_heartbeat& heartbeat, const state_summary& own,
                                        time_point now) {
   this->sync.on_heartbeat(heartbeat.id, heartbeat.state, own, now);
--- a/packages/node/src/peer_state_exchange.hpp
+++ b/packages/node/src/peer_state_exchange.hpp
@@ -33,6 +33,8 @@
   void expect(time_point now) noexcept { this->sync.expect(now); }
   /// \brief Begins the questions of a node's start, unless they have begun.
   void begin(time_point now);
+  /// \brief Asks other nodes again, as this node has noticed that the store was restored.
+  void ask_again(time_point now);
   /// \brief Returns true once this node need not wait for others before it is ready.
   [[nodiscard]] bool is_done(time_point now) const noexcept { return this->sync.is_done(now); }
   void on_heartbeat(const node_heartbeat& heartbeat, const state_summary& own, time_point now);
--- a/packages/node/tests/control_node.hpp
+++ b/packages/node/tests/control_node.hpp
@@ -82,6 +82,7 @@
     return this->published;
   }
   [[nodiscard]] std::uint64_t store_calls() const { return this->counts.value(counter::store_calls); }
+  [[nodiscard]] std::uint64_t store_failures() const { return this->counts.value(counter::store_failures); }
   [[nodiscard]] int poll_count() {
     const absl::MutexLock lock{&this->mutex};
     return this->polls;
--- a/packages/node/tests/restart_at_old_copy_test.cpp
+++ b/packages/node/tests/restart_at_old_copy_test.cpp
@@ -2,11 +2,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 
 #include "control_node.hpp"
 #include "standins/platform_store.hpp"
 #include "store_contents.hpp"
+#include "zinnia/settings/settings_document.hpp"
 
 using namespace zinnia;
 using standins::platform_store;
@@ -124,6 +126,44 @@
   away.stop();
 }
 
+TEST_F(restart_at_old_copy, a_node_that_notices_the_restore_late_takes_what_was_written_since) {
+  const auto put_tree = [this](const std::string& homes) {
+    settings_document document;
+    document.tree_text =
+        "settings: {homes_per_object: " + homes + "}\nplaces: {near: {domains: {near-a: {}}}}\n";
+    this->store.put("zinnia-settings", "main", nlohmann::json::parse(encode(document)));
+  };
+  const auto has_homes = [](control_node& node, int homes) {
+    const auto published = node.snapshots();
+    return !published.empty() && published.back()->tree != nullptr &&
+           published.back()->tree->effective(service_id{"desk"}).values.homes_per_object == homes;
+  };
+  put_tree("3");
+  std::atomic<bool> is_cut{false};
+  threaded_http_server flaky{
+      0, [&](const auto& request) -> standins::server_response {
+        return is_cut ? standins::server_response{503, {}, "", false} : this->store.handle(request);
+      }};
+  control_node late{"n4", large_capacity, flaky.port()};
+  ASSERT_TRUE(wait_until([&] { return has_homes(late, 3) && has_homes(*this->peers.front(), 3); }));
+  this->store.take_copy();
+  is_cut = true;
+  ASSERT_TRUE(wait_until([&] { return late.store_failures() > 0; }));
+  this->store.restore_copy();
+  this->store.put("servers", "i-3", make_server("ready"));
+  ASSERT_TRUE(wait_until([&] {
+    return std::all_of(this->peers.begin(), this->peers.end(), [](const auto& peer) {
+      return peer->snapshots().back()->backends.contains(backend_id{"i-3"});
+    });
+  }));
+  put_tree("5");
+  ASSERT_TRUE(wait_until([&] { return has_homes(*this->peers.front(), 5); }));
+  is_cut = false;
+  EXPECT_TRUE(wait_until([&] { return has_homes(late, 5); }));
+  EXPECT_TRUE(has_homes(*this->peers.front(), 5));
+  late.stop();
+}
+
 TEST_F(restart_at_old_copy, a_running_node_keeps_a_drain_that_its_server_writes_again_late) {
   ASSERT_TRUE(this->lose_changes());
   // The evacuation ends as nobody writes it again; by then the time to write anything again has passed.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -230,6 +230,12 @@
   's/    this->remove_backend(change.object, duration{0});/    ;/' "a server that left before the copy comes back at a node that starts"
 mutate test_node packages/node/src/control_thread_restore.cpp \
   's/impl::server_rewrite_time : impl::drain_time/impl::server_rewrite_time : impl::server_rewrite_time/' "a drain that the copy lacks ends after some seconds"
+mutate test_node packages/node/src/control_thread_state.cpp \
+  's/^    this->release_rewritten_objects(.*//' "a node that notices a restore late undoes what was written since"
+mutate test_node packages/node/src/control_thread_state.cpp \
+  's/const auto own_era = era_of(this->oldest_known_version());/const auto own_era = their_era;/' "a peer that has not read all kinds counts as an answer"
+mutate test_node packages/node/src/control_thread_restore.cpp \
+  's/  if (removed != this->removed_backends.end()) {/  if (false) {/' "a copy brings back a server that was just removed"
 mutate test_membership packages/membership/src/peer_state_sync.cpp \
   's/    this->waits_for_peers = true;//' "a start does not wait for peers that have not noticed the restore"
 mutate test_membership packages/membership/src/peer_state_sync.cpp \
