Keep a server as it was when its entry cannot be read

A backend server whose entry became unreadable was out of use 1.8 s later, although it went on serving.

Cause: an entry that cannot be read was treated like one that is gone.

Change: the last readable entry stays in force; the log names the entry and what is wrong. A server in a failure domain that nobody knows is still removed.

--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -363,7 +363,10 @@
         .field("version", object.version.count())
         .field("cause",
                decoded ? "unknown failure domain " + decoded->domain.str() : decoded.last_error().describe());
-    this->builder.remove_backend(backend_id{object.name}, this->clock.now(), this->removal_grace());
+    // A server stays as its last readable entry said, but not where nobody knows its failure domain.
+    if (decoded) {
+      this->builder.remove_backend(backend_id{object.name}, this->clock.now(), this->removal_grace());
+    }
     return;
   }
   log_line{log_level::info, "backend_declared"}
--- a/packages/node/tests/control_thread_contract_test.cpp
+++ b/packages/node/tests/control_thread_contract_test.cpp
@@ -311,6 +311,18 @@
   }));
 }
 
+TEST_F(control_thread_contract, a_server_whose_entry_becomes_unreadable_stays_as_it_was) {
+  this->store.put("servers", "i-last", make_server("ready"));
+  ASSERT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return current.backends.contains(backend_id{"i-last"}); }));
+  this->store.put("servers", "i-1", nlohmann::json{{"service", 7}});
+  // Removals take effect in order, after a grace period.
+  this->store.erase("servers", "i-last");
+  ASSERT_TRUE(this->wait_for_snapshot(
+      [](const routing_snapshot& current) { return !current.backends.contains(backend_id{"i-last"}); }));
+  EXPECT_TRUE(this->snapshot()->backends.contains(backend_id{"i-1"}));
+}
+
 struct outage_case {
   const char* name;
   store_faults faults;
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -230,6 +230,8 @@
   's/    this->remove_backend(change.object, duration{0});/    ;/' "a server that left before the copy comes back at a node that starts"
 mutate test_node packages/node/src/control_thread_restore.cpp \
   's/impl::server_rewrite_time : impl::drain_time/impl::server_rewrite_time : impl::server_rewrite_time/' "a drain that the copy lacks ends after some seconds"
+mutate test_node packages/node/src/control_thread.cpp \
+  's/^    if (decoded) {$/    {/' "a server whose entry cannot be read is removed"
 mutate test_node packages/node/src/control_thread_state.cpp \
   's/^    this->release_rewritten_objects(.*//' "a node that notices a restore late undoes what was written since"
 mutate test_node packages/node/src/control_thread_state.cpp \
