--- a/soak/edit_monitor.cpp
+++ b/soak/edit_monitor.cpp
@@ -62,8 +62,8 @@
     return;
   }
   const auto& [confirmed_at, acted_on] = edited->second;
-  const auto acted = acted_on.find(process);
-  const bool went_back = acted != acted_on.end() && at > acted->second + impl::rollback_slack;
+  const auto first_act = acted_on.find(process);
+  const bool went_back = first_act != acted_on.end() && at > first_act->second + impl::rollback_slack;
   const bool is_late = at > confirmed_at + impl::rule_of(what).time_limit;
   if (!went_back && !(is_late && this->is_in_touch(process.first, at))) {
     this->excused += is_late ? 1 : 0;
@@ -78,11 +78,11 @@
   const absl::MutexLock lock{&this->mutex};
   std::vector<std::string> violations;
   for (const auto& [key, found] : this->findings) {
-    const auto& [edit, node, went_back] = key;
-    violations.push_back(absl::StrCat(impl::rule_of(edit.first).text, ": ", edit.second, ", ", found.count,
-                                      " times by ", node, went_back ? " that had acted on it" : "", ", ",
-                                      found.first_after.count(), " to ", found.last_after.count(),
-                                      " ms after the store confirmed it"));
+    const auto& [edited, node, went_back] = key;
+    violations.push_back(
+        absl::StrCat(impl::rule_of(edited.first).text, ": ", edited.second, ", ", found.count, " times by ",
+                     node, went_back ? " that had acted on it" : "", ", ", found.first_after.count(), " to ",
+                     found.last_after.count(), " ms after the store confirmed it"));
   }
   return violations;
 }
