--- a/soak/store_restore.cpp
+++ b/soak/store_restore.cpp
@@ -68,11 +68,11 @@
 
 void soak_run::make_edits(std::size_t max_count) {
   constexpr std::array<fault, 6> kinds_of_edit{{{"add a route", &soak_run::add_route},
-                                        {"drop a route", &soak_run::drop_route},
-                                        {"drain", &soak_run::begin_drain},
-                                        {"evacuate", &soak_run::evacuate},
-                                        {"replace a server", &soak_run::replace_backend},
-                                        {"configuration", &soak_run::change_configuration}}};
+                                                {"drop a route", &soak_run::drop_route},
+                                                {"drain", &soak_run::begin_drain},
+                                                {"evacuate", &soak_run::evacuate},
+                                                {"replace a server", &soak_run::replace_backend},
+                                                {"configuration", &soak_run::change_configuration}}};
   for (auto count = 1 + this->random_below(max_count); count > 0; --count) {
     this->sleep_randomly(800);
     const auto& selected = kinds_of_edit.at(this->random_below(kinds_of_edit.size()));
