--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -20,10 +20,9 @@
 namespace zinnia {
 
 /// \brief   Places a request, sends it, classifies the response and retries where that is allowed.
-/// \details While the links to the backend servers are lost, a peer takes the place of a server. Invariants:
-/// a
-///          non-idempotent request is sent again only while `run_verdict` is `did_not_run`; a request that
-///          another node has forwarded is not forwarded again.
+/// \details While the links to the backend servers are lost, a peer takes the place of a server.
+///          Invariants: a non-idempotent request is sent again only while `run_verdict` is `did_not_run`; a
+///          request that another node has forwarded is not forwarded again.
 class request_flow final : public backend_call_handler, public std::enable_shared_from_this<request_flow> {
  public:
   request_flow(gateway& owner_in, wait_ticket ticket_in, std::shared_ptr<caller_exchange> exchange_in,
