Add the table of client accounts and the settings of limits

The configuration will hold client accounts with keys, priorities, limits and regions. This adds the table that finds an account by a key, the reasons of refusals and the settings that later changes use. Nothing takes effect yet: no document is decoded into accounts. docs/design/accounts-and-uneven-load.md describes all parts.

Tests of the table: which accounts are refused, and that no error shows a key.

--- a/packages/core/include/zinnia/core/ids.hpp
+++ b/packages/core/include/zinnia/core/ids.hpp
@@ -41,6 +41,7 @@
 using region_id = strong_id<struct region_tag>;
 using failure_domain_id = strong_id<struct failure_domain_tag>;
 using node_id = strong_id<struct node_tag>;
+using account_id = strong_id<struct account_tag>;
 /// \brief The address of a backend server, written as "ip:port".
 using upstream_id = strong_id<struct upstream_tag>;
 using request_id = strong_id<struct request_tag>;
--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -16,6 +16,11 @@
   no_route,
   no_settings,
   memory_short,
+  /// The request has no key, or one that no account holds.
+  unknown_key,
+  account_over_limit,
+  /// The request needs a key, and this node cannot prove that its configuration is current.
+  configuration_unconfirmed,
   // During placement.
   no_backend,
   backend_limited,
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "zinnia/accounts/account_limit_settings.hpp"
 #include "zinnia/core/clock.hpp"
 #include "zinnia/gateway/fwd.hpp"
 #include "zinnia/gateway/header_field_names.hpp"
@@ -19,6 +20,7 @@
 #include "zinnia/observe/metrics.hpp"
 #include "zinnia/observe/recent_records.hpp"
 #include "zinnia/routing/backend_table.hpp"
+#include "zinnia/routing/cold_limit_settings.hpp"
 #include "zinnia/routing/crash_ledger.hpp"
 #include "zinnia/routing/declarations.hpp"
 #include "zinnia/routing/link_monitor.hpp"
@@ -58,6 +60,10 @@
   std::function<void(bool)> on_links_change;
   /// Limit for the reports that are repeated at a time.
   std::size_t max_repeated_reports{30};
+  /// Set if requests with keys must be refused while the configuration is not known to be current.
+  std::optional<duration> revocation_limit;
+  account_limit_settings account_limits;
+  cold_limit_settings cold_limits;
 };
 
 /// \brief The nodes that send requests to the same backend servers.
@@ -87,6 +93,10 @@
   /// \brief Makes a snapshot current if it is newer; requests in flight keep the snapshot they started with.
   void apply(std::shared_ptr<const routing_snapshot> snapshot_in);
   void set_nodes(gateway_nodes nodes_in);
+  /// \brief Records until when a configuration of at least this version is known to be the newest one.
+  void set_confirmation(config_version version, time_point valid_until);
+  /// \brief Returns false if requests with keys must be refused because the configuration may be outdated.
+  [[nodiscard]] bool is_configuration_confirmed(time_point now) const noexcept;
   /// \brief Applies what another node tells about the objects that backend servers hold.
   void apply_notices(const std::vector<holder_notice>& notices);
   /// \brief Applies what another node tells about requests that were at servers when these crashed.
@@ -206,6 +216,8 @@
   // Bytes of the bodies of all requests in flight. Invariant: at most `max_buffered_body_bytes`.
   std::size_t buffered_body_bytes{0};
   gateway_nodes nodes;
+  config_version confirmed_version;
+  time_point confirmed_until;
   std::unique_ptr<peer_forwarding> peers;
   // Requests of other nodes among `flows`.
   std::size_t forwarded_in_flight{0};
--- a/packages/gateway/include/zinnia/gateway/header_field_names.hpp
+++ b/packages/gateway/include/zinnia/gateway/header_field_names.hpp
@@ -13,6 +13,10 @@
   std::string time_left_ms{"X-Deadline-Ms"};
   /// The object that a request concerns.
   std::string object_key{"X-Object-Key"};
+  /// The key of the caller's account; never forwarded while accounts are configured.
+  std::string account_key{"X-Account-Key"};
+  /// Tells backend servers which account a request belongs to.
+  std::string account{"X-Account"};
   /// The backend instance that a request is meant for; any other instance responds with 421.
   std::string expected_backend{"X-Expected-Backend"};
   /// Present in a response if the request did not run.
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -6,11 +6,13 @@
 #include <optional>
 #include <string>
 
+#include "zinnia/accounts/account_limit_settings.hpp"
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/membership/serving_set.hpp"
 #include "zinnia/routing/backend_table.hpp"
+#include "zinnia/routing/cold_limit_settings.hpp"
 #include "zinnia/routing/retry_limiter.hpp"
 
 namespace zinnia {
@@ -51,6 +53,12 @@
   /// Time after which a backend server that is leaving must receive no more requests.
   duration drain_limit{2500};
 
+  /// Time after which a request with a key that was removed must not run anywhere; set if nodes that cannot
+  /// prove that their configuration is current must refuse requests with keys.
+  std::optional<duration> revocation_limit;
+  account_limit_settings account_limits;
+  cold_limit_settings cold_limits;
+
   /// File of the settings tree in use until the store provides one; empty for the defaults.
   std::string tree_file;
   std::string log_level{"info"};
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -160,6 +160,8 @@
   chosen.on_quarantine_change = [this](const auto& change) { this->control->save_quarantine(change); };
   chosen.on_links_change = [this](bool reaches) { this->control->set_reaches_backends(reaches); };
   chosen.max_repeated_reports = max_notices_per_datagram;
+  chosen.account_limits = this->settings.account_limits;
+  chosen.cold_limits = this->settings.cold_limits;
   return chosen;
 }
 
--- a/packages/routing/include/zinnia/routing/declarations.hpp
+++ b/packages/routing/include/zinnia/routing/declarations.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "zinnia/accounts/account_table.hpp"
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
@@ -70,6 +71,8 @@
   std::vector<weighted_destination> destinations;
   /// Regions in which requests may be handled; all if empty.
   std::set<region_id> allowed_regions;
+  /// True if requests need no key although accounts are configured.
+  bool is_public{false};
 };
 
 /// \brief A service that routes may use as a destination.
@@ -106,6 +109,8 @@
   config_version version;
   std::shared_ptr<const class route_table> routes;
   std::map<service_id, service_declaration> services;
+  /// Null if no accounts are configured; requests need no key then.
+  std::shared_ptr<const account_table> accounts;
   std::map<backend_id, backend_declaration> backends;
   /// Failure domains that get no requests.
   std::set<failure_domain_id> evacuated;
--- a/packages/routing/include/zinnia/routing/snapshot_builder.hpp
+++ b/packages/routing/include/zinnia/routing/snapshot_builder.hpp
@@ -20,6 +20,8 @@
   config_version version;
   std::vector<route> routes;
   std::vector<service_declaration> services;
+  /// Null if the configuration has no accounts.
+  std::shared_ptr<const account_table> accounts;
 };
 
 /// \brief   Collects declarations and publishes snapshots. Not thread safe.
--- a/packages/routing/src/snapshot_builder.cpp
+++ b/packages/routing/src/snapshot_builder.cpp
@@ -11,6 +11,7 @@
   }
   this->configuration = declaration;
   this->state.version = declaration.version;
+  this->state.accounts = declaration.accounts;
   this->rebuild_routes();
   return true;
 }
