Find the pace of a server that starts or recovers from its answers

A server that returned got all requests at once, and a cold one a fixed rate from one node until a declared time ended. Each node now limits the requests that such a server may have: slow start with a threshold, judged against the time that other servers of the service take now. The setting recovery_pace (off by default) turns it on per service and place. zinniactl servers and /metrics list recovering servers.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -48,6 +48,7 @@
       tick_timer{context_in} {
   // Reports may come before the first snapshot.
   this->crashes.set_longest_term(placement_settings{}.crash_quarantine);
+  this->backends.set_cold_limits(this->options.cold_limits);
   this->tick();
 }
 
--- a/packages/node/src/restriction_report.cpp
+++ b/packages/node/src/restriction_report.cpp
@@ -27,6 +27,10 @@
       entry["limit_per_second"] = restriction.limit_per_second;
       entry["share_per_second"] = restriction.share_per_second;
     }
+    if (restriction.kind == restriction_kind::recovering) {
+      entry["recovery_limit"] = restriction.recovery_limit;
+      entry["recovering_ms"] = restriction.recovering_for.ms;
+    }
     list.push_back(std::move(entry));
   }
   return {{"restrictions", std::move(list)}};
--- a/packages/routing/include/zinnia/routing/backend_restriction.hpp
+++ b/packages/routing/include/zinnia/routing/backend_restriction.hpp
@@ -25,6 +25,8 @@
   evacuated,
   /// A drain that an operator has planned has closed it.
   drained_by_shift,
+  /// It has started or recovered and gets requests as fast as its answers allow. It is in use.
+  recovering,
   count,
 };
 
@@ -42,6 +44,9 @@
   /// Requests per second of all nodes together, and this node's part; 0 unless the server is limited.
   double limit_per_second{0};
   double share_per_second{0};
+  /// Requests that the server may have at a time, and since when it recovers; 0 unless it does.
+  double recovery_limit{0};
+  duration recovering_for{0};
 };
 
 }  // namespace zinnia
--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -12,6 +12,7 @@
 #include "zinnia/routing/declarations.hpp"
 #include "zinnia/routing/lru_object_set.hpp"
 #include "zinnia/routing/rate_limit_share.hpp"
+#include "zinnia/routing/recovery_pace.hpp"
 #include "zinnia/routing/wait_queue.hpp"
 
 namespace zinnia {
@@ -129,6 +130,19 @@
   [[nodiscard]] double slowness(time_point now) const noexcept;
   /// \}
 
+  /// \name Recovery
+  /// \{
+  /// \brief Sets if requests return to the server at a pace found from its answers.
+  void set_paces_recovery(bool enabled) noexcept;
+  /// \brief Limits the server's requests until its answers show that it keeps up, if that is enabled.
+  void begin_recovery(time_point now) noexcept;
+  [[nodiscard]] const recovery_pace& recovery() const noexcept { return this->pace; }
+  /// \brief   Records an answer for the pace of the recovery.
+  /// \param   slowness Time taken over the time that other servers take for such work now.
+  /// \returns The time that the recovery took if the answer ends it.
+  std::optional<duration> on_recovery_answer(double slowness, duration took, time_point now) noexcept;
+  /// \}
+
   /// \name Cold start
   /// \{
   [[nodiscard]] bool is_cold(time_point now) const noexcept { return now < this->cold_until; }
@@ -142,12 +156,17 @@
   wait_queue queue;
 
  private:
+  [[nodiscard]] static duration recovery_spread_for(const node_standing& standing) noexcept;
   void note_failure(time_point now) noexcept;
   void suspend_for_failure(time_point now) noexcept;
   [[nodiscard]] double decayed(double value, double neutral, time_point since, time_point now) const noexcept;
 
   backend_declaration declaration;
   std::uint64_t id_hash;
+  bool paces_recovery{false};
+  recovery_pace pace;
+  // Upper limit on the delay of a recovery's first request.
+  duration recovery_spread{0};
   int own_in_flight{0};
   // Requests from other nodes according to the last report, and their moving average.
   double other_nodes_load{0};
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -8,12 +8,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/reason.hpp"
 #include "zinnia/routing/backend_restriction.hpp"
 #include "zinnia/routing/backend_state.hpp"
+#include "zinnia/routing/cold_limit_settings.hpp"
 #include "zinnia/routing/copy_ledger.hpp"
 #include "zinnia/routing/declarations.hpp"
 #include "zinnia/routing/holder_notice.hpp"
@@ -107,6 +109,9 @@
   void set_nodes(const std::map<node_id, location>& alive, const std::set<region_id>& regions_with_nodes,
                  const node_id& self, time_point now);
 
+  /// \brief Sets the bound on requests to cold servers.
+  void set_cold_limits(const cold_limit_settings& limits) noexcept { this->cold_limits = limits; }
+
   [[nodiscard]] placement_decision choose(const placement_request& request, time_point now);
 
   /// \name Learning
@@ -115,6 +120,10 @@
   void record_send(const placement_decision& decision, const service_id& service,
                    std::optional<std::uint64_t> object, time_point now);
   void record_attempt(const attempt_report& attempt, time_point now);
+  /// \brief Returns and clears how long servers took from their return to their full share.
+  [[nodiscard]] std::vector<duration> take_recovery_times() {
+    return std::exchange(this->recovery_times, {});
+  }
   /// \brief Returns and clears what other nodes should know about the objects that servers hold.
   [[nodiscard]] std::vector<holder_notice> take_notices();
   /// \brief Applies notices of another node. Ignores those about unknown servers.
@@ -168,6 +177,8 @@
     // Mean time in ms for which a request occupies a slot; converts queue lengths to waiting times.
     double mean_slot_time_ms{80};
     int slot_time_samples{0};
+    // Mean of time taken over typical time, of servers that are not recovering.
+    double mean_slowness{1};
     // Weight of one slot in each failure domain for the objects of this region's callers; parallel to
     // `domains`.
     std::vector<double> slot_weights;
@@ -239,6 +250,15 @@
                                                         double utilisation);
   [[nodiscard]] double transfer_cost(const service_group& group, const domain_entry& domain,
                                      double kib) const;
+  /// Returns how many requests a second this node may send to a cold server that it warms.
+  [[nodiscard]] double cold_rate(const backend_state& backend,
+                                 const service_declaration& service) const noexcept;
+  /// Applies the service's setting to a server, and begins its recovery if it has just started.
+  static void set_recovery(const std::map<service_id, service_group>& groups, backend_state& backend,
+                           bool starts, time_point now);
+  /// Updates a recovering server, or what is usual for the service, with the time that an answer took.
+  void record_slowness(const service_id& service, backend_state& backend, double slowness, duration took,
+                       time_point now);
   /// Remembers the servers that said that they were leaving and are not in `next`.
   void remember_departed(const std::map<backend_id, std::shared_ptr<backend_state>>& next);
   /// Refuses a request for which no server is eligible.
@@ -270,6 +290,9 @@
   // The values of `backends` by the hash of their id.
   absl::flat_hash_map<std::uint64_t, std::shared_ptr<backend_state>> backends_by_hash;
   copy_ledger copies;
+  cold_limit_settings cold_limits;
+  // Durations of finished recoveries.
+  std::vector<duration> recovery_times;
   std::vector<holder_notice> outgoing_notices;
 };
 
--- a/packages/routing/include/zinnia/routing/placement_settings.hpp
+++ b/packages/routing/include/zinnia/routing/placement_settings.hpp
@@ -36,6 +36,9 @@
   std::size_t queue_limit{64};
   /// How long a request that crashes backend servers is refused; 0 turns this off.
   duration crash_quarantine{600'000};
+  /// True if a server that has started or recovered gets requests as fast as its answers show that it keeps
+  /// up.
+  bool paces_recovery{false};
 };
 
 /// \brief Converts the effective settings of a location to placement parameters.
--- a/packages/routing/src/backend_restriction.cpp
+++ b/packages/routing/src/backend_restriction.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(restriction_kind::count)> restriction_names{
-    "suspended", "draining", "leaving", "busy", "limited", "evacuated", "drained-by-shift"};
+    "suspended", "draining", "leaving", "busy", "limited", "evacuated", "drained-by-shift", "recovering"};
 static_assert(!restriction_names.back().empty(), "every kind has a name");
 
 [[nodiscard]] duration time_until(time_point at, time_point now) noexcept {
@@ -55,6 +55,11 @@
     if (this->shifts.closed_backends.contains(declared.id)) {
       add(restriction_kind::drained_by_shift);
     }
+    if (backend->recovery().is_active()) {
+      add(restriction_kind::recovering);
+      found.back().recovery_limit = backend->recovery().limit();
+      found.back().recovering_for = impl::time_until(now, backend->recovery().began_at());
+    }
   }
   return found;
 }
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -102,7 +102,11 @@
   if (statement.rate_limit) {
     this->rate_share.on_limit(*statement.rate_limit, now);
   } else if (statement.names_no_rate_limit) {
+    const bool was_limited = this->rate_limit().has_value();
     this->rate_share.on_no_limit(now);
+    if (was_limited && !this->rate_limit()) {
+      this->begin_recovery(now);
+    }
   }
   this->leaving = this->leaving || statement.is_leaving;
   if (statement.busy_for) {
@@ -113,11 +117,13 @@
         static_cast<std::int64_t>(this->node_phase % static_cast<std::uint64_t>(spread + 1));
     this->busy_until = std::max(this->busy_until, now + *statement.busy_for + duration{delay_ms});
     this->returns_from_busy = true;
+    this->begin_recovery(this->busy_until);
   }
 }
 
 void backend_state::set_standing(const node_standing& standing, time_point now) noexcept {
   this->node_phase = standing.phase;
+  this->recovery_spread = recovery_spread_for(standing);
   this->rate_share.set_standing(standing, now);
 }
 
@@ -169,6 +175,9 @@
     this->consecutive_no_responses = 0;
   }
   this->last_outcome_at = now;
+  if (outcome != backend_outcome::responded) {
+    this->pace.on_failure(took, now);
+  }
   const bool was_answered = outcome == backend_outcome::responded || outcome == backend_outcome::bad_response;
   if (was_answered && !this->is_busy(now)) {
     this->returns_from_busy = false;
@@ -230,6 +239,7 @@
     return;
   }
   if (this->is_suspended()) {
+    this->begin_recovery(now);
     this->availability = backend_availability::available;
     this->suspended_for_failure_at = far_future;
     this->failing_since = far_future;
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -18,9 +18,6 @@
 constexpr double other_region_round_trip_ms = 60;
 /// Weight of the newest measurement in the moving average of the round trip.
 constexpr double round_trip_ewma_weight = 0.3;
-/// Fraction of a cold server's request rate that the node warming it uses. The rest is a margin for a second
-/// node that may warm it for a short time.
-constexpr double cold_rate_fraction = 0.8;
 /// Utilisation of a service below which objects may spill over to servers other than their homes. Above it
 /// the extra misses would cause further misses.
 constexpr double max_spillover_utilisation = 0.6;
@@ -49,6 +46,7 @@
     if (const auto known = this->services.find(id); known != this->services.end()) {
       group.mean_slot_time_ms = known->second.mean_slot_time_ms;
       group.slot_time_samples = known->second.slot_time_samples;
+      group.mean_slowness = known->second.mean_slowness;
     }
   }
   for (const auto& domain : this->evacuated) {
@@ -71,18 +69,25 @@
   this->domains.clear();
   this->backend_list.clear();
   this->backends_by_hash.clear();
+  // Servers that were there before this node need no recovery.
+  const bool is_first = this->backends.empty();
   for (const auto& [id, declaration] : snapshot.backends) {
     auto& backend = next_backends[id];
+    bool starts = false;
     if (const auto known = this->backends.find(id); known != this->backends.end()) {
       backend = known->second;
+      const auto started = backend->declared().started_unix_ms;
       backend->update_declaration(declaration);
+      starts = started != declaration.started_unix_ms && started != 0;
     } else {
       backend = std::make_shared<backend_state>(declaration);
+      starts = !is_first;
       const auto gone = this->departed.find(id);
       if (gone != this->departed.end() && gone->second == declaration.started_unix_ms) {
         backend->set_leaving();
       }
     }
+    this->set_recovery(next_services, *backend, starts, now);
     this->backend_list.push_back(backend);
     this->backends_by_hash[backend->hash()] = backend;
     const auto [position, is_new] = domain_positions.try_emplace(declaration.domain, this->domains.size());
@@ -193,12 +198,15 @@
   if (this->is_withdrawn(backend) || !backend.admits_after_busy(now) || !backend.within_rate_limit(now)) {
     return false;
   }
+  if (!backend.recovery().admits(backend.load(now), now)) {
+    return false;
+  }
   if (!backend.is_cold(now)) {
     return true;
   }
   const auto* const service = this->service(backend.declared().service);
   return backend.is_warmed_by_this_node && service != nullptr &&
-         backend.within_cold_rate(service->cold_requests_per_second * impl::cold_rate_fraction, now);
+         backend.within_cold_rate(this->cold_rate(backend, *service), now);
 }
 
 backend_table::request_context backend_table::make_context(const service_group& group,
@@ -381,41 +389,4 @@
   return backend.load(now) + 1 <= slots + std::min(in_transit, slots) + group.settings.overcommit;
 }
 
-bool backend_table::may_be_checked(const backend_state& backend, time_point now) const {
-  const auto& declared = backend.declared();
-  return !backend.is_leaving() && !backend.is_busy(now) && declared.mode == backend_mode::ready &&
-         !this->evacuated.contains(declared.domain);
-}
-
-std::vector<std::shared_ptr<backend_state>> backend_table::due_for_health_check(time_point now) const {
-  std::vector<std::shared_ptr<backend_state>> due;
-  for (const auto& [id, backend] : this->backends) {
-    if (backend->needs_health_check(now) && this->may_be_checked(*backend, now)) {
-      due.push_back(backend);
-    }
-  }
-  return due;
-}
-
-std::shared_ptr<backend_state> backend_table::find(const backend_id& id) const {
-  const auto found = this->backends.find(id);
-  return found == this->backends.end() ? nullptr : found->second;
-}
-
-std::shared_ptr<backend_state> backend_table::find_by_hash(std::uint64_t hash) const {
-  const auto found = this->backends_by_hash.find(hash);
-  return found == this->backends_by_hash.end() ? nullptr : found->second;
-}
-
-const service_declaration* backend_table::service(const service_id& id) const {
-  const auto found = this->services.find(id);
-  return found == this->services.end() ? nullptr : &found->second.declaration;
-}
-
-const placement_settings& backend_table::settings_of(const service_id& id) const {
-  static const placement_settings defaults;
-  const auto found = this->services.find(id);
-  return found == this->services.end() ? defaults : found->second.settings;
-}
-
 }  // namespace zinnia
--- a/packages/routing/src/backend_table_learning.cpp
+++ b/packages/routing/src/backend_table_learning.cpp
@@ -29,6 +29,23 @@
   group.mean_slot_time_ms += (took_ms - group.mean_slot_time_ms) * weight;
 }
 
+void backend_table::record_slowness(const service_id& service, backend_state& backend, double slowness,
+                                    duration took, time_point now) {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return;
+  }
+  auto& mean = found->second.mean_slowness;
+  if (!backend.recovery().is_active()) {
+    mean += (slowness - mean) * impl::slot_time_ewma_weight;
+    return;
+  }
+  // While all servers are slow, a recovering one is not held back for it.
+  if (const auto finished = backend.on_recovery_answer(slowness / std::max(mean, 1.0), took, now)) {
+    this->recovery_times.push_back(*finished);
+  }
+}
+
 void backend_table::record_send(const placement_decision& decision, const service_id& service,
                                 std::optional<std::uint64_t> object, time_point now) {
   auto& target = *decision.target;
@@ -65,6 +82,8 @@
     }
     return;
   }
+  const double typical_ms = std::max(estimate.typical_ms(expected_warmth, work_ms), 1.0);
+  this->record_slowness(attempt.service, target, work_ms / typical_ms, attempt.took, now);
   estimate.record_response_size(attempt.response_kib);
   if (attempt.decision.load < target.declared().slots && !target.is_cold(now)) {
     estimate.record_work_time(expected_warmth, work_ms);
--- a/packages/settings/include/zinnia/settings/service_settings.hpp
+++ b/packages/settings/include/zinnia/settings/service_settings.hpp
@@ -17,6 +17,14 @@
   while_spare = 1,
 };
 
+/// \brief How requests return to a backend server that has started or recovered.
+enum class recovery_policy : std::int64_t {
+  /// All at once.
+  off = 0,
+  /// As fast as the server's answers show that it keeps up.
+  by_answers = 1,
+};
+
 /// \brief   The effective values for one service at one location.
 /// \details Invariant: each member is within its range in `setting_table()`.
 struct service_settings {
@@ -38,11 +46,16 @@
   std::int64_t remembered_objects{40};
   std::int64_t overcommit_requests{1};
   std::int64_t crash_quarantine_ms{600'000};
+  std::int64_t recovery_pace{static_cast<std::int64_t>(recovery_policy::off)};
 
   /// \brief Returns the value of `leave_homes` as a policy.
   [[nodiscard]] spillover_policy spillover() const noexcept {
     return static_cast<spillover_policy>(this->leave_homes);
   }
+  /// \brief Returns the value of `recovery_pace` as a policy.
+  [[nodiscard]] recovery_policy recovery() const noexcept {
+    return static_cast<recovery_policy>(this->recovery_pace);
+  }
 };
 
 /// \brief Describes a setting: its name in the tree, its member, its inclusive range and names of values.
--- a/packages/settings/src/service_settings.cpp
+++ b/packages/settings/src/service_settings.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::array<std::string_view, 2> spillover_policy_names{"never", "while-spare"};
+constexpr std::array<std::string_view, 2> recovery_policy_names{"off", "by-answers"};
 constexpr std::int64_t one_day_ms = 86'400'000;
 constexpr std::int64_t one_hour_ms = 3'600'000;
 constexpr std::int64_t ten_minutes_ms = 600'000;
@@ -16,7 +17,7 @@
 
 using s = service_settings;
 
-constexpr std::array<setting_descriptor, 18> settings{{
+constexpr std::array<setting_descriptor, 19> settings{{
     {"slots_per_upstream", &s::slots_per_upstream, 1, 10'000},
     {"longest_deadline_ms", &s::longest_deadline_ms, 100, ten_minutes_ms},
     {"queue_limit", &s::queue_limit, 0, 100'000},
@@ -35,6 +36,7 @@
     {"remembered_objects", &s::remembered_objects, 0, 100'000},
     {"overcommit_requests", &s::overcommit_requests, 0, 100},
     {"crash_quarantine_ms", &s::crash_quarantine_ms, 0, one_day_ms},
+    {"recovery_pace", &s::recovery_pace, 0, 1, recovery_policy_names},
 }};
 
 }  // namespace
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -306,5 +306,15 @@
   's/  this->crashes.on_links_lost();/  ;/;s/  this->refusals.clear();/  ;/' "lost links leave requests suspected"
 mutate test_gateway packages/gateway/src/gateway_links.cpp \
   's/  if (others_can_be_asked \&\& this->has_open_connection(backend)) {/  if (false) {/' "a blocked new connection suspends a server"
+mutate test_routing packages/routing/src/recovery_pace.cpp \
+  's/  this->reduction_allowed_at = now + took;/  ;/' "each failure of a round halves a recovering server's limit"
+mutate test_routing packages/routing/src/recovery_pace.cpp \
+  's/  this->threshold = this->current_limit;/  ;/' "a recovering server returns at once to the rate that failed"
+mutate test_routing packages/routing/src/backend_recovery.cpp \
+  's/    return {0};/    ;/;s/  return {std::min(nodes.*/  return {0};/' "all nodes return to a server at the same moment"
+mutate test_routing packages/routing/src/backend_table_learning.cpp \
+  's/slowness \/ std::max(mean, 1.0)/slowness/' "a recovering server is held back while all servers are slow"
+mutate test_routing packages/routing/src/backend_table_lookup.cpp \
+  's/bound \/ impl::max_warming_nodes - 1/bound/' "two nodes exceed the bound of a cold server"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
