Read loads with more or fewer figures than known

A Server-Load with four figures was dropped as a whole, so servers that state a work figure appeared to state no load at all. Known figures are now kept, absent ones keep their defaults (slots: unknown, which leaves the declared number in force), and further ones are ignored. A fourth figure is the work in percent; one out of 1 to 10,000, or unreadable, is left out. An unreadable count still makes the whole load malformed.

--- a/packages/gateway/src/statement_decoding.cpp
+++ b/packages/gateway/src/statement_decoding.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <string>
 #include <vector>
@@ -18,6 +19,9 @@
 /// Bounds of a stated rate limit, in requests per second. No server handles more than the largest.
 constexpr double min_rate_limit = 0;
 constexpr double max_rate_limit = 1'000'000;
+/// Bounds of a stated work figure.
+constexpr double min_work_percent = 1;
+constexpr double max_work_percent = 10'000;
 
 constexpr int status_unavailable = 503;
 constexpr std::string_view retry_after_field = "Retry-After";
@@ -32,19 +36,6 @@
 /// The only value with which a server says that it is not about to stop.
 constexpr std::string_view not_leaving = "0";
 
-/// Parses "running,waiting,slots"; returns nullopt if the text is malformed.
-[[nodiscard]] std::optional<load_report> parse_load(std::string_view text) {
-  const std::vector<absl::string_view> parts =
-      absl::StrSplit(absl::string_view{text.data(), text.size()}, ',');
-  load_report report;
-  constexpr std::size_t part_count = 3;
-  if (parts.size() != part_count || !absl::SimpleAtoi(parts[0], &report.running) ||
-      !absl::SimpleAtoi(parts[1], &report.waiting) || !absl::SimpleAtoi(parts[2], &report.slots)) {
-    return std::nullopt;
-  }
-  return report;
-}
-
 /// Parses a decimal number from `min` to `max`; returns nullopt for any other text.
 [[nodiscard]] std::optional<double> parse_decimal(std::string_view text, double min, double max) {
   double value = 0;
@@ -56,6 +47,26 @@
   return value;
 }
 
+/// Parses "running,waiting,slots,work". Absent figures keep their defaults and further ones are ignored, so
+/// that servers of older and newer builds are read too. An unreadable count makes the whole text malformed;
+/// an unreadable work figure is left out.
+[[nodiscard]] std::optional<load_report> parse_load(std::string_view text) {
+  const std::vector<absl::string_view> parts =
+      absl::StrSplit(absl::string_view{text.data(), text.size()}, ',');
+  load_report report;
+  const std::array<int*, 3> counts{&report.running, &report.waiting, &report.slots};
+  for (std::size_t i = 0; i < std::min(parts.size(), counts.size()); ++i) {
+    if (!absl::SimpleAtoi(parts[i], counts[i])) {
+      return std::nullopt;
+    }
+  }
+  if (parts.size() > counts.size()) {
+    const auto work = parts[counts.size()];
+    report.work_percent = parse_decimal({work.data(), work.size()}, min_work_percent, max_work_percent);
+  }
+  return report;
+}
+
 void log_unreadable(const backend_id& sender, std::string_view field, std::string_view value,
                     std::string_view allowed) {
   log_line{log_level::warn, "backend_statement_unreadable"}
--- a/packages/gateway/tests/statement_decoding_test.cpp
+++ b/packages/gateway/tests/statement_decoding_test.cpp
@@ -39,6 +39,42 @@
   EXPECT_EQ(decode({{"Limit", "12"}}).rate_limit, 12.0);
 }
 
+/// A server of another build that states more or fewer figures must not look as if it stated no load.
+TEST(statement_decoding, a_load_with_more_or_fewer_figures_keeps_the_known_ones) {
+  struct row {
+    const char* text;
+    int running;
+    int waiting;
+    int slots;
+    std::optional<double> work_percent;
+  };
+  const std::vector<row> table{
+      {"3,1,4,150", 3, 1, 4, 150.0},
+      {"3,1,4,150,9,x", 3, 1, 4, 150.0},
+      {"3,1,4", 3, 1, 4, {}},
+      {"3,1", 3, 1, 0, {}},
+      {"3", 3, 0, 0, {}},
+      {"3,1,4,1", 3, 1, 4, 1.0},
+      {"3,1,4,10000", 3, 1, 4, 10000.0},
+      {"3,1,4,0.9", 3, 1, 4, {}},
+      {"3,1,4,10001", 3, 1, 4, {}},
+      {"3,1,4,-5", 3, 1, 4, {}},
+      {"3,1,4,nan", 3, 1, 4, {}},
+      {"3,1,4,", 3, 1, 4, {}},
+  };
+  for (const auto& row : table) {
+    const auto load = decode({{"Load", row.text}}).load;
+    ASSERT_TRUE(load) << row.text;
+    EXPECT_EQ(load->running, row.running) << row.text;
+    EXPECT_EQ(load->waiting, row.waiting) << row.text;
+    EXPECT_EQ(load->slots, row.slots) << row.text;
+    EXPECT_EQ(load->work_percent, row.work_percent) << row.text;
+  }
+  for (const char* const text : {"", "x", "3,x,4", "3,1,", "3,1,4.5,100", ",,,100", "3;1;4"}) {
+    EXPECT_FALSE(decode({{"Load", text}}).load) << text;
+  }
+}
+
 TEST(statement_decoding, an_unreadable_rate_limit_is_no_limit_and_no_end_of_one) {
   for (const char* const text : {"", "many", "-1", "nan", "inf", "1e300", "3 a second", "1,5"}) {
     const auto statement = decode({{"Limit", text}});
--- a/packages/routing/include/zinnia/routing/backend_statement.hpp
+++ b/packages/routing/include/zinnia/routing/backend_statement.hpp
@@ -11,7 +11,11 @@
 struct load_report {
   int running{0};
   int waiting{0};
-  int slots{1};
+  /// 0 if the server does not state it.
+  int slots{0};
+  /// How long work takes on the server's machine at this moment, in percent of the usual time; empty if the
+  /// server does not state it or states an invalid figure.
+  std::optional<double> work_percent{};
 };
 
 /// \brief A server's statements in one response. They are about the server, not about the request.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -306,5 +306,7 @@
   's/  this->crashes.on_links_lost();/  ;/;s/  this->refusals.clear();/  ;/' "lost links leave requests suspected"
 mutate test_gateway packages/gateway/src/gateway_links.cpp \
   's/  if (others_can_be_asked \&\& this->has_open_connection(backend)) {/  if (false) {/' "a blocked new connection suspends a server"
+mutate test_gateway packages/gateway/src/statement_decoding.cpp \
+  's/i < std::min(parts.size(), counts.size())/i < counts.size() \&\& parts.size() == counts.size()/' "a load with more or fewer figures is dropped"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
