Use the pace that servers report

The time of work at a server was learned from its answers alone, which lags behind machines whose speed changes several times a second.

Estimates of work are then of work on a usual server, or the pace would count in the estimate and once more as slowness. A new incarnation starts without figures. Servers that report none are treated as before.

--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -12,6 +12,7 @@
 #include "zinnia/routing/declarations.hpp"
 #include "zinnia/routing/lru_object_set.hpp"
 #include "zinnia/routing/rate_limit_share.hpp"
+#include "zinnia/routing/reported_pace.hpp"
 #include "zinnia/routing/wait_queue.hpp"
 
 namespace zinnia {
@@ -125,8 +126,17 @@
   }
   /// \brief Moving average of failed requests, 0 to 1; decays to 0 over time.
   [[nodiscard]] double failure_ratio(time_point now) const noexcept;
-  /// \brief Moving average of actual over expected response time; decays to 1 over time.
-  [[nodiscard]] double slowness(time_point now) const noexcept;
+  /// \brief Factor on the usual time of work: the mean over the next `horizon` of what the server reports.
+  /// For
+  ///        a server that reports nothing, the moving average of actual over expected response time, which
+  ///        decays to 1 over time.
+  [[nodiscard]] double slowness(time_point now, duration horizon = {}) const noexcept;
+  /// \brief The pace that the server reports.
+  [[nodiscard]] const reported_pace& pace() const noexcept { return this->work_pace; }
+  /// \brief Records by what factor an answer that found a free slot took longer than on a usual server.
+  void on_work_ratio(double ratio, duration took, time_point now) noexcept {
+    this->work_pace.on_answer(ratio, took, now);
+  }
   /// \}
 
   /// \name Cold start
@@ -144,6 +154,7 @@
  private:
   void note_failure(time_point now) noexcept;
   void suspend_for_failure(time_point now) noexcept;
+  [[nodiscard]] double learned_slowness(time_point now) const noexcept;
   [[nodiscard]] double decayed(double value, double neutral, time_point since, time_point now) const noexcept;
 
   backend_declaration declaration;
@@ -176,6 +187,7 @@
   time_point suspended_for_failure_at{far_future};
   double failure_average{0};
   double slowness_average{1};
+  reported_pace work_pace;
   time_point last_outcome_at;
   time_point cold_until;
   // Send times of the requests of the last second while the server is cold.
--- a/packages/routing/include/zinnia/routing/work_estimate.hpp
+++ b/packages/routing/include/zinnia/routing/work_estimate.hpp
@@ -32,6 +32,8 @@
   /// `took_ms`
   ///        itself while too few requests have been recorded to tell.
   [[nodiscard]] double typical_ms(warmth expected, double took_ms) const noexcept;
+  /// \brief Returns true once enough requests have been recorded for `typical_ms` to tell.
+  [[nodiscard]] bool is_typical_known(warmth expected, double took_ms) const noexcept;
   void record_response_size(double kib) noexcept;
 
   [[nodiscard]] double warm_ms() const noexcept { return this->warm.value; }
@@ -50,6 +52,8 @@
     void add(double sample) noexcept;
   };
 
+  /// True if a request that took `took_ms` belongs to the warm times.
+  [[nodiscard]] bool is_warm_sample(warmth expected, double took_ms) const noexcept;
   [[nodiscard]] bool is_like_warm(double took_ms) const noexcept;
 
   // Initial values until requests have been recorded.
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -64,6 +64,7 @@
     this->other_nodes_load_average = 0;
     this->failure_average = 0;
     this->slowness_average = 1;
+    this->work_pace = {};
     this->rate_share.reset();
     this->leaving = false;
     this->busy_until = {};
@@ -89,6 +90,7 @@
   this->other_nodes_load_average +=
       (this->other_nodes_load - this->other_nodes_load_average) * impl::report_ewma_weight;
   this->last_report_at = now;
+  this->work_pace.on_report(report.work_percent, now);
   this->peer_loads.clear();
   if (report.slots > 0) {
     this->declaration.slots = report.slots;
@@ -144,7 +146,12 @@
   return this->decayed(this->failure_average, 0, this->last_outcome_at, now);
 }
 
-double backend_state::slowness(time_point now) const noexcept {
+double backend_state::slowness(time_point now, duration horizon) const noexcept {
+  const auto reported = this->work_pace.factor(now, horizon);
+  return reported ? *reported : this->learned_slowness(now);
+}
+
+double backend_state::learned_slowness(time_point now) const noexcept {
   return this->decayed(this->slowness_average, 1, this->last_outcome_at, now);
 }
 
@@ -156,7 +163,7 @@
     this->failing_since = far_future;
   }
   const double failure = impl::failure_weight(outcome);
-  const double previous_slowness = this->slowness(now);
+  const double previous_slowness = this->learned_slowness(now);
   this->failure_average =
       this->failure_ratio(now) * (1 - impl::outcome_ewma_weight) + failure * impl::outcome_ewma_weight;
   this->slowness_average = previous_slowness;
--- a/packages/routing/src/backend_table_candidates.cpp
+++ b/packages/routing/src/backend_table_candidates.cpp
@@ -98,16 +98,18 @@
   const auto& backend = *member.backend;
   const auto& domain = context.domains[member.domain];
   const auto slots = std::max(backend.declared().slots, 1);
+  candidate evaluated;
   // A cold server's response times already show that it is cold, so the assumption is only a lower bound.
-  const double learned_slowness = backend.slowness(context.now);
+  evaluated.expected_warmth = expected_warmth(context, member, homes);
+  const double usual_ms = context.estimate.expected_ms(evaluated.expected_warmth);
+  const double learned_slowness =
+      backend.slowness(context.now, duration{static_cast<std::int64_t>(usual_ms)});
   const double slowness = backend.is_cold(context.now)
                               ? std::max(learned_slowness, impl::assumed_cold_slowness)
                               : learned_slowness;
-  candidate evaluated;
   evaluated.member = &member;
-  evaluated.expected_warmth = expected_warmth(context, member, homes);
   evaluated.round_trip_ms = domain.round_trip_ms;
-  evaluated.work_ms = context.estimate.expected_ms(evaluated.expected_warmth) * slowness;
+  evaluated.work_ms = usual_ms * slowness;
   // Requests and responses in transit occupy no slot.
   const double in_transit = backend.in_flight() * domain.round_trip_ms /
                             std::max(domain.round_trip_ms + group.mean_slot_time_ms, 1.0);
--- a/packages/routing/src/backend_table_learning.cpp
+++ b/packages/routing/src/backend_table_learning.cpp
@@ -55,8 +55,11 @@
       static_cast<double>(std::max<std::int64_t>((attempt.took - this->round_trip(target)).ms, 1));
   // The decision assumed a mean of warm and cold where it did not know which; the response shows which it
   // was.
+  // Where the server reports its pace, estimates are of work on a usual server. Otherwise the pace would
+  // count in the estimate and again as the server's slowness.
+  const double usual_ms = work_ms / target.pace().factor(now, attempt.took).value_or(1);
   const double correction_ms =
-      estimate.typical_ms(expected_warmth, work_ms) - estimate.expected_ms(expected_warmth);
+      estimate.typical_ms(expected_warmth, usual_ms) - estimate.expected_ms(expected_warmth);
   const duration expected{attempt.decision.expected_total.ms + static_cast<std::int64_t>(correction_ms)};
   target.on_ended(attempt.outcome, attempt.took, expected, now);
   if (attempt.outcome != backend_outcome::responded) {
@@ -67,8 +70,11 @@
   }
   estimate.record_response_size(attempt.response_kib);
   if (attempt.decision.load < target.declared().slots && !target.is_cold(now)) {
-    estimate.record_work_time(expected_warmth, work_ms);
-    this->record_service_time(attempt.service, work_ms);
+    if (estimate.is_typical_known(expected_warmth, usual_ms)) {
+      target.on_work_ratio(work_ms / estimate.typical_ms(expected_warmth, usual_ms), attempt.took, now);
+    }
+    estimate.record_work_time(expected_warmth, usual_ms);
+    this->record_service_time(attempt.service, usual_ms);
   }
   if (attempt.object) {
     target.objects.touch(*attempt.object, this->settings_of(attempt.service).remembered_objects);
--- a/packages/routing/src/work_estimate.cpp
+++ b/packages/routing/src/work_estimate.cpp
@@ -56,12 +56,20 @@
   return took_ms < (this->warm_ms() + this->cold_ms()) / 2;
 }
 
+bool work_estimate::is_warm_sample(warmth expected, double took_ms) const noexcept {
+  return expected == warmth::presumed ? this->is_like_warm(took_ms) : expected == warmth::known;
+}
+
+bool work_estimate::is_typical_known(warmth expected, double took_ms) const noexcept {
+  const auto& mean = this->is_warm_sample(expected, took_ms) ? this->warm : this->cold;
+  return mean.count >= impl::min_typical_samples;
+}
+
 double work_estimate::typical_ms(warmth expected, double took_ms) const noexcept {
-  const bool is_warm = expected == warmth::presumed ? this->is_like_warm(took_ms) : expected == warmth::known;
-  if ((is_warm ? this->warm : this->cold).count < impl::min_typical_samples) {
+  if (!this->is_typical_known(expected, took_ms)) {
     return took_ms;
   }
-  return is_warm ? this->warm_ms() : this->cold_ms();
+  return this->is_warm_sample(expected, took_ms) ? this->warm_ms() : this->cold_ms();
 }
 
 double work_estimate::expected_ms(warmth expected) const noexcept {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -137,7 +137,7 @@
 mutate test_routing packages/routing/src/copy_ledger.cpp \
   's/  paid += cost_ms;//' "requests never pay for a copy"
 mutate test_routing packages/routing/src/work_estimate.cpp \
-  's/count < impl::min_typical_samples/count < 0/' "a slow route makes servers look slow"
+  's/count >= impl::min_typical_samples/count >= 0/' "a slow route makes servers look slow"
 mutate test_node packages/node/src/notice_exchange.cpp \
   's/is_load ? impl::load_notice_delay : impl::confirmation_delay/impl::confirmation_delay/' "loads are told late"
 mutate test_membership packages/membership/src/notice_peers.cpp \
