--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -13,6 +13,7 @@
 #include "zinnia/routing/lru_object_set.hpp"
 #include "zinnia/routing/rate_limit_share.hpp"
 #include "zinnia/routing/recovery_pace.hpp"
+#include "zinnia/routing/reported_pace.hpp"
 #include "zinnia/routing/wait_queue.hpp"
 
 namespace zinnia {
@@ -126,8 +127,17 @@
   }
   /// \brief Moving average of failed requests, 0 to 1; decays to 0 over time.
   [[nodiscard]] double failure_ratio(time_point now) const noexcept;
-  /// \brief Moving average of actual over expected response time; decays to 1 over time.
-  [[nodiscard]] double slowness(time_point now) const noexcept;
+  /// \brief Factor on the usual time of work: the mean over the next `horizon` of what the server reports.
+  /// For
+  ///        a server that reports nothing, the moving average of actual over expected response time, which
+  ///        decays to 1 over time.
+  [[nodiscard]] double slowness(time_point now, duration horizon = {}) const noexcept;
+  /// \brief The pace that the server reports.
+  [[nodiscard]] const reported_pace& pace() const noexcept { return this->work_pace; }
+  /// \brief Records by what factor an answer that found a free slot took longer than on a usual server.
+  void on_work_ratio(double ratio, duration took, time_point now) noexcept {
+    this->work_pace.on_answer(ratio, took, now);
+  }
   /// \}
 
   /// \name Recovery
@@ -136,7 +146,7 @@
   void set_paces_recovery(bool enabled) noexcept;
   /// \brief Limits the server's requests until its answers show that it keeps up, if that is enabled.
   void begin_recovery(time_point now) noexcept;
-  [[nodiscard]] const recovery_pace& recovery() const noexcept { return this->pace; }
+  [[nodiscard]] const recovery_pace& recovery() const noexcept { return this->recovery_limit; }
   /// \brief   Records an answer for the pace of the recovery.
   /// \param   slowness Time taken over the time that other servers take for such work now.
   /// \returns The time that the recovery took if the answer ends it.
@@ -159,12 +169,13 @@
   [[nodiscard]] static duration recovery_spread_for(const node_standing& standing) noexcept;
   void note_failure(time_point now) noexcept;
   void suspend_for_failure(time_point now) noexcept;
+  [[nodiscard]] double learned_slowness(time_point now) const noexcept;
   [[nodiscard]] double decayed(double value, double neutral, time_point since, time_point now) const noexcept;
 
   backend_declaration declaration;
   std::uint64_t id_hash;
   bool paces_recovery{false};
-  recovery_pace pace;
+  recovery_pace recovery_limit;
   // Upper limit on the delay of a recovery's first request.
   duration recovery_spread{0};
   int own_in_flight{0};
@@ -195,6 +206,7 @@
   time_point suspended_for_failure_at{far_future};
   double failure_average{0};
   double slowness_average{1};
+  reported_pace work_pace;
   time_point last_outcome_at;
   time_point cold_until;
   // Send times of the requests of the last second while the server is cold.
--- a/packages/routing/src/backend_recovery.cpp
+++ b/packages/routing/src/backend_recovery.cpp
@@ -27,7 +27,7 @@
 void backend_state::set_paces_recovery(bool enabled) noexcept {
   this->paces_recovery = enabled;
   if (!enabled) {
-    this->pace.end();
+    this->recovery_limit.end();
   }
 }
 
@@ -38,13 +38,13 @@
   const auto delay = this->recovery_spread.ms == 0
                          ? std::uint64_t{0}
                          : this->node_phase % static_cast<std::uint64_t>(this->recovery_spread.ms);
-  this->pace.begin(now, duration{static_cast<std::int64_t>(delay)});
+  this->recovery_limit.begin(now, duration{static_cast<std::int64_t>(delay)});
 }
 
 std::optional<duration> backend_state::on_recovery_answer(double slowness, duration took,
                                                           time_point now) noexcept {
-  const auto began = this->pace.began_at();
-  return this->pace.on_answer(slowness, this->declaration.slots, took, now) ? std::optional{now - began}
+  const auto began = this->recovery_limit.began_at();
+  return this->recovery_limit.on_answer(slowness, this->declaration.slots, took, now) ? std::optional{now - began}
                                                                             : std::nullopt;
 }
 
