Let requests use open connections while the links are in doubt

Cause: half-open links reset connections that the host has accepted but no process has. Three such resets in succession suspend a server, although other connections to it are open and answer. The remaining servers are suspended as they refuse connections, so that each request is refused until the links are known to be half open 200 ms later.

Change: while the links are suspected or half open, a request for which no server is left takes back the suspension of servers that failed since the trouble began and to which an idle connection is open, and is placed again.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -168,6 +168,9 @@
   void on_backend_crashed(std::uint64_t backend, time_point noticed_at);
   /// Judges the servers that were found refusing before the links were shown to be up.
   void judge_refusals();
+  /// Chooses a server for a request. While the links are in doubt, a request that would be refused may use a
+  /// suspended server to which a connection is open.
+  [[nodiscard]] placement_decision choose_backend(const placement_request& request, time_point now);
   /// Takes back what was concluded about servers since the links failed.
   void on_links_failed();
   /// True if failures are due to this node's links.
--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -100,6 +100,25 @@
   }
 }
 
+placement_decision gateway::choose_backend(const placement_request& request, time_point now) {
+  const auto decision = this->backends.choose(request, now);
+  const auto condition = this->links.state();
+  const bool is_in_doubt = condition == link_condition::suspected || condition == link_condition::half_open;
+  if (decision.candidates > 0 || !is_in_doubt) {
+    return decision;
+  }
+  bool any_restored = false;
+  for (const auto& backend : this->backends.all()) {
+    const auto pool = this->pools.find(backend->declared().id);
+    if (backend->is_suspended() && backend->declared().service == request.service &&
+        pool != this->pools.end() && pool->second->has_reusable()) {
+      backend->forgive_failures(this->links.trouble_since());
+      any_restored = any_restored || !backend->is_suspended();
+    }
+  }
+  return any_restored ? this->backends.choose(request, now) : decision;
+}
+
 void gateway::on_links_failed() {
   this->refusals.clear();
   this->crashes.on_links_lost();
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -134,7 +134,7 @@
   request.request_hash = stable_hash(this->request_id);
   request.deadline = this->deadline;
   request.tried = &this->tried_backends;
-  this->decision = this->owner.backends.choose(request, now);
+  this->decision = this->owner.choose_backend(request, now);
   this->placed_at = now;
   switch (this->decision.action) {
     case placement_action::send:
--- a/packages/routing/include/zinnia/routing/link_monitor.hpp
+++ b/packages/routing/include/zinnia/routing/link_monitor.hpp
@@ -75,7 +75,7 @@
   [[nodiscard]] duration silence(time_point now) const noexcept { return now - this->last_life_at; }
   /// \brief The beginning of the current or last round of checks.
   [[nodiscard]] time_point round_began() const noexcept { return this->round_started_at; }
-  /// \brief The time since which failures may be due to the links.
+  /// \brief The time since which failures may be due to the links; meaningful unless they are up.
   [[nodiscard]] time_point trouble_since() const noexcept { return this->trouble_began; }
 
  private:
--- a/packages/routing/src/link_monitor.cpp
+++ b/packages/routing/src/link_monitor.cpp
@@ -248,6 +248,9 @@
     this->unconnected.clear();
     absl::erase_if(this->calls, [](const auto& each) { return each.second.count == 0; });
   }
+  if (next == link_condition::suspected) {
+    this->trouble_began = now - impl::trouble_margin;
+  }
   this->current = next;
 }
 
