--- a/packages/core/include/zinnia/core/units.hpp
+++ b/packages/core/include/zinnia/core/units.hpp
@@ -25,4 +25,7 @@
 /// \brief The version of an object in the platform's store; 0 means that the object does not exist.
 using object_version = strong_number<struct object_version_tag>;
 
+/// \brief Version of the active configuration; increases with every accepted change.
+using config_version = strong_number<struct config_version_tag, std::uint64_t>;
+
 }  // namespace zinnia
--- a/packages/routing/include/zinnia/routing/declarations.hpp
+++ b/packages/routing/include/zinnia/routing/declarations.hpp
@@ -19,9 +19,6 @@
 
 namespace zinnia {
 
-/// \brief Version of the active configuration; increases with every accepted change.
-using config_version = strong_number<struct config_version_tag, std::uint64_t>;
-
 /// \brief Determines which requests of a route may be repeated.
 enum class request_kind : unsigned char {
   /// Idempotent.
