State in relayed changes when the configuration was confirmed

A node that follows another one makes no calls to the store, so it needs the other's proof that the configuration is current. The feed notes when its last successful call was made. A relay states the number of its configuration and the age of its proof, read together with the changes, so that an answer never claims a proof for changes that it lacks. Without a proof the message is unchanged.

--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -112,6 +112,12 @@
   [[nodiscard]] object_version synced_version() const noexcept { return this->watch_version; }
   /// \brief Returns when the store last sent a usable response.
   [[nodiscard]] time_point last_response_at() const noexcept { return this->responded_at; }
+  /// \brief   Returns a time at which the store held what this feed holds, or something older.
+  /// \details It is the time at which the last successful call was made. Relayed changes do not count.
+  ///          `nullopt` until a list is complete, and while the objects are listed again.
+  [[nodiscard]] std::optional<time_point> confirmed_at() const noexcept {
+    return this->complete && !this->listing ? this->confirmed_call_at : std::nullopt;
+  }
   /// \brief Returns true if the last call failed.
   [[nodiscard]] bool is_failing() const noexcept { return this->consecutive_failures > 0; }
 
@@ -143,6 +149,10 @@
   int consecutive_failures{0};
   time_point earliest_call_at;
   time_point called_at;
+  // When the first page of the list in progress was asked for. The later pages say nothing of earlier names.
+  time_point list_called_at;
+  // See `confirmed_at()`. Empty until a list is complete.
+  std::optional<time_point> confirmed_call_at;
   time_point responded_at;
 };
 
--- a/packages/store/src/change_relay_buffer.cpp
+++ b/packages/store/src/change_relay_buffer.cpp
@@ -1,6 +1,7 @@
 // Access to the change logs under a mutex.
 #include "zinnia/store/change_relay_buffer.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace zinnia {
@@ -33,6 +34,31 @@
 std::optional<std::vector<feed_reply>> change_relay_buffer::changes_since(
     const std::vector<object_version>& known) const {
   const absl::MutexLock lock{&this->mutex};
+  return this->missing_changes(known);
+}
+
+void change_relay_buffer::set_confirmation(const std::optional<confirmed_configuration>& confirmation_in) {
+  const absl::MutexLock lock{&this->mutex};
+  this->confirmation = confirmation_in;
+}
+
+std::optional<relay_answer> change_relay_buffer::answer_to(const std::vector<object_version>& known,
+                                                           time_point now) const {
+  const absl::MutexLock lock{&this->mutex};
+  auto changes = this->missing_changes(known);
+  if (!changes) {
+    return std::nullopt;
+  }
+  relay_answer answer{std::move(*changes), std::nullopt};
+  if (this->confirmation) {
+    answer.confirmation = {this->confirmation->version,
+                           std::max(now - this->confirmation->query_time, duration{0})};
+  }
+  return answer;
+}
+
+std::optional<std::vector<feed_reply>> change_relay_buffer::missing_changes(
+    const std::vector<object_version>& known) const {
   if (known.size() != this->logs.size()) {
     return std::nullopt;
   }
--- a/packages/store/src/change_relay_codec.cpp
+++ b/packages/store/src/change_relay_codec.cpp
@@ -12,6 +12,9 @@
 /// The least that an encoded change or kind occupies: its offset in the vector and its table.
 constexpr std::size_t min_encoded_bytes = 8;
 
+/// The age that stands for no confirmation, also in messages without the field.
+constexpr std::int64_t unconfirmed_age_ms = -1;
+
 /// Returns true if the values fit into the message. A message can refer to the same bytes many times, and
 /// what is decoded from it must not grow with that.
 [[nodiscard]] bool fits(const store::fbs::News& news, std::size_t message_bytes) {
@@ -35,7 +38,8 @@
 }  // namespace
 }  // namespace impl
 
-std::string encode_relayed_changes(const std::vector<feed_reply>& kinds) {
+std::string encode_relayed_changes(const std::vector<feed_reply>& kinds,
+                                   const std::optional<relayed_confirmation>& confirmation) {
   flatbuffers::FlatBufferBuilder builder;
   std::vector<flatbuffers::Offset<store::fbs::Kind>> encoded_kinds;
   for (const auto& kind : kinds) {
@@ -52,7 +56,9 @@
                                                    kind.store_version.count(), changes_vector));
   }
   const auto kinds_vector = builder.CreateVector(encoded_kinds);
-  builder.Finish(store::fbs::CreateNews(builder, kinds_vector));
+  builder.Finish(store::fbs::CreateNews(builder, kinds_vector,
+                                        confirmation ? confirmation->age.ms : impl::unconfirmed_age_ms,
+                                        confirmation ? confirmation->version.count() : 0));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -81,6 +87,19 @@
   return kinds;
 }
 
+std::optional<relayed_confirmation> decode_relayed_confirmation(std::string_view bytes) {
+  const auto* const data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier{data, bytes.size()};
+  if (!store::fbs::VerifyNewsBuffer(verifier)) {
+    return std::nullopt;
+  }
+  const auto* const news = store::fbs::GetNews(data);
+  if (news->confirmed_age_ms() < 0) {
+    return std::nullopt;
+  }
+  return relayed_confirmation{config_version{news->configuration_number()}, {news->confirmed_age_ms()}};
+}
+
 std::string encode_versions(const std::vector<object_version>& versions) {
   std::string text;
   for (const auto version : versions) {
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -87,6 +87,9 @@
     return;
   }
   if (!this->listing) {
+    if (reply.store_version >= this->watch_version) {
+      this->confirmed_call_at = this->called_at;
+    }
     this->apply_changes(reply);
     this->holds_newer_objects = false;
     const bool ended_early =
@@ -98,6 +101,7 @@
   }
   if (!this->list_version) {
     this->list_version = reply.store_version;
+    this->list_called_at = this->called_at;
   }
   for (const auto& item : reply.items) {
     this->listed_versions[item.name] = item.version;
@@ -141,6 +145,7 @@
     this->remove_object(name, *this->list_version);
   }
   this->watch_version = std::max(this->watch_version, *this->list_version);
+  this->confirmed_call_at = this->list_called_at;
   this->holds_newer_objects =
       std::any_of(this->listed_versions.begin(), this->listed_versions.end(),
                   [this](const auto& each) { return each.second > this->watch_version; });
--- a/packages/store/tests/object_feed_test.cpp
+++ b/packages/store/tests/object_feed_test.cpp
@@ -191,4 +191,59 @@
   EXPECT_TRUE(batching_feed.next_call(this->now + duration{200}));
 }
 
+// A key can be removed while a response is under way, so a response proves nothing of the time after its
+// call.
+TEST_F(object_feed_test, is_confirmed_as_of_the_last_successful_call) {
+  this->complete_list({object("a", 5)}, 5);
+  const auto listed_at = this->now;
+  EXPECT_EQ(this->feed.confirmed_at(), listed_at);
+  this->now = this->now + duration{100};
+  const auto watched_at = this->now;
+  static_cast<void>(this->request_call());
+  this->now = this->now + duration{900};
+  EXPECT_EQ(this->feed.confirmed_at(), listed_at) << "the watch has not been answered";
+  this->respond_watch({}, 5);
+  EXPECT_EQ(this->feed.confirmed_at(), watched_at);
+  this->now = this->now + duration{900};
+  static_cast<void>(this->request_call());
+  this->respond(feed_status::failed);
+  EXPECT_EQ(this->feed.confirmed_at(), watched_at);
+  this->now = this->now + duration{2000};
+  static_cast<void>(this->request_call());
+  this->respond_watch({}, 4);
+  EXPECT_EQ(this->feed.confirmed_at(), watched_at) << "the response is older than what is known";
+}
+
+// The first page of a list says nothing of the time after it was read.
+TEST_F(object_feed_test, is_confirmed_only_by_a_complete_list_and_from_its_first_page_on) {
+  EXPECT_FALSE(this->feed.confirmed_at());
+  const auto first_page_at = this->now;
+  static_cast<void>(this->request_call());
+  this->respond_list({object("a", 3)}, 10, true);
+  EXPECT_FALSE(this->feed.confirmed_at());
+  this->now = this->now + duration{500};
+  static_cast<void>(this->request_call());
+  this->respond_list({object("c", 12)}, 12);
+  EXPECT_EQ(this->feed.confirmed_at(), first_page_at);
+  static_cast<void>(this->request_call());
+  this->respond(feed_status::history_gone);
+  EXPECT_FALSE(this->feed.confirmed_at()) << "changes may have been missed";
+  this->now = this->now + duration{500};
+  const auto second_list_at = this->now;
+  this->complete_list({object("a", 3)}, 14);
+  EXPECT_EQ(this->feed.confirmed_at(), second_list_at);
+}
+
+// The peer may have known the changes for any length of time.
+TEST_F(object_feed_test, is_not_confirmed_by_relayed_changes) {
+  this->complete_list({object("a", 5)}, 5);
+  const auto listed_at = this->now;
+  this->now = this->now + duration{500};
+  feed_reply relayed;
+  relayed.status = feed_status::ok;
+  relayed.store_version = object_version{9};
+  EXPECT_TRUE(this->feed.apply_relayed_changes(relayed));
+  EXPECT_EQ(this->feed.confirmed_at(), listed_at);
+}
+
 }  // namespace
