Send asks and grants of tokens between the holders of accounts' limits

Cause: nodes that share a limit have to move tokens, and must agree on who has a share.

Change: notices carry asks and grants in two tables at their end, which older builds ignore; the receiver hands them over with the sender's address. Holders are chosen from the registry alone and published with the nodes; none while the node list is incomplete. A test checks that a granted token is subtracted.

--- a/packages/accounts/include/zinnia/accounts/account_limits.hpp
+++ b/packages/accounts/include/zinnia/accounts/account_limits.hpp
@@ -57,6 +57,14 @@
   friend bool operator==(const account_grant&, const account_grant&) = default;
 };
 
+/// \brief What one node sends to another about limits.
+struct account_messages {
+  std::vector<account_ask> asks;
+  std::vector<account_grant> grants;
+
+  friend bool operator==(const account_messages&, const account_messages&) = default;
+};
+
 struct addressed_ask {
   ip_endpoint to;
   account_ask ask;
--- a/packages/accounts/tests/account_limits_test.cpp
+++ b/packages/accounts/tests/account_limits_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "account_limits_model.hpp"
+#include "zinnia/core/rendezvous.hpp"
 
 using namespace zinnia;
 
@@ -29,7 +30,9 @@
       const bool is_idle = phase % 30 < 10;
       for (auto& each : model.nodes) {
         const double demand = is_idle ? 0 : model.fraction();
-        each.demand_per_second = demand < 0.4 ? 0 : demand < 0.7 ? tried.rate / 3 : tried.rate * 3;
+        each.demand_per_second = demand < 0.4   ? 0
+                                 : demand < 0.7 ? tried.rate / 3
+                                                : tried.rate * 3 + tried.burst;
       }
       auto& victim = model.nodes[model.random() % tried.nodes];
       const double fault = model.fraction();
@@ -145,6 +148,18 @@
   EXPECT_FALSE(limits.on_grant(answer(asks[1].ask), begin + duration{401}));
 }
 
+// Guards against a giver that keeps the tokens it sends.
+TEST(account_limits, subtract_what_they_grant) {
+  account_limits_model model{3, 30, 30, 1};
+  auto& giver = *model.nodes[0].limits;
+  const time_point now{100'000};
+  const auto tokens = [&] { return giver.usage(now).front().tokens; };
+  ASSERT_EQ(giver.on_ask({stable_hash("a"), 1000, 1}, now)->thousandths, 1000);
+  const auto before = tokens();
+  ASSERT_EQ(giver.on_ask({stable_hash("a"), 2000, 2}, now)->thousandths, 2000);
+  EXPECT_NEAR(tokens(), before - 2, 1e-9);
+}
+
 TEST(account_limits, do_not_apply_to_accounts_without_a_limit) {
   account_limits_model model{3, 0, 0, 1};
   for (int i = 0; i < 1000; ++i) {
--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "zinnia/accounts/account_limits.hpp"
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/endpoint.hpp"
 #include "zinnia/core/ids.hpp"
@@ -106,6 +107,11 @@
   [[nodiscard]] std::optional<member> find(const node_id& id) const;
   /// \brief Returns the other registered nodes in an order that differs from node to node.
   [[nodiscard]] std::vector<node_id> others_in_random_order() const;
+  /// \brief   Returns the nodes that hold shares of accounts' limits.
+  /// \details Chosen from the registry alone, whatever the nodes' load and state, so that nodes which know
+  /// the
+  ///          same registry agree: the share of a node that is only disconnected is not given to others.
+  [[nodiscard]] const limit_holders& holders_of_limits();
   /// \brief Returns the number of registered nodes, alive or not.
   [[nodiscard]] std::size_t registered_count() const noexcept { return this->members.size(); }
 
@@ -138,6 +144,9 @@
   bool self_leaving{false};
   bool self_reaches_backends{true};
   node_load self_load;
+  // Result of `holders_of_limits` unless the registry has changed since.
+  limit_holders cached_holders;
+  bool registry_changed{true};
   // Serving nodes of each failure domain, as chosen by the last call of `alive`.
   std::map<failure_domain_id, std::set<node_id>> serving_by_domain;
 };
--- a/packages/membership/src/holder_notice_codec.cpp
+++ b/packages/membership/src/holder_notice_codec.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "account_limit_codec.hpp"
 #include "generated/notices_generated.h"
 #include "zinnia/routing/crash_ledger.hpp"
 
@@ -83,6 +84,9 @@
                                  item->crashes(), duration{item->age_ms()}, duration{item->first_age_ms()}});
     }
   }
+  if (const auto* const problem = decode_account_messages(*root, notices.accounts)) {
+    return malformed(problem);
+  }
   return notices;
 }
 
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -33,10 +33,12 @@
     entry.registered_at = now;
   }
   entry.registered = registered;
+  this->registry_changed = true;
 }
 
 void member_table::remove(const node_id& id) {
   this->members.erase(id);
+  this->registry_changed = true;
 }
 
 void member_table::on_heartbeat(const node_heartbeat& heartbeat, time_point now) {
@@ -94,6 +96,32 @@
   return found;
 }
 
+const limit_holders& member_table::holders_of_limits() {
+  if (!std::exchange(this->registry_changed, false)) {
+    return this->cached_holders;
+  }
+  std::map<failure_domain_id, std::vector<serving_candidate>> candidates;
+  for (const auto& [id, entry] : this->members) {
+    candidates[entry.registered.where.domain].push_back({id, entry.registered.capacity, {}});
+  }
+  std::set<node_id> chosen;
+  for (auto& [domain, nodes] : candidates) {
+    chosen.merge(choose_serving_nodes(std::move(nodes), {}));
+  }
+  const auto own = this->members.find(this->self);
+  this->cached_holders = {};
+  for (const auto& id : chosen) {
+    const auto& node = this->members.at(id).registered;
+    if (id == this->self) {
+      this->cached_holders.self = this->cached_holders.all.size();
+    }
+    const int distance =
+        own == this->members.end() ? 0 : impl::distance(own->second.registered.where, node.where);
+    this->cached_holders.all.push_back({id, {node.peer_address.ip, node.notice_port}, distance});
+  }
+  return this->cached_holders;
+}
+
 live_members member_table::accepting_members(time_point now) const {
   live_members found;
   for (const auto& [id, entry] : this->members) {
--- a/packages/membership/tests/holder_notice_codec_test.cpp
+++ b/packages/membership/tests/holder_notice_codec_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "zinnia/membership/account_limit_codec.hpp"
 #include "zinnia/membership/member_codec.hpp"
 
 using namespace zinnia;
@@ -54,6 +55,23 @@
   EXPECT_FALSE(decode_notices(encode_crash_reports(std::vector<crash_report>{{{}, 0, 4, 1, {}, {}}})));
 }
 
+TEST(account_limit_codec, decodes_what_it_encodes_and_rejects_what_is_out_of_range) {
+  account_messages messages;
+  for (std::uint64_t i = 0; i < max_account_messages_per_datagram; ++i) {
+    messages.asks.push_back({~i, static_cast<std::uint32_t>(i), i << 40U});
+    messages.grants.push_back({i, 1'000'000'000, ~i});
+  }
+  const auto datagram = encode_account_messages(messages);
+  EXPECT_LE(datagram.size(), 1'400U) << "one Ethernet frame";
+  const auto decoded = decode_notices(datagram);
+  ASSERT_TRUE(decoded) << decoded.last_error().describe();
+  EXPECT_EQ(decoded->accounts, messages);
+  EXPECT_TRUE(decoded->holders.empty() && decoded->crashes.empty());
+  messages.asks.push_back({});
+  EXPECT_FALSE(decode_notices(encode_account_messages(messages)));
+  EXPECT_FALSE(decode_notices(encode_account_messages({{}, {{1, 1'000'000'001, 2}}})));
+}
+
 TEST(member_codec, keeps_the_notice_port_and_accepts_entries_without_one) {
   member entry;
   entry.id = node_id{"n"};
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -47,6 +47,24 @@
   member_table table{node_id{"me"}};
 };
 
+// Guards against a share that is given to others while its node is only disconnected.
+TEST_F(member_table_test, holders_of_limits_follow_the_registry_and_not_heartbeats) {
+  const auto before = this->table.holders_of_limits();
+  ASSERT_EQ(before.all.size(), 4);
+  ASSERT_TRUE(before.self);
+  EXPECT_EQ(before.all[*before.self].id, node_id{"me"});
+  EXPECT_EQ(before.all[0].distance, 2) << "far";
+  this->receive_heartbeats({"peer"});
+  this->now = this->now + duration{10'000};
+  static_cast<void>(this->table.alive(this->now));
+  EXPECT_EQ(this->table.holders_of_limits(), before);
+  this->table.remove(node_id{"far"});
+  EXPECT_EQ(this->table.holders_of_limits().all.size(), 3);
+  member_table unregistered{node_id{"me"}};
+  unregistered.add(make_member("peer", near_a), this->now);
+  EXPECT_FALSE(unregistered.holders_of_limits().self);
+}
+
 TEST_F(member_table_test, nearest_alive_nodes_are_advertised_to_callers) {
   EXPECT_EQ(this->advertised_to(far_a), (std::vector<std::string>{"me:80"}))
       << "no other node has sent a heartbeat";
--- a/packages/membership/tests/random_input_test.cpp
+++ b/packages/membership/tests/random_input_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "standins/byte_mutator.hpp"
+#include "zinnia/membership/account_limit_codec.hpp"
 #include "zinnia/membership/heartbeat_codec.hpp"
 #include "zinnia/membership/holder_notice_codec.hpp"
 #include "zinnia/membership/member_codec.hpp"
@@ -41,8 +42,9 @@
   crash.request = request_fingerprint{9};
   crash.level = 2;
   crash.age = duration{500};
-  byte_mutator inputs{
-      {encode_holder_notices(holders), encode_crash_reports(std::vector<crash_report>{crash})}, 2};
+  byte_mutator inputs{{encode_holder_notices(holders), encode_crash_reports(std::vector<crash_report>{crash}),
+                       encode_account_messages({{{1, 2, 3}}, {{4, 5, 6}}})},
+                      2};
   for (int i = 0; i < input_count; ++i) {
     const auto decoded = decode_notices(inputs.next());
     if (!decoded) {
@@ -51,6 +53,9 @@
     }
     EXPECT_LE(decoded->holders.size(), max_notices_per_datagram) << i;
     EXPECT_LE(decoded->crashes.size(), max_notices_per_datagram) << i;
+    for (const auto& grant : decoded->accounts.grants) {
+      EXPECT_LE(grant.thousandths, 1'000'000'000U) << i;
+    }
     for (const auto& notice : decoded->holders) {
       EXPECT_TRUE(notice.loads_for >= duration{0} && notice.loads_for <= duration{60'000}) << i;
     }
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -33,6 +33,8 @@
   std::set<region_id> regions_with_nodes;
   /// The number of registered nodes, alive or not.
   std::size_t registered_count{1};
+  /// The holders of limits; none while the node list is incomplete.
+  limit_holders holders{};
 
   friend bool operator==(const membership_view&, const membership_view&) = default;
 };
@@ -130,6 +132,7 @@
   [[nodiscard]] object_version oldest_known_version() const;
   /// True if the objects of all kinds are known that routing depends on.
   [[nodiscard]] bool is_complete() const;
+  [[nodiscard]] membership_view view_of_nodes(time_point now);
 
   // After the store was restored from a copy.
   void on_store_version(watched_kind& watched, object_version version);
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -478,8 +478,7 @@
     return;
   }
   this->next_nodes_update = now + impl::nodes_update_period;
-  membership_view nodes{this->members.alive(now), this->members.regions_with_nodes(),
-                        std::max<std::size_t>(this->members.registered_count(), 1)};
+  auto nodes = this->view_of_nodes(now);
   if (nodes != this->published_nodes) {
     const auto serving = std::count_if(nodes.alive.begin(), nodes.alive.end(),
                                        [](const auto& known) { return known.second.serves; });
--- a/packages/node/src/control_thread_state.cpp
+++ b/packages/node/src/control_thread_state.cpp
@@ -15,6 +15,16 @@
   });
 }
 
+membership_view control_thread::view_of_nodes(time_point now) {
+  membership_view nodes{this->members.alive(now), this->members.regions_with_nodes(),
+                        std::max<std::size_t>(this->members.registered_count(), 1)};
+  // Shares computed from a part of the nodes would be too large.
+  if (this->node_watch().feed.is_complete()) {
+    nodes.holders = this->members.holders_of_limits();
+  }
+  return nodes;
+}
+
 object_version control_thread::oldest_known_version() const {
   object_version oldest{std::numeric_limits<std::int64_t>::max()};
   for (const auto& watched : this->watches) {
--- a/packages/node/src/notice_exchange.cpp
+++ b/packages/node/src/notice_exchange.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <span>
 
+#include "zinnia/membership/account_limit_codec.hpp"
 #include "zinnia/observe/log.hpp"
 
 namespace zinnia {
@@ -107,6 +108,13 @@
   }
 }
 
+void notice_exchange::send(const ip_endpoint& to, const account_messages& messages) {
+  const auto datagram = encode_account_messages(messages);
+  for (const auto& peer : impl::to_endpoints({to})) {
+    this->send_datagram(datagram, peer);
+  }
+}
+
 void notice_exchange::repeat(std::span<const crash_report> reports) {
   if (reports.empty()) {
     return;
@@ -148,8 +156,9 @@
     if (problem) {
       return;
     }
-    const auto notices = decode_notices({buffer.data(), bytes});
+    auto notices = decode_notices({buffer.data(), bytes});
     if (notices) {
+      notices->sender = {sender.address().to_string(), sender.port()};
       this->on_notices(*notices);
     } else {
       this->counts.add(counter::malformed_frames);
--- a/packages/node/src/notice_exchange.hpp
+++ b/packages/node/src/notice_exchange.hpp
@@ -36,6 +36,8 @@
   void offer(std::vector<holder_notice> notices, time_point now);
   /// \brief Sends reports to all their peers at once.
   void send(std::span<const crash_report> reports);
+  /// \brief Sends asks or grants to one address at once.
+  void send(const ip_endpoint& to, const account_messages& messages);
   /// \brief Sends reports to a few peers, to others each time.
   void repeat(std::span<const crash_report> reports);
 
--- a/packages/node/tests/notice_exchange_test.cpp
+++ b/packages/node/tests/notice_exchange_test.cpp
@@ -77,6 +77,19 @@
   }
 }
 
+// Guards against grants that go to another address than the ask came from.
+TEST_F(notice_exchange_test, hands_over_asks_with_the_address_of_the_sender) {
+  node_notices asked;
+  notice_exchange holder{
+      this->context, {"127.0.0.1", 0}, this->counts, [&](const auto& notices) { asked = notices; }};
+  this->sender.send({"127.0.0.1", holder.port()}, {{{1, 2, 3}}, {}});
+  while (asked.accounts.asks.empty()) {
+    this->context.run_one();
+  }
+  EXPECT_EQ(asked.accounts.asks, (std::vector<account_ask>{{1, 2, 3}}));
+  EXPECT_EQ(asked.sender, (ip_endpoint{"127.0.0.1", this->sender.port()}));
+}
+
 TEST_F(notice_exchange_test, counts_what_it_cannot_read) {
   boost::asio::ip::udp::socket socket{this->context, boost::asio::ip::udp::v4()};
   const boost::asio::ip::udp::endpoint to{boost::asio::ip::address_v4::loopback(), this->receiver.port()};
