--- a/packages/routing/src/backend_recovery.cpp
+++ b/packages/routing/src/backend_recovery.cpp
@@ -44,8 +44,9 @@
 std::optional<duration> backend_state::on_recovery_answer(double slowness, duration took,
                                                           time_point now) noexcept {
   const auto began = this->recovery_limit.began_at();
-  return this->recovery_limit.on_answer(slowness, this->declaration.slots, took, now) ? std::optional{now - began}
-                                                                            : std::nullopt;
+  return this->recovery_limit.on_answer(slowness, this->declaration.slots, took, now)
+             ? std::optional{now - began}
+             : std::nullopt;
 }
 
 }  // namespace zinnia
