Identify callers' accounts by their keys

Cause: all callers were served alike; a deployment could not tell accounts apart or withdraw one's access.

Change: the configuration's `tenants` and a rule's `public` are decoded, with errors that name account, field and range and never a key. A request is identified on arrival and checked again before every send: 503 without a confirmed configuration, 401 for an unknown key, 502 if it may have run. Where accounts are configured, the key and a caller's account field reach neither servers nor peers. A forwarded request carries the account and the key's digest, which the peer checks against its own table.

No test of the new rules yet; they follow.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -189,6 +189,7 @@
     }
     placement_request query;
     query.matched_route = &this->routes.at(pending.kind->name);
+    query.priority = {0, pending.kind->priority};
     query.service = pending.kind->service;
     query.object = pending.object;
     query.repeatable = pending.kind->repeatable;
@@ -210,7 +211,7 @@
       case placement_action::wait:
         this->queued_requests[pending->id] = pending;
         pending->decision.target->queue.push(
-            {pending->id, pending->kind->priority, this->current_time(),
+            {pending->id, {0, pending->kind->priority}, this->current_time(),
              this->current_time() + (pending->decision.expected_total - pending->decision.expected_work) +
                  duration{static_cast<std::int64_t>(reselect_delay_ms)}});
         return;
--- a/packages/accounts/include/zinnia/accounts/account_table.hpp
+++ b/packages/accounts/include/zinnia/accounts/account_table.hpp
@@ -50,6 +50,9 @@
   /// \brief Returns the account that holds a key with that digest, or null.
   [[nodiscard]] const account_declaration* find_by_digest(key_digest digest) const noexcept;
   [[nodiscard]] const account_declaration* find(const account_id& id) const noexcept;
+  /// \brief   Returns the priority of requests that need no key and have none.
+  /// \details The least urgent of all accounts, so that no caller gains by leaving out its key.
+  [[nodiscard]] int priority_without_account() const noexcept { return this->least_urgent; }
   [[nodiscard]] const std::vector<account_declaration>& all() const noexcept { return this->accounts; }
 
  private:
@@ -61,6 +64,7 @@
   explicit account_table(std::vector<account_declaration> accounts_in) : accounts{std::move(accounts_in)} {}
 
   std::vector<account_declaration> accounts;
+  int least_urgent{0};
   // Positions in `accounts`. Invariant: no two keys have the same digest.
   absl::flat_hash_map<std::uint64_t, key_entry> by_digest;
   absl::flat_hash_map<account_id, std::size_t> by_id;
--- a/packages/accounts/src/account_table.cpp
+++ b/packages/accounts/src/account_table.cpp
@@ -1,6 +1,7 @@
 // Validation of the configured accounts, and lookups by key digest.
 #include "zinnia/accounts/account_table.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
 
@@ -54,6 +55,7 @@
     if (auto fault = impl::find_fault(account)) {
       return *fault;
     }
+    table->least_urgent = std::max(table->least_urgent, account.priority);
     const auto position = "account " + account.id.str();
     if (!table->by_id.emplace(account.id, i).second) {
       return error{reason::invalid_setting, "name: occurs twice; allowed: once", position};
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "zinnia/accounts/account_access.hpp"
 #include "zinnia/accounts/account_limit_settings.hpp"
 #include "zinnia/core/clock.hpp"
 #include "zinnia/gateway/fwd.hpp"
@@ -126,6 +127,9 @@
   /// \brief Returns current values for the metrics page.
   [[nodiscard]] std::vector<gauge> gauges() const;
 
+  /// Retry-After while the configuration is not known to be current.
+  static constexpr duration unconfirmed_retry_after{500};
+
  private:
   friend class request_flow;
   friend class health_check;
@@ -133,8 +137,15 @@
   /// Starts the flow of a request, or refuses it.
   /// \param forwarded What the node that forwarded the request tells; null if it comes from a caller.
   void admit(const std::shared_ptr<caller_exchange>& exchange, const forwarded_request* forwarded);
+  /// Returns the account that a request has on arrival, by its key or by what its sender tells.
+  [[nodiscard]] std::optional<account_identity> identify_account(const request_head& head,
+                                                                 const forwarded_request* forwarded) const;
+  /// Decides whether a request may be sent under the current snapshot and its confirmation.
+  [[nodiscard]] access_decision check_access(const std::optional<account_identity>& identity,
+                                             const route& wanted) const;
   /// Responds to a request that has no flow.
-  void refuse_unplaced(caller_exchange& exchange, int status, reason why, bool is_forwarded);
+  void refuse_unplaced(caller_exchange& exchange, int status, reason why, bool is_forwarded,
+                       const std::optional<account_identity>& identity = std::nullopt);
   /// Hands requests that wait for a backend server, or may be repeated, to other nodes while the links to the
   /// servers are lost.
   void forward_stranded_requests();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -25,13 +25,6 @@
 constexpr duration pool_cleanup_period{1000};
 /// The number of connections that a node may always have to a backend server, however many nodes there are.
 constexpr std::size_t min_connections = 4;
-/// Retry-After, in seconds, of requests refused before placement: there is no configuration yet, or the
-/// bodies of requests in flight take too much memory.
-constexpr std::string_view unplaced_retry_after_s = "0.200";
-
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 
 }  // namespace
 }  // namespace impl
@@ -145,68 +138,6 @@
   }
 }
 
-void gateway::handle(const std::shared_ptr<caller_exchange>& exchange) {
-  this->counts.add(counter::requests);
-  this->admit(exchange, nullptr);
-}
-
-void gateway::admit(const std::shared_ptr<caller_exchange>& exchange, const forwarded_request* forwarded) {
-  const auto refuse = [&](int status, reason why) {
-    this->refuse_unplaced(*exchange, status, why, forwarded != nullptr);
-  };
-  if (this->current_snapshot == nullptr || this->current_snapshot->routes == nullptr) {
-    refuse(impl::status_unavailable, reason::no_settings);
-    return;
-  }
-  const auto& head = exchange->head();
-  const auto host = find_field(head.fields, "Host");
-  if (!host) {
-    refuse(impl::status_bad_request, reason::bad_request);
-    return;
-  }
-  const auto* const route = this->current_snapshot->routes->find(*host, head.path());
-  if (route == nullptr) {
-    refuse(impl::status_not_found, reason::no_route);
-    return;
-  }
-  if (this->buffered_body_bytes + exchange->body().size() > this->options.max_buffered_body_bytes) {
-    refuse(impl::status_unavailable, reason::memory_short);
-    return;
-  }
-  this->buffered_body_bytes += exchange->body().size();
-  const auto ticket = this->next_ticket++;
-  const auto flow =
-      std::make_shared<request_flow>(*this, ticket, exchange, this->current_snapshot, *route, forwarded);
-  this->flows.emplace(ticket, flow);
-  flow->start();
-}
-
-void gateway::refuse_unplaced(caller_exchange& exchange, int status, reason why, bool is_forwarded) {
-  const auto& head = exchange.head();
-  const auto id = find_field(head.fields, this->options.field_names.request_id).value_or("");
-  header_fields fields;
-  if (status == impl::status_unavailable) {
-    fields.push_back({"Retry-After", std::string{impl::unplaced_retry_after_s}});
-  }
-  fields.push_back({this->options.field_names.request_id, std::string{id}});
-  if (is_forwarded) {
-    this->counts.add(counter::forwarded_refused);
-    for (auto& field : encode_hop_fields({verdict::did_not_run, why, 0})) {
-      fields.push_back(std::move(field));
-    }
-  }
-  exchange.respond(status, fields, "");
-  this->counts.record_refusal(why);
-  log_line{log_level::warn, "request_refused"}
-      .field("request", id)
-      .field("status", status)
-      .field("reason", to_string(why))
-      .field("path", head.path())
-      .field("forwarded", is_forwarded ? 1 : 0)
-      .field("config_version",
-             this->current_snapshot ? static_cast<std::int64_t>(this->current_snapshot->version.count()) : 0);
-}
-
 backend_pool* gateway::pool_for(const backend_state& backend) {
   const auto& declared = backend.declared();
   boost::system::error_code problem;
--- a/packages/gateway/src/gateway_accounts.cpp
+++ b/packages/gateway/src/gateway_accounts.cpp
@@ -1,4 +1,5 @@
 // What the gateway knows about client accounts beyond the current snapshot.
+#include "hop_fields.hpp"
 #include "zinnia/gateway/gateway.hpp"
 
 namespace zinnia {
@@ -14,4 +15,21 @@
           this->current_snapshot->version >= this->confirmed_version);
 }
 
+std::optional<account_identity> gateway::identify_account(const request_head& head,
+                                                          const forwarded_request* forwarded) const {
+  if (forwarded != nullptr) {
+    return forwarded->account;
+  }
+  const auto& accounts = this->current_snapshot->accounts;
+  return accounts == nullptr
+             ? std::nullopt
+             : identify(*accounts, find_field(head.fields, this->options.field_names.account_key));
+}
+
+access_decision gateway::check_access(const std::optional<account_identity>& identity,
+                                      const route& wanted) const {
+  return zinnia::check_access(this->current_snapshot->accounts.get(), identity, wanted.is_public,
+                              this->is_configuration_confirmed(this->clock.now()));
+}
+
 }  // namespace zinnia
--- a/packages/gateway/src/hop_fields.cpp
+++ b/packages/gateway/src/hop_fields.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 
+#include <charconv>
 #include <limits>
 
 namespace zinnia {
@@ -19,6 +20,23 @@
 constexpr std::string_view verdict_field = "Zinnia-Hop-Verdict";
 constexpr std::string_view reason_field = "Zinnia-Hop-Reason";
 constexpr std::string_view sent_field = "Zinnia-Hop-Sent";
+constexpr std::string_view account_field = "Zinnia-Hop-Account";
+constexpr std::string_view key_digest_field = "Zinnia-Hop-Key-Digest";
+
+/// Returns the account that the sender names, or nullopt if a field is missing or malformed.
+[[nodiscard]] std::optional<account_identity> find_account(const header_fields& fields) {
+  constexpr int hexadecimal = 16;
+  constexpr std::size_t digit_count = 16;
+  const auto name = find_field(fields, account_field).value_or("");
+  const auto text = find_field(fields, key_digest_field).value_or("");
+  std::uint64_t digest = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, digest, hexadecimal);
+  if (name.empty() || text.size() != digit_count || parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return account_identity{account_id{std::string{name}}, key_digest{digest}};
+}
 
 /// Returns a number that fits an int, or nullopt.
 [[nodiscard]] std::optional<int> find_count(const header_fields& fields, std::string_view name) {
@@ -35,18 +53,25 @@
 
 const std::vector<std::string_view>& hop_field_names() {
   static const std::vector<std::string_view> names{
-      impl::sender_field, impl::version_field, impl::service_field, impl::attempts_left_field,
-      impl::tried_field,  impl::verdict_field, impl::reason_field,  impl::sent_field};
+      impl::sender_field,  impl::version_field,   impl::service_field, impl::attempts_left_field,
+      impl::tried_field,   impl::verdict_field,   impl::reason_field,  impl::sent_field,
+      impl::account_field, impl::key_digest_field};
   return names;
 }
 
 header_fields encode_hop_fields(const forwarded_request& request) {
   const auto append_id = [](std::string* out, const backend_id& id) { out->append(id.str()); };
-  return {{std::string{impl::sender_field}, request.sender.str()},
-          {std::string{impl::version_field}, absl::StrCat(request.version.count())},
-          {std::string{impl::service_field}, request.service.str()},
-          {std::string{impl::attempts_left_field}, absl::StrCat(request.attempts_left)},
-          {std::string{impl::tried_field}, absl::StrJoin(request.tried, ",", append_id)}};
+  header_fields fields{{std::string{impl::sender_field}, request.sender.str()},
+                       {std::string{impl::version_field}, absl::StrCat(request.version.count())},
+                       {std::string{impl::service_field}, request.service.str()},
+                       {std::string{impl::attempts_left_field}, absl::StrCat(request.attempts_left)},
+                       {std::string{impl::tried_field}, absl::StrJoin(request.tried, ",", append_id)}};
+  if (request.account) {
+    fields.push_back({std::string{impl::account_field}, request.account->id.str()});
+    fields.push_back({std::string{impl::key_digest_field},
+                      absl::StrCat(absl::Hex(request.account->digest.count(), absl::kZeroPad16))});
+  }
+  return fields;
 }
 
 header_fields encode_hop_fields(const hop_result& result) {
@@ -74,6 +99,7 @@
        absl::StrSplit(absl::string_view{tried.data(), tried.size()}, ',', absl::SkipEmpty())) {
     parsed.tried.emplace_back(std::string{id});
   }
+  parsed.account = impl::find_account(fields);
   return parsed;
 }
 
@@ -93,7 +119,8 @@
   }
   return result.own_reason == reason::links_lost || result.own_reason == reason::peer_busy ||
          result.own_reason == reason::no_settings || result.own_reason == reason::no_route ||
-         result.own_reason == reason::memory_short;
+         result.own_reason == reason::memory_short || result.own_reason == reason::unknown_key ||
+         result.own_reason == reason::configuration_unconfirmed;
 }
 
 }  // namespace zinnia
--- a/packages/gateway/src/hop_fields.hpp
+++ b/packages/gateway/src/hop_fields.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "zinnia/accounts/account_access.hpp"
 #include "zinnia/core/ids.hpp"
 #include "zinnia/core/reason.hpp"
 #include "zinnia/core/verdict.hpp"
@@ -26,6 +27,9 @@
   int attempts_left{1};
   /// Backend servers to which the sender has sent the request.
   std::vector<backend_id> tried;
+  /// The account of the caller's key as the sender knows it; nullopt if there is none, or if the sender's
+  /// build knows no accounts.
+  std::optional<account_identity> account{};
 };
 
 /// \brief What a peer tells the node that forwarded a request to it.
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -37,13 +37,14 @@
 request_flow::request_flow(gateway& owner_in, wait_ticket ticket_in,
                            std::shared_ptr<caller_exchange> exchange_in,
                            std::shared_ptr<const routing_snapshot> snapshot_in, const route& route_in,
-                           const forwarded_request* forwarded_in)
+                           const forwarded_request* forwarded_in, std::optional<account_identity> identity_in)
     : owner{owner_in},
       ticket{ticket_in},
       exchange{std::move(exchange_in)},
       snapshot{std::move(snapshot_in)},
       matched_route{route_in},
       forwarded{forwarded_in == nullptr ? std::nullopt : std::optional{*forwarded_in}},
+      identity{std::move(identity_in)},
       max_attempts{route_in.max_attempts},
       idempotent{is_repeatable(route_in.kind, this->exchange->head().method)},
       arrived_at{this->exchange->received_at()},
@@ -118,7 +119,7 @@
 }
 
 void request_flow::place_request() {
-  if (this->refuse_if_quarantined()) {
+  if (this->refuse_if_quarantined() || this->refuse_without_access()) {
     return;
   }
   const auto now = this->owner.clock.now();
@@ -128,6 +129,8 @@
   }
   placement_request request;
   request.matched_route = &this->matched_route;
+  request.regions = this->allowed_regions();
+  request.priority = this->priority();
   request.service = this->service;
   request.object = this->object_hash;
   request.repeatable = this->idempotent;
@@ -143,7 +146,7 @@
     case placement_action::wait:
       this->queued = true;
       this->decision.target->queue.push(
-          {this->ticket, this->matched_route.priority, this->arrived_at,
+          {this->ticket, request.priority, this->arrived_at,
            now + (this->decision.expected_total - this->decision.expected_work) + impl::overdue_slack});
       return;
     case placement_action::refuse:
@@ -165,7 +168,9 @@
     this->place_request();
     return;
   }
-  this->send();
+  if (!this->refuse_without_access()) {
+    this->send();
+  }
 }
 
 void request_flow::reassign() {
@@ -174,34 +179,6 @@
   this->place_request();
 }
 
-backend_call request_flow::build_call(std::string_view target, const header_fields& added) const {
-  const auto& field_names = this->owner.options.field_names;
-  const auto& head = this->exchange->head();
-  backend_call call;
-  call.is_head_request = head.method == "HEAD";
-  if (!this->request_id.empty()) {
-    call.id_field = field_names.request_id;
-    call.id = this->request_id;
-  }
-  absl::StrAppend(&call.bytes, head.method, " ", absl::string_view{target.data(), target.size()},
-                  " HTTP/1.1\r\n");
-  auto replaced = hop_field_names();
-  replaced.emplace_back(field_names.time_left_ms);
-  replaced.emplace_back(field_names.expected_backend);
-  append_fields(call.bytes, end_to_end_fields(head.fields, replaced));
-  const auto left = std::max<std::int64_t>((this->deadline - this->owner.clock.now()).ms, 1);
-  absl::StrAppend(&call.bytes, field_names.time_left_ms, ": ", left, "\r\n");
-  append_fields(call.bytes, added);
-  const bool has_body = !this->exchange->body().empty() ||
-                        (head.method != "GET" && head.method != "HEAD" && head.method != "DELETE");
-  if (has_body) {
-    absl::StrAppend(&call.bytes, "Content-Length: ", this->exchange->body().size(), "\r\n");
-  }
-  call.bytes += "\r\n";
-  call.bytes += this->exchange->body();
-  return call;
-}
-
 void request_flow::send() {
   const auto& target = this->decision.target;
   auto* const pool = this->owner.pool_for(*target);
@@ -226,9 +203,7 @@
   const auto path =
       std::string_view{this->exchange->head().target}.substr(this->matched_route.stripped_prefix_length);
   this->owner.links.on_sent(target->hash(), this->sent_at);
-  this->connection->start(this->build_call(path, {{this->owner.options.field_names.expected_backend,
-                                                   target->declared().id.str()}}),
-                          *this);
+  this->connection->start(this->build_call(path, this->make_backend_fields(target->declared().id)), *this);
 }
 
 void request_flow::on_head(const response_head& head) {
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -12,6 +12,7 @@
 #include "hop_fields.hpp"
 #include "peer_forwarding.hpp"
 #include "peer_result.hpp"
+#include "zinnia/accounts/account_access.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/backend_connection.hpp"
 #include "zinnia/observe/json_object.hpp"
@@ -27,7 +28,7 @@
  public:
   request_flow(gateway& owner_in, wait_ticket ticket_in, std::shared_ptr<caller_exchange> exchange_in,
                std::shared_ptr<const routing_snapshot> snapshot_in, const route& route_in,
-               const forwarded_request* forwarded_in);
+               const forwarded_request* forwarded_in, std::optional<account_identity> identity_in);
 
   void start();
   /// \brief Sends the request to the backend server in whose queue it waited; the queue no longer holds it.
@@ -56,6 +57,15 @@
   /// Chooses a backend server; then sends the request, queues it or refuses it.
   void place_request();
   void send();
+  /// Ends the request if its account may no longer use the route: with 401 or 503 if it has not run, else
+  /// with 502. Called before every send. Returns true if it has ended.
+  [[nodiscard]] bool refuse_without_access();
+  /// True if accounts are configured now, or were when the request arrived.
+  [[nodiscard]] bool has_accounts() const noexcept;
+  [[nodiscard]] region_filter allowed_regions() const noexcept;
+  [[nodiscard]] request_priority priority() const noexcept;
+  /// Returns the fields that a backend server gets in addition to the caller's.
+  [[nodiscard]] header_fields make_backend_fields(const backend_id& target) const;
   /// Builds a request for a server or a peer.
   /// \param added Fields in addition to the caller's and the time left.
   [[nodiscard]] backend_call build_call(std::string_view target, const header_fields& added) const;
@@ -115,6 +125,11 @@
   std::string request_id;
   // Set if another node has forwarded the request.
   std::optional<forwarded_request> forwarded;
+  std::optional<account_identity> identity;
+  // The accounts at the latest check; null if none are configured.
+  std::shared_ptr<const account_table> accounts;
+  // Owned by `accounts`; null if the request has no account.
+  const account_declaration* account{nullptr};
   // The number of attempts that this node may make.
   int max_attempts{1};
   // Hash of the route's prefix and the object key; nullopt if the route is not sticky or there is no key.
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -207,6 +207,10 @@
       .field("candidates", this->decision.candidates)
       .field("config_version", static_cast<std::int64_t>(this->snapshot->version.count()))
       .field("snapshot", static_cast<std::int64_t>(this->snapshot->sequence));
+  if (this->has_accounts()) {
+    record.field("account", this->identity ? this->identity->id.str() : "")
+        .field("account_priority", this->priority().of_account);
+  }
   return record;
 }
 
--- a/packages/gateway/src/request_flow_forwarding.cpp
+++ b/packages/gateway/src/request_flow_forwarding.cpp
@@ -17,11 +17,14 @@
 }  // namespace impl
 
 peer_request request_flow::wanted_peer() const {
-  return {&this->matched_route.allowed_regions, &this->tried_peers,
+  return {this->allowed_regions(), &this->tried_peers,
           stable_hash(absl::StrCat(this->request_id, "/", this->tried_peers.size()))};
 }
 
 void request_flow::forward_to_peer(reason why, duration retry_after) {
+  if (this->refuse_without_access()) {
+    return;
+  }
   std::optional<peer_forwarding::lent_connection> lent;
   const int attempts_left = this->max_attempts - this->sent_count;
   if (!this->forwarded && attempts_left > 0 && this->tried_peers.size() < max_peers_tried) {
@@ -48,7 +51,7 @@
   this->held_body.clear();
   this->response_bytes = 0;
   const auto fields = encode_hop_fields({this->owner.options.self, this->snapshot->version, this->service,
-                                         attempts_left, this->reached_backends});
+                                         attempts_left, this->reached_backends, this->identity});
   this->connection->start(this->build_call(this->exchange->head().target, fields), *this);
 }
 
@@ -62,9 +65,11 @@
 
 void request_flow::on_peer_end(const backend_call_result& end) {
   const auto result = classify_peer_call(end, this->response, this->owner.options.field_names);
-  this->release_peer(result.unreachable          ? peer_forwarding::ending::unreachable
-                     : result.can_try_other_peer ? peer_forwarding::ending::refused
-                                                 : peer_forwarding::ending::answered,
+  // A peer that does not know one account's key still serves the others.
+  const bool refuses_all = result.can_try_other_peer && result.failure_reason != reason::unknown_key;
+  this->release_peer(result.unreachable ? peer_forwarding::ending::unreachable
+                     : refuses_all      ? peer_forwarding::ending::refused
+                                        : peer_forwarding::ending::answered,
                      result.failure_reason == reason::none ? "ok" : to_string(result.failure_reason));
   this->run_verdict = combine(this->run_verdict, result.run_verdict);
   this->sent_count += result.sent_count;
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -44,6 +44,8 @@
   forwarded_received,
   /// Requests of other nodes that were refused on arrival, for instance for lack of room or of links.
   forwarded_refused,
+  /// Requests answered 401 because their key is missing or unknown.
+  unauthorized,
   count,
 };
 
--- a/packages/observe/src/metrics.cpp
+++ b/packages/observe/src/metrics.cpp
@@ -21,7 +21,8 @@
     "limited_sends",      "services_without_backend",
     "backend_crashes",    "requests_quarantined",
     "links_lost",         "requests_forwarded",
-    "forwarded_received", "forwarded_refused"};
+    "forwarded_received", "forwarded_refused",
+    "unauthorized"};
 static_assert(!counter_names.back().empty(), "every counter has a name");
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(timing::count)> timing_names{
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -19,7 +19,9 @@
 #include "zinnia/routing/holder_notice.hpp"
 #include "zinnia/routing/object_homes.hpp"
 #include "zinnia/routing/placement_settings.hpp"
+#include "zinnia/routing/region_filter.hpp"
 #include "zinnia/routing/region_shares.hpp"
+#include "zinnia/routing/request_priority.hpp"
 #include "zinnia/routing/work_estimate.hpp"
 
 namespace zinnia {
@@ -33,6 +35,9 @@
 /// \brief The properties of a request that placement depends on.
 struct placement_request {
   const route* matched_route{nullptr};
+  /// Regions in which the request may be handled.
+  region_filter regions;
+  request_priority priority;
   service_id service;
   /// Hash of the object that the request names; empty if it names none.
   std::optional<std::uint64_t> object;
--- a/packages/routing/include/zinnia/routing/peer_choice.hpp
+++ b/packages/routing/include/zinnia/routing/peer_choice.hpp
@@ -24,8 +24,8 @@
 
 /// \brief The properties of a request that the choice of a peer depends on.
 struct peer_request {
-  /// Regions in which the request may be handled; all if empty. The own region is always allowed.
-  const std::set<region_id>* allowed_regions{nullptr};
+  /// Regions in which the request may be handled. The own region is always allowed.
+  region_filter regions;
   /// Peers that earlier tries of the same request used.
   const std::vector<node_id>* tried{nullptr};
   /// Selects the peers that are compared.
--- a/packages/routing/include/zinnia/routing/wait_queue.hpp
+++ b/packages/routing/include/zinnia/routing/wait_queue.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/routing/request_priority.hpp"
 
 namespace zinnia {
 
@@ -19,8 +20,7 @@
  public:
   struct entry {
     wait_ticket ticket{0};
-    /// 0 is the most urgent.
-    int priority{0};
+    request_priority priority;
     /// Arrival time of the request at this node.
     time_point arrived;
     /// Time after which the request has waited longer than expected and needs a new placement decision.
@@ -34,7 +34,7 @@
   /// \brief Removes and returns one entry whose `reselect_at` has passed; empty if there is none.
   [[nodiscard]] std::optional<entry> pop_for_reselection(time_point now);
   /// \brief Returns the number of entries that would be sent before a new one of this priority.
-  [[nodiscard]] int count_ahead(int priority) const noexcept;
+  [[nodiscard]] int count_ahead(const request_priority& priority) const noexcept;
   [[nodiscard]] bool empty() const noexcept { return this->entries.empty(); }
   [[nodiscard]] std::size_t size() const noexcept { return this->entries.size(); }
 
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -207,8 +207,7 @@
   context.domains.reserve(this->domains.size());
   for (const auto& domain : this->domains) {
     domain_costs& costs = context.domains.emplace_back();
-    costs.allowed = request.matched_route->allowed_regions.empty() ||
-                    request.matched_route->allowed_regions.contains(domain.region);
+    costs.allowed = request.regions.allows(domain.region);
     costs.round_trip_ms = static_cast<double>(this->round_trip_to(domain.id).ms);
     costs.transfer_ms = this->transfer_cost(group, domain, context.estimate.response_kib());
     costs.stable_transfer_ms = this->transfer_cost(group, domain, context.estimate.stable_response_kib());
--- a/packages/routing/src/peer_choice.cpp
+++ b/packages/routing/src/peer_choice.cpp
@@ -45,9 +45,7 @@
 
 bool peer_choice::may_get(const peer_state& state, const peer_request& request, time_point now) const {
   const auto& region = state.peer.where.region;
-  const bool in_allowed_region = request.allowed_regions == nullptr || request.allowed_regions->empty() ||
-                                 request.allowed_regions->contains(region) ||
-                                 region == this->own_location.region;
+  const bool in_allowed_region = request.regions.allows(region) || region == this->own_location.region;
   const bool was_tried = request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(),
                                                                state.peer.id) != request.tried->end();
   const bool is_excluded = state.excluded_until && now < *state.excluded_until;
--- a/packages/routing/src/wait_queue.cpp
+++ b/packages/routing/src/wait_queue.cpp
@@ -42,10 +42,10 @@
   return due;
 }
 
-int wait_queue::count_ahead(int priority) const noexcept {
+int wait_queue::count_ahead(const request_priority& priority) const noexcept {
   return static_cast<int>(
       std::count_if(this->entries.begin(), this->entries.end(),
-                    [priority](const entry& waiting) { return waiting.priority <= priority; }));
+                    [&priority](const entry& waiting) { return waiting.priority <= priority; }));
 }
 
 }  // namespace zinnia
--- a/packages/routing/tests/peer_choice_test.cpp
+++ b/packages/routing/tests/peer_choice_test.cpp
@@ -28,7 +28,7 @@
                                                 const std::set<region_id>& allowed = {}) {
   std::map<std::string, int> counts;
   for (int i = 0; i < requests; ++i) {
-    const auto* const peer = choice.choose({&allowed, nullptr, stable_hash(std::to_string(i))}, start);
+    const auto* const peer = choice.choose({{&allowed}, nullptr, stable_hash(std::to_string(i))}, start);
     if (peer != nullptr) {
       ++counts[peer->id.str()];
       choice.on_sent(peer->id, start);
@@ -86,7 +86,7 @@
   auto choice = make_choice({own_a, own_b});
   std::map<std::string, int> counts;
   for (int i = 0; i < 100; ++i) {
-    const auto* const peer = choice.choose({nullptr, nullptr, 0}, start);
+    const auto* const peer = choice.choose({{}, nullptr, 0}, start);
     ASSERT_NE(peer, nullptr);
     ++counts[peer->id.str()];
     choice.on_sent(peer->id, start);
@@ -102,7 +102,7 @@
     choice.on_sent(own_a.id, start);
   }
   for (int i = 0; i < 20; ++i) {
-    const auto* const peer = choice.choose({nullptr, nullptr, static_cast<std::uint64_t>(i)}, start);
+    const auto* const peer = choice.choose({{}, nullptr, static_cast<std::uint64_t>(i)}, start);
     ASSERT_NE(peer, nullptr);
     EXPECT_EQ(peer->id, own_b.id);
     choice.on_sent(peer->id, start);
@@ -117,10 +117,10 @@
   const std::vector<node_id> one{own_a.id};
   const std::vector<node_id> both{own_a.id, own_b.id};
   for (std::uint64_t hash = 0; hash < 10; ++hash) {
-    const auto* const peer = choice.choose({nullptr, &one, hash}, start);
+    const auto* const peer = choice.choose({{}, &one, hash}, start);
     ASSERT_NE(peer, nullptr);
     EXPECT_EQ(peer->id, own_b.id);
-    EXPECT_EQ(choice.choose({nullptr, &both, hash}, start), nullptr);
+    EXPECT_EQ(choice.choose({{}, &both, hash}, start), nullptr);
   }
 }
 
@@ -156,7 +156,7 @@
   choice.on_unreachable(own_b.id, start);
   choice.set_peers({own_a, own_b});
   EXPECT_EQ(choice.in_flight(own_a.id), 1);
-  EXPECT_EQ(choice.choose({nullptr, nullptr, 1}, start)->id, own_a.id);
+  EXPECT_EQ(choice.choose({{}, nullptr, 1}, start)->id, own_a.id);
   auto restarted = own_b;
   restarted.address.port = 7001;
   choice.set_peers({restarted});
--- a/packages/routing/tests/routing_components_test.cpp
+++ b/packages/routing/tests/routing_components_test.cpp
@@ -73,12 +73,12 @@
 
 TEST(wait_queue, orders_by_priority_then_by_arrival) {
   wait_queue queue;
-  queue.push({1, 2, time_point{10}, time_point{100}});
-  queue.push({2, 1, time_point{20}, time_point{100}});
-  queue.push({3, 2, time_point{5}, time_point{100}});
-  queue.push({4, 1, time_point{15}, time_point{100}});
-  EXPECT_EQ(queue.count_ahead(1), 2);
-  EXPECT_EQ(queue.count_ahead(2), 4);
+  queue.push({1, {0, 2}, time_point{10}, time_point{100}});
+  queue.push({2, {0, 1}, time_point{20}, time_point{100}});
+  queue.push({3, {0, 2}, time_point{5}, time_point{100}});
+  queue.push({4, {0, 1}, time_point{15}, time_point{100}});
+  EXPECT_EQ(queue.count_ahead({0, 1}), 2);
+  EXPECT_EQ(queue.count_ahead({0, 2}), 4);
   std::vector<wait_ticket> order;
   while (const auto next = queue.pop()) {
     order.push_back(next->ticket);
@@ -88,8 +88,8 @@
 
 TEST(wait_queue, entries_past_their_expected_wait_are_reselected) {
   wait_queue queue;
-  queue.push({1, 0, time_point{0}, time_point{50}});
-  queue.push({2, 0, time_point{1}, time_point{150}});
+  queue.push({1, {0, 0}, time_point{0}, time_point{50}});
+  queue.push({2, {0, 0}, time_point{1}, time_point{150}});
   EXPECT_FALSE(queue.pop_for_reselection(time_point{50}));
   EXPECT_EQ(queue.pop_for_reselection(time_point{51})->ticket, 1U);
   EXPECT_FALSE(queue.pop_for_reselection(time_point{51}));
--- a/packages/routing/tests/snapshot_builder_test.cpp
+++ b/packages/routing/tests/snapshot_builder_test.cpp
@@ -56,6 +56,7 @@
   far_only.allowed_regions = {far};
   placement_request request;
   request.matched_route = &far_only;
+  request.regions = {&far_only.allowed_regions, nullptr};
   request.service = service_id{"desk"};
   request.deadline = time_point{5'000};
   table.apply(*before, time_point{1'000});
