--- a/packages/gateway/src/request_flow_account.cpp
+++ b/packages/gateway/src/request_flow_account.cpp
@@ -22,20 +22,20 @@
     const auto& fields = this->exchange->head().fields;
     this->identity = identify(*current, find_field(fields, this->owner.options.field_names.account_key));
   }
-  const auto decision = this->owner.check_access(this->identity, this->matched_route);
+  const auto access = this->owner.check_access(this->identity, this->matched_route);
   this->accounts = current;
-  this->account = decision.account;
-  if (decision.refusal == reason::none) {
+  this->account = access.account;
+  if (access.refusal == reason::none) {
     return false;
   }
   if (this->run_verdict != verdict::did_not_run) {
-    this->fail(impl::status_bad_gateway, decision.refusal);
-  } else if (decision.refusal == reason::unknown_key) {
+    this->fail(impl::status_bad_gateway, access.refusal);
+  } else if (access.refusal == reason::unknown_key) {
     this->owner.counts.add(counter::unauthorized);
-    this->fail(impl::status_unauthorized, decision.refusal);
+    this->fail(impl::status_unauthorized, access.refusal);
   } else {
     this->leave_queue();
-    this->respond_unavailable(decision.refusal, gateway::unconfirmed_retry_after);
+    this->respond_unavailable(access.refusal, gateway::unconfirmed_retry_after);
   }
   return true;
 }
--- a/packages/gateway/tests/forwarding_fixture.hpp
+++ b/packages/gateway/tests/forwarding_fixture.hpp
@@ -121,6 +121,7 @@
     options.field_names.did_not_run = "Not-Run";
     options.field_names.response_stamp = "Stamp";
     options.retry_budget = this->budget;
+    options.revocation_limit = this->revocation_limit;
     added.traffic = std::make_unique<gateway>(this->context, this->clock, added.counts, options);
     added.callers =
         std::make_unique<http_listener>(this->context, this->clock, 1000,
@@ -261,6 +262,7 @@
 
   retry_budget_settings budget{0.2, 100, duration{10'000}};
   int slots{3};
+  std::optional<duration> revocation_limit;
   boot_clock clock;
   boost::asio::io_context context;
   // Bound and not listening: connections to it are refused.
--- a/packages/routing/tests/routing_components_test.cpp
+++ b/packages/routing/tests/routing_components_test.cpp
@@ -79,11 +79,14 @@
   queue.push({4, {0, 1}, time_point{15}, time_point{100}});
   EXPECT_EQ(queue.count_ahead({0, 1}), 2);
   EXPECT_EQ(queue.count_ahead({0, 2}), 4);
+  EXPECT_EQ(queue.count_ahead({1, 0}), 4) << "the account's priority goes before the route's";
+  queue.push({5, {1, 0}, time_point{0}, time_point{100}});
+  EXPECT_EQ(queue.count_ahead({0, 2}), 4);
   std::vector<wait_ticket> order;
   while (const auto next = queue.pop()) {
     order.push_back(next->ticket);
   }
-  EXPECT_EQ(order, (std::vector<wait_ticket>{4, 2, 3, 1}));
+  EXPECT_EQ(order, (std::vector<wait_ticket>{4, 2, 3, 1, 5}));
 }
 
 TEST(wait_queue, entries_past_their_expected_wait_are_reselected) {
