Tell in heartbeats that a node has no proof of its configuration

A node without a proof refuses requests with keys, so callers must not be sent to it while another node can serve them. Heartbeats state it in a new field, which is not written otherwise, and member_table leaves such nodes out of the serving nodes while any alive node has a proof. A proof counts before links: a node without links hands requests to peers. For a node that the store refuses, the table names the nearest watching node.

--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -31,7 +31,8 @@
   incarnation_id incarnation;
   node_capacity capacity;
   /// True if the node is advertised to callers of its failure domain. Set by `member_table::alive`. False for
-  /// a node without links to backend servers while any node has links.
+  /// a node without links to backend servers while any node has links, and for one without a proof of its
+  /// configuration while any node has one.
   bool serves{false};
   /// Port at the IP address of `peer_address` that receives holder notices; 0 if the node receives none.
   std::uint16_t notice_port{0};
@@ -39,10 +40,14 @@
   std::uint16_t forward_port{0};
   /// False if the node has lost its links to all backend servers. Set by `member_table::alive`.
   bool reaches_backends{true};
+  /// False if the node has to prove that its configuration is current, and cannot. Set by
+  /// `member_table::alive`.
+  bool is_confirmed{true};
 
   friend bool operator==(const member& a, const member& b) noexcept {
     return a.id == b.id && a.incarnation == b.incarnation && a.caller_address == b.caller_address &&
-           a.serves == b.serves && a.reaches_backends == b.reaches_backends;
+           a.serves == b.serves && a.reaches_backends == b.reaches_backends &&
+           a.is_confirmed == b.is_confirmed;
   }
 };
 
@@ -62,6 +67,8 @@
   state_summary state{};
   /// The node has links to backend servers.
   bool reaches_backends{true};
+  /// The node can prove that its configuration is current, or need not.
+  bool is_confirmed{true};
 };
 
 /// \brief The nodes that are alive and accept requests.
@@ -79,11 +86,12 @@
   /// \brief Records a heartbeat. Ignores heartbeats of unregistered nodes and of other incarnations.
   void on_heartbeat(const node_heartbeat& heartbeat, time_point now);
   /// \brief Sets the state of this node itself, which sends itself no heartbeat.
-  void set_own_state(bool ready, bool leaving, const node_load& load, bool reaches_backends = true) noexcept;
+  void set_own_state(bool ready, bool leaving, const node_load& load, bool reaches_backends = true,
+                     bool is_confirmed = true) noexcept;
 
   /// \brief   Returns the nodes that are alive and accept requests.
   /// \details Also updates the choice of serving nodes in each failure domain, and sets `member::serves` and
-  ///          `member::reaches_backends`.
+  ///          `member::reaches_backends` and `member::is_confirmed`.
   [[nodiscard]] live_members alive(time_point now);
   /// \brief Returns the nodes to send heartbeats to, nearest first; empty until this node is registered.
   [[nodiscard]] std::vector<member> peers() const;
@@ -99,6 +107,12 @@
   ///          so that it depends on no other node, unless `max_store_watchers` nodes that it may
   ///          follow already watch. Uses the serving nodes chosen by the last call of `alive`.
   [[nodiscard]] std::optional<member> change_relay_source(time_point now) const;
+  /// \brief   Returns the node that should relay store changes to this one while the store refuses this node.
+  /// \details It is a node that accepts requests and watches the store, of the same failure domain if there
+  /// is
+  ///          one, else of the same region, else any. Nodes that follow are not watching, so no nodes follow
+  ///          each other in a cycle.
+  [[nodiscard]] std::optional<member> nearest_watching_node(time_point now) const;
   /// \brief Returns true if a watching node has reported a change that this node has not yet received.
   /// \param known Version up to which this node knows all changes, for each kind of object.
   [[nodiscard]] bool is_behind(const std::vector<object_version>& known, time_point now) const;
@@ -121,6 +135,7 @@
     bool ready{false};
     bool leaving{false};
     bool reaches_backends{true};
+    bool is_confirmed{true};
     bool heartbeat_received{false};
   };
   /// Returns true if the other node sends its heartbeats to this one. The other node computes its peers from
@@ -137,6 +152,7 @@
   bool self_ready{false};
   bool self_leaving{false};
   bool self_reaches_backends{true};
+  bool self_confirmed{true};
   node_load self_load;
   // Serving nodes of each failure domain, as chosen by the last call of `alive`.
   std::map<failure_domain_id, std::set<node_id>> serving_by_domain;
--- a/packages/membership/src/heartbeat_codec.cpp
+++ b/packages/membership/src/heartbeat_codec.cpp
@@ -14,10 +14,10 @@
     versions.push_back(version.count());
   }
   const auto changes = builder.CreateVector(versions);
-  builder.Finish(membership::fbs::CreateBeat(builder, node, incarnation, heartbeat.ready, heartbeat.leaving,
-                                             heartbeat.load.cpu_milli, heartbeat.load.link_kbit,
-                                             heartbeat.watching, changes, heartbeat.state.configuration,
-                                             heartbeat.state.retained_digest, !heartbeat.reaches_backends));
+  builder.Finish(membership::fbs::CreateBeat(
+      builder, node, incarnation, heartbeat.ready, heartbeat.leaving, heartbeat.load.cpu_milli,
+      heartbeat.load.link_kbit, heartbeat.watching, changes, heartbeat.state.configuration,
+      heartbeat.state.retained_digest, !heartbeat.reaches_backends, !heartbeat.is_confirmed));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -38,6 +38,7 @@
   heartbeat.watching = decoded->watching();
   heartbeat.state = {decoded->configuration(), decoded->retained()};
   heartbeat.reaches_backends = !decoded->lost_backends();
+  heartbeat.is_confirmed = !decoded->unconfirmed();
   if (decoded->changes() != nullptr) {
     for (const auto version : *decoded->changes()) {
       heartbeat.latest_versions.emplace_back(version);
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -49,17 +49,19 @@
   found->second.ready = heartbeat.ready;
   found->second.leaving = heartbeat.leaving;
   found->second.reaches_backends = heartbeat.reaches_backends;
+  found->second.is_confirmed = heartbeat.is_confirmed;
   found->second.load = heartbeat.load;
   found->second.watching = heartbeat.watching;
   found->second.latest_versions = heartbeat.latest_versions;
 }
 
-void member_table::set_own_state(bool ready, bool leaving, const node_load& load,
-                                 bool reaches_backends) noexcept {
+void member_table::set_own_state(bool ready, bool leaving, const node_load& load, bool reaches_backends,
+                                 bool is_confirmed) noexcept {
   this->self_ready = ready;
   this->self_leaving = leaving;
   this->self_load = load;
   this->self_reaches_backends = reaches_backends;
+  this->self_confirmed = is_confirmed;
 }
 
 bool member_table::accepts_requests(const node_id& id, const record& entry, time_point now) const {
@@ -73,10 +75,19 @@
 live_members member_table::alive(time_point now) {
   auto found = this->accepting_members(now);
   std::map<failure_domain_id, std::vector<serving_candidate>> candidates;
+  // A node without a proof refuses requests even if it has links, while one without links hands them to
+  // peers.
+  const bool any_confirmed =
+      std::any_of(found.begin(), found.end(), [](const auto& each) { return each.second.is_confirmed; });
+  const auto is_usable = [&](const member& node) { return node.is_confirmed || !any_confirmed; };
   // If no node has links, the servers are down rather than the links.
-  const bool any_reaches =
-      std::any_of(found.begin(), found.end(), [](const auto& each) { return each.second.reaches_backends; });
+  const bool any_reaches = std::any_of(found.begin(), found.end(), [&](const auto& each) {
+    return each.second.reaches_backends && is_usable(each.second);
+  });
   for (const auto& [id, node] : found) {
+    if (!is_usable(node)) {
+      continue;
+    }
     if (any_reaches && !node.reaches_backends) {
       continue;
     }
@@ -100,6 +111,7 @@
     if (this->accepts_requests(id, entry, now)) {
       auto& added = found.emplace(id, entry.registered).first->second;
       added.reaches_backends = id == this->self ? this->self_reaches_backends : entry.reaches_backends;
+      added.is_confirmed = id == this->self ? this->self_confirmed : entry.is_confirmed;
     }
   }
   return found;
@@ -220,6 +232,29 @@
   return serves && source_count < max_store_watchers ? std::nullopt : source;
 }
 
+std::optional<member> member_table::nearest_watching_node(time_point now) const {
+  const auto own = this->members.find(this->self);
+  if (own == this->members.end()) {
+    return std::nullopt;
+  }
+  const auto& here = own->second.registered.where;
+  const member* nearest = nullptr;
+  std::pair<int, std::uint64_t> best_rank;
+  for (const auto& [id, entry] : this->members) {
+    if (id == this->self || !entry.watching || !this->accepts_requests(id, entry, now)) {
+      continue;
+    }
+    // Spreads the followers evenly over the nodes at the same distance.
+    const std::pair rank{impl::distance(here, entry.registered.where),
+                         ~rendezvous_weight(id.str(), this->self.str())};
+    if (nearest == nullptr || rank < best_rank) {
+      nearest = &entry.registered;
+      best_rank = rank;
+    }
+  }
+  return nearest == nullptr ? std::nullopt : std::optional{*nearest};
+}
+
 bool member_table::is_behind(const std::vector<object_version>& known, time_point now) const {
   return std::any_of(this->members.begin(), this->members.end(), [&](const auto& item) {
     const auto& other = item.second;
