Prove that the configuration is current, by the store or a peer

With a revocation limit, the control thread renews its proof with each response of the configuration's watch, which waits at most a quarter of the limit, or with each relayed answer that carries one; polls hold at most 500 ms. A node that the store refuses follows the nearest watching node and keeps calling the store for the configuration only. Without the limit nothing changes.

--- a/packages/accounts/include/zinnia/accounts/configuration_confirmation.hpp
+++ b/packages/accounts/include/zinnia/accounts/configuration_confirmation.hpp
@@ -10,6 +10,12 @@
 ///        its first byte at a server, and the rounding of ages to milliseconds.
 inline constexpr duration confirmation_margin{100};
 
+/// \brief Returns the longest time that a watch of the configuration may wait, so that the proof is renewed
+///        before it ends even if two calls in a row are lost.
+[[nodiscard]] constexpr duration confirmation_watch_time(duration revocation_limit) noexcept {
+  return {revocation_limit.ms / 4};
+}
+
 /// \brief   The proof that the configuration in force was the newest one at a known time. No I/O; not
 ///          thread-safe.
 /// \details A proof counts from the time at which the query was sent: the answer may have been delayed, and
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <thread>
 
+#include "zinnia/accounts/configuration_confirmation.hpp"
 #include "zinnia/http/caller_connection.hpp"
 #include "zinnia/membership/member_table.hpp"
 #include "zinnia/node/deployment.hpp"
@@ -50,6 +51,9 @@
   std::function<void(const std::vector<crash_report>&)> on_stored_quarantines;
   /// The store has come back from a copy; called once for each era. May be empty.
   std::function<void()> on_store_restored;
+  /// The end of the proof that the configuration is current, for snapshots with at least this version; time 0
+  /// if there is no proof. Called after the snapshot that it belongs to. May be empty.
+  std::function<void(config_version, time_point)> on_confirmation;
 };
 
 /// \brief   Watches the store and the other nodes on a thread of its own, from construction to destruction.
@@ -106,9 +110,11 @@
   /// Applies the changes that the feed has received, and records them for other nodes.
   void apply_changes(watched_kind& watched);
 
-  /// Polls a watching node of this failure domain, unless this node has to watch the store itself.
+  /// Polls a watching node of this failure domain, unless this node has to watch the store itself. A node
+  /// that the store refuses polls any watching node.
   void follow_change_relay(time_point now);
-  void apply_relayed_changes(const std::vector<feed_reply>& replies);
+  void apply_relayed_changes(const std::vector<feed_reply>& replies,
+                             const std::optional<confirmed_configuration>& confirmed);
   void stop_following(const std::string& cause);
   [[nodiscard]] std::vector<object_version> known_versions() const;
   /// True if this node receives changes from the store itself.
@@ -119,6 +125,20 @@
   void restart_silent_watches(object_version store_version);
   void restart_watches(const watched_kind& except);
 
+  // The proof that the configuration is current; nothing of it applies without a revocation limit.
+  [[nodiscard]] static std::optional<configuration_confirmation> make_confirmation(
+      const node_settings& settings_in);
+  /// Records what the last response of the store proves.
+  void confirm_by_store(const watched_kind& watched);
+  void on_announced_configuration(const node_heartbeat& received);
+  void publish_confirmation(time_point now);
+  /// True if the configuration is proven to be current, or no proof is required.
+  [[nodiscard]] bool is_confirmed(time_point now) const;
+  /// The end of the current proof, or far_future.
+  [[nodiscard]] time_point confirmation_end() const;
+  /// True if calls to the store fail and this node has to stay current by other nodes.
+  [[nodiscard]] bool needs_relay() const;
+
   // Questions to other nodes, and what they are told.
   void ask_peers(time_point now);
   [[nodiscard]] state_reply apply_peer_state(const node_id& from, const retained_state& state);
@@ -203,6 +223,14 @@
   // The time since which another node knows a change that this node has not received, or far_future.
   time_point behind_since{far_future};
   time_point follow_allowed_at;
+  // The same while the store refuses this node.
+  time_point relay_retry_at;
+  // Empty without a revocation limit.
+  std::optional<configuration_confirmation> confirmation;
+  config_version published_required;
+  time_point published_until;
+  // Whether the last log line on the proof said that there is one.
+  bool logged_confirmed{false};
   bool published_watching{false};
   time_point next_heartbeat;
   time_point next_nodes_update;
@@ -237,6 +265,7 @@
   std::atomic<bool> reaches_backends{true};
   // The state that the last heartbeat announced.
   bool announced_reaches_backends{true};
+  bool announced_confirmed{true};
   std::atomic<bool> stopping{false};
   std::thread thread;
 };
--- a/packages/node/src/change_relay_client.cpp
+++ b/packages/node/src/change_relay_client.cpp
@@ -12,6 +12,12 @@
 constexpr duration max_hold_time{1500};
 /// Allowance for the round trip within a failure domain, including one retransmitted packet.
 constexpr duration round_trip_allowance{400};
+/// The same where this node needs proofs that its configuration is current: the proof in an answer counts
+/// from the time of the poll.
+constexpr duration max_confirming_hold_time{500};
+/// With the shorter wait a source may be in another region: a connection and a call take two round trips of
+/// 110 ms each, and sources check held requests only every 250 ms.
+constexpr duration far_round_trip_allowance{1000};
 /// Minimum time between the starts of two calls. One call collects the changes of this time, and a source
 /// that cannot relay all kinds yet is not polled continuously.
 constexpr duration poll_interval{150};
@@ -41,13 +47,16 @@
   if (!this->source || this->call_active || now < this->earliest_poll) {
     return;
   }
-  const auto hold_time = may_hold ? impl::max_hold_time : duration{0};
+  const auto max_hold = this->needs_confirmation ? impl::max_confirming_hold_time : impl::max_hold_time;
+  const auto hold_time = may_hold ? max_hold : duration{0};
   http_call request;
   this->named_versions = this->handlers.known_versions();
   request.url = "http://" + this->source->peer_address.str() + change_relay_path +
                 "?known=" + encode_versions(this->named_versions) +
                 "&wait_ms=" + std::to_string(hold_time.ms);
-  request.timeout = hold_time + impl::round_trip_allowance;
+  request.timeout =
+      hold_time + (this->needs_confirmation ? impl::far_round_trip_allowance : impl::round_trip_allowance);
+  this->polled_at = now;
   this->earliest_poll = now + impl::poll_interval;
   this->call_active = true;
   this->call =
@@ -68,7 +77,11 @@
   }
   auto replies = *changes;
   reject_late_replies(replies, this->named_versions, this->handlers.known_versions());
-  this->handlers.on_changes(replies);
+  std::optional<confirmed_configuration> confirmation;
+  if (const auto stated = decode_relayed_confirmation(response.body)) {
+    confirmation = {stated->version, this->polled_at - stated->age};
+  }
+  this->handlers.on_changes(replies, confirmation);
 }
 
 }  // namespace zinnia
--- a/packages/node/src/change_relay_client.hpp
+++ b/packages/node/src/change_relay_client.hpp
@@ -8,6 +8,7 @@
 #include "zinnia/core/clock.hpp"
 #include "zinnia/membership/member_table.hpp"
 #include "zinnia/store/async_http_client.hpp"
+#include "zinnia/store/change_relay_buffer.hpp"
 #include "zinnia/store/object_feed.hpp"
 
 namespace zinnia {
@@ -22,13 +23,17 @@
   struct event_handlers {
     /// Returns, for each kind, the version up to which this node knows all changes.
     std::function<std::vector<object_version>()> known_versions;
-    std::function<void(const std::vector<feed_reply>&)> on_changes;
+    /// The confirmation is what the source's proof means on this node's clock; empty if the source states
+    /// none.
+    std::function<void(const std::vector<feed_reply>&, const std::optional<confirmed_configuration>&)>
+        on_changes;
     /// The source is unreachable, responded with an error or sent an invalid body.
     std::function<void(const std::string& cause)> on_source_failure;
   };
 
-  change_relay_client(async_http_client& calls_in, event_handlers handlers_in)
-      : calls{calls_in}, handlers{std::move(handlers_in)} {}
+  /// \param confirms This node needs proofs, so the source must not hold a call for long.
+  change_relay_client(async_http_client& calls_in, event_handlers handlers_in, bool confirms)
+      : calls{calls_in}, handlers{std::move(handlers_in)}, needs_confirmation{confirms} {}
 
   /// \brief Sets the node to poll; `nullopt` stops polling. Cancels a call to another source.
   void set_source(const std::optional<member>& source_in);
@@ -44,10 +49,13 @@
   async_http_client& calls;
   event_handlers handlers;
   std::optional<member> source;
+  bool needs_confirmation;
   async_http_client::call_id call{0};
   bool call_active{false};
   // What the call in progress says that this node knows.
   std::vector<object_version> named_versions;
+  // When the call in progress was sent.
+  time_point polled_at;
   time_point earliest_poll;
 };
 
--- a/packages/node/src/change_relay_server.cpp
+++ b/packages/node/src/change_relay_server.cpp
@@ -73,19 +73,20 @@
     request.exchange->respond(impl::status_unavailable, {}, "");
     return true;
   }
-  const auto relayed = this->changes.changes_since(request.known);
-  if (!relayed) {
+  const auto answer = this->changes.answer_to(request.known, this->clock.now());
+  if (!answer) {
     request.exchange->respond(impl::status_bad_request, {}, "known: one version for each kind of object\n");
     return true;
   }
-  const bool has_changes = std::any_of(relayed->begin(), relayed->end(), [](const feed_reply& reply) {
+  const auto& kinds = answer->kinds;
+  const bool has_changes = std::any_of(kinds.begin(), kinds.end(), [](const feed_reply& reply) {
     return reply.status != feed_status::ok || !reply.changes.empty();
   });
   if (!has_changes && this->clock.now() < request.deadline) {
     return false;
   }
   request.exchange->respond(impl::status_ok, {{"Content-Type", "application/octet-stream"}},
-                            encode_relayed_changes(*relayed));
+                            encode_relayed_changes(kinds, answer->confirmation));
   return true;
 }
 
--- a/packages/node/src/control_thread.cpp
+++ b/packages/node/src/control_thread.cpp
@@ -63,7 +63,9 @@
 }
 
 [[nodiscard]] duration configuration_watch_time(const node_settings& settings) {
-  return std::max(settings.recovery_limit - store_check_margin, min_configuration_watch_time);
+  const auto wait = std::max(settings.recovery_limit - store_check_margin, min_configuration_watch_time);
+  return settings.revocation_limit ? std::min(wait, confirmation_watch_time(*settings.revocation_limit))
+                                   : wait;
 }
 
 /// Creates a feed whose seed spreads the pauses of different nodes and kinds.
@@ -121,15 +123,19 @@
       heartbeats{std::make_unique<heartbeat_socket>(ip_endpoint{settings_in.ip, settings_in.peer_port})},
       changes_to_relay{this->watches.size()},
       relay_client{std::make_unique<change_relay_client>(
-          this->calls, change_relay_client::event_handlers{
-                           [this] { return this->known_versions(); },
-                           [this](const auto& replies) { this->apply_relayed_changes(replies); },
-                           [this](const auto& cause) { this->stop_following(cause); }})},
+          this->calls,
+          change_relay_client::event_handlers{[this] { return this->known_versions(); },
+                                              [this](const auto& replies, const auto& confirmed) {
+                                                this->apply_relayed_changes(replies, confirmed);
+                                              },
+                                              [this](const auto& cause) { this->stop_following(cause); }},
+          settings_in.revocation_limit.has_value())},
       state_exchange{std::make_unique<peer_state_exchange>(
           this->calls, this->clock, this->members,
           peer_state_exchange::event_handlers{
               [this] { return this->builder.version().count(); },
               [this](const auto& from, const auto& state) { return this->apply_peer_state(from, state); }})},
+      confirmation{make_confirmation(settings_in)},
       settings_revision{adapter_in.settings_revision()} {
   this->builder.set_tree(std::move(tree));
   this->thread = std::thread{[this] { this->run(); }};
@@ -177,6 +183,7 @@
     this->send_heartbeats(now);
     this->check_settings_file(now);
     this->publish(now);
+    this->publish_confirmation(this->clock.now());
     flush_log();
     this->calls.wait(this->time_to_next_action(now), this->heartbeats->descriptor());
     this->receive_heartbeats(this->clock.now());
@@ -184,8 +191,9 @@
 }
 
 duration control_thread::time_to_next_action(time_point now) const {
-  auto next = std::min({this->next_heartbeat, this->builder.next_removal(),
-                        this->relay_client->next_poll_at(), this->state_exchange->next_action_at(now)});
+  auto next =
+      std::min({this->next_heartbeat, this->builder.next_removal(), this->relay_client->next_poll_at(),
+                this->state_exchange->next_action_at(now), this->confirmation_end()});
   for (const auto& watched : this->watches) {
     next = std::min(next, watched.guard.next_due());
     if (this->may_call(watched)) {
@@ -239,6 +247,7 @@
     this->on_store_version(watched, reply.store_version);
   }
   this->apply_changes(watched);
+  this->confirm_by_store(watched);
 }
 
 void control_thread::apply_changes(watched_kind& watched) {
@@ -473,7 +482,8 @@
   }
   this->publish_state();
   this->meter->sample(now, this->counts.value(counter::requests), this->counts.value(counter::answer_bytes));
-  this->members.set_own_state(this->ready, this->is_leaving(), this->meter->load(), this->reaches_backends);
+  this->members.set_own_state(this->ready, this->is_leaving(), this->meter->load(), this->reaches_backends,
+                              this->is_confirmed(now));
   if (now < this->next_nodes_update) {
     return;
   }
@@ -569,38 +579,6 @@
   });
 }
 
-void control_thread::send_heartbeats(time_point now) {
-  const bool reaches = this->reaches_backends;
-  if (now < this->next_heartbeat && reaches == this->announced_reaches_backends) {
-    return;
-  }
-  this->announced_reaches_backends = reaches;
-  this->next_heartbeat = now + heartbeat_period;
-  node_heartbeat outgoing;
-  outgoing.id = this->self.id;
-  outgoing.incarnation = this->self.incarnation;
-  outgoing.ready = this->ready;
-  outgoing.leaving = this->is_leaving();
-  outgoing.reaches_backends = reaches;
-  outgoing.load = this->meter->load();
-  outgoing.watching = this->is_watching();
-  outgoing.state = this->own_state;
-  if (outgoing.watching) {
-    outgoing.latest_versions = this->changes_to_relay.latest_change_versions();
-  }
-  this->heartbeats->send(outgoing, this->members.peers());
-}
-
-void control_thread::receive_heartbeats(time_point now) {
-  const int malformed = this->heartbeats->receive([&](const node_heartbeat& received) {
-    this->members.on_heartbeat(received, now);
-    this->state_exchange->on_heartbeat(received, this->own_state, now);
-  });
-  for (int i = 0; i < malformed; ++i) {
-    this->counts.add(counter::malformed_frames);
-  }
-}
-
 void control_thread::check_settings_file(time_point now) {
   const bool is_requested = this->reload_requested.exchange(false);
   if (!is_requested && now - this->settings_checked_at < impl::settings_period) {
--- a/packages/node/src/control_thread_relay.cpp
+++ b/packages/node/src/control_thread_relay.cpp
@@ -15,6 +15,9 @@
 constexpr duration max_relay_lag{500};
 /// How long the node then watches the store itself before it follows a node again.
 constexpr duration store_watch_time{3000};
+/// The same for a node that the store refuses. A source that has just died is listed for another second, and
+/// several tries then fit into the shortest time that a proof is valid.
+constexpr duration refused_retry_pause{300};
 
 }  // namespace
 }  // namespace impl
@@ -54,9 +57,12 @@
   const bool has_complete_lists =
       std::none_of(this->watches.begin(), this->watches.end(),
                    [](const watched_kind& watched) { return watched.feed.is_listing(); });
-  const bool may_follow =
-      has_complete_lists && this->ready && !this->leaving && now >= this->follow_allowed_at;
-  const auto source = may_follow ? this->members.change_relay_source(now) : std::nullopt;
+  const bool needs_relay = this->needs_relay();
+  const bool may_follow = has_complete_lists && this->ready && !this->leaving &&
+                          now >= (needs_relay ? this->relay_retry_at : this->follow_allowed_at);
+  const auto source = !may_follow   ? std::nullopt
+                      : needs_relay ? this->members.nearest_watching_node(now)
+                                    : this->members.change_relay_source(now);
   if (!source && this->relay_client->is_following()) {
     this->stop_following("no node to follow");
   }
@@ -65,14 +71,17 @@
       log_line{log_level::info, "follows_node"}.field("source", source->id.str());
     }
     this->relay_client->set_source(source);
-    const bool is_all_relayed = std::all_of(this->watches.begin(), this->watches.end(),
-                                            [](const watched_kind& watched) { return watched.relayed; });
+    // A node that the store refuses keeps calling it for the configuration, to notice when it is back.
+    const auto first = this->watches.begin() + (needs_relay ? 1 : 0);
+    const bool is_all_relayed =
+        std::all_of(first, this->watches.end(), [](const watched_kind& watched) { return watched.relayed; });
     this->relay_client->poll(now, is_all_relayed);
   }
   this->publish_watching_state();
 }
 
-void control_thread::apply_relayed_changes(const std::vector<feed_reply>& replies) {
+void control_thread::apply_relayed_changes(const std::vector<feed_reply>& replies,
+                                           const std::optional<confirmed_configuration>& confirmed) {
   if (replies.size() != this->watches.size()) {
     this->stop_following("a different number of object kinds");
     return;
@@ -80,15 +89,20 @@
   for (std::size_t i = 0; i < replies.size(); ++i) {
     auto& watched = this->watches[i];
     // While the source cannot relay a kind, this node watches that kind at the store.
-    const bool is_relayed = watched.feed.apply_relayed_changes(replies[i]);
+    const bool is_applied = watched.feed.apply_relayed_changes(replies[i]);
+    const bool is_configuration = &watched == &this->configuration_watch();
+    const bool is_relayed = is_applied && !(is_configuration && this->needs_relay());
     if (is_relayed && !watched.relayed) {
       this->cancel_call(watched);
     }
     watched.relayed = is_relayed;
-    if (is_relayed) {
+    if (is_applied) {
       this->on_store_version(watched, replies[i].store_version);
     }
     this->apply_changes(watched);
+    if (is_configuration && is_applied && this->confirmation && confirmed) {
+      this->confirmation->on_confirmed(confirmed->version, confirmed->query_time);
+    }
   }
 }
 
@@ -96,6 +110,7 @@
   log_line{log_level::info, "watches_store_again"}.field("cause", cause);
   this->relay_client->set_source(std::nullopt);
   this->follow_allowed_at = this->clock.now() + impl::store_watch_time;
+  this->relay_retry_at = this->clock.now() + impl::refused_retry_pause;
   for (auto& watched : this->watches) {
     watched.relayed = false;
   }
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -160,6 +160,7 @@
   chosen.on_quarantine_change = [this](const auto& change) { this->control->save_quarantine(change); };
   chosen.on_links_change = [this](bool reaches) { this->control->set_reaches_backends(reaches); };
   chosen.max_repeated_reports = max_notices_per_datagram;
+  chosen.revocation_limit = this->settings.revocation_limit;
   chosen.account_limits = this->settings.account_limits;
   chosen.cold_limits = this->settings.cold_limits;
   return chosen;
@@ -220,6 +221,10 @@
   handlers.on_store_restored = [this] {
     boost::asio::post(this->context, [this] { this->traffic.repeat_quarantine_changes(); });
   };
+  handlers.on_confirmation = [this](config_version version, time_point until) {
+    boost::asio::post(this->context,
+                      [this, version, until] { this->traffic.set_confirmation(version, until); });
+  };
   handlers.on_shift_progress = [this](const std::vector<shift_progress>& shifts) {
     boost::asio::post(this->context, [this, shifts] { this->progress = shifts; });
   };
--- a/packages/node/tests/control_node.hpp
+++ b/packages/node/tests/control_node.hpp
@@ -25,7 +25,8 @@
 /// The control thread of a node, and the HTTP server at which other nodes poll it for changes.
 class control_node {
  public:
-  control_node(const std::string& name, const node_capacity& capacity, std::uint16_t store_port)
+  control_node(const std::string& name, const node_capacity& capacity, std::uint16_t store_port,
+               std::optional<duration> revocation_limit = std::nullopt)
       : relay_server{0, [this](const auto& request) { return this->respond(request); }} {
     this->settings.node = node_id{name};
     this->settings.ip = "127.0.0.1";
@@ -33,6 +34,7 @@
     this->settings.own_location = {failure_domain_id{"near-a"}, region_id{"near"}};
     this->settings.regions = {{failure_domain_id{"near-a"}, region_id{"near"}}};
     this->settings.store_endpoint = {"127.0.0.1", store_port};
+    this->settings.revocation_limit = revocation_limit;
     this->adapter.emplace(this->settings.store_endpoint.str(), "");
     control_events events;
     events.on_snapshot = [this](const std::shared_ptr<const routing_snapshot>& snapshot) {
@@ -43,6 +45,11 @@
     events.on_nodes = [](const membership_view&) {};
     events.on_shift_progress = [](const std::vector<shift_progress>&) {};
     events.on_relay_update = [] {};
+    events.on_confirmation = [this](config_version version, time_point until) {
+      const absl::MutexLock lock{&this->mutex};
+      this->confirmed_version = version;
+      this->confirmed_until = until;
+    };
     member self;
     self.id = this->settings.node;
     self.where = this->settings.own_location;
@@ -81,8 +88,19 @@
     const absl::MutexLock lock{&this->mutex};
     return this->published;
   }
+  /// Returns true if the latest snapshot is proven to be current. The same rule as the gateway's.
+  [[nodiscard]] bool is_confirmed() {
+    const absl::MutexLock lock{&this->mutex};
+    return !this->published.empty() && this->published.back()->version >= this->confirmed_version &&
+           boot_clock{}.now() < this->confirmed_until;
+  }
   [[nodiscard]] std::uint64_t store_calls() const { return this->counts.value(counter::store_calls); }
   [[nodiscard]] std::uint64_t store_failures() const { return this->counts.value(counter::store_failures); }
+  /// Answers polls from now on as a build that knows no confirmations.
+  void hide_confirmation() {
+    const absl::MutexLock lock{&this->mutex};
+    this->hides_confirmation = true;
+  }
   [[nodiscard]] int poll_count() {
     const absl::MutexLock lock{&this->mutex};
     return this->polls;
@@ -107,11 +125,18 @@
     if (!relayed.is_watching() || !known) {
       return {503, {}, "", false};
     }
-    return {200, {}, encode_relayed_changes(*relayed.changes_since(*known)), false};
+    auto answer = relayed.answer_to(*known, boot_clock{}.now());
+    if (this->hides_confirmation) {
+      answer->confirmation.reset();
+    }
+    return {200, {}, encode_relayed_changes(answer->kinds, answer->confirmation), false};
   }
 
   absl::Mutex mutex;
   std::vector<std::shared_ptr<const routing_snapshot>> published;
+  config_version confirmed_version;
+  time_point confirmed_until;
+  bool hides_confirmation{false};
   int polls{0};
   std::unique_ptr<control_thread> control;
   metrics counts;
