--- a/packages/membership/tests/change_relay_source_test.cpp
+++ b/packages/membership/tests/change_relay_source_test.cpp
@@ -108,4 +108,23 @@
   EXPECT_FALSE(this->is_behind(8)) << "its heartbeat is overdue";
 }
 
+// The store rejects a part of the nodes at times, also whole domains.
+TEST_F(change_relay_source_test, of_a_refused_node_is_the_nearest_one_that_watches) {
+  this->add("remote", {failure_domain_id{"c"}, region_id{"s"}}, 500);
+  const auto nearest = [this] {
+    const auto found = this->table.nearest_watching_node(this->now);
+    return found ? found->id.str() : "";
+  };
+  this->receive_heartbeat("l1", false);
+  EXPECT_EQ(nearest(), "") << "a node that follows is no source, or nodes would follow each other in a cycle";
+  this->receive_heartbeat("remote", true);
+  EXPECT_EQ(nearest(), "remote");
+  this->receive_heartbeat("far", true);
+  EXPECT_EQ(nearest(), "far") << "same region";
+  this->receive_heartbeat("l1", true);
+  EXPECT_EQ(nearest(), "l1") << "same failure domain";
+  this->now = this->now + heartbeat_timeout;
+  EXPECT_EQ(nearest(), "") << "all heartbeats are overdue";
+}
+
 }  // namespace
