Show at /metrics whether the configuration is confirmed

Operators must be able to tell a node that refuses requests because it has no proof from one that lacks room. zinnia_configuration_confirmed is 1 while the node has a proof or needs none. Built; no test reads the gauge.

--- a/packages/node/src/operator_interface.cpp
+++ b/packages/node/src/operator_interface.cpp
@@ -27,6 +27,8 @@
 
 void respond_with_metrics(caller_exchange& exchange, const operator_view& view) {
   auto gauges = view.traffic.gauges();
+  gauges.push_back({"zinnia_configuration_confirmed", "",
+                    view.traffic.is_configuration_confirmed(boot_clock{}.now()) ? 1 : 0});
   append_gauges(view.traffic.backend_restrictions(), gauges);
   exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, view.counts.render(gauges));
 }
