--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -306,5 +306,39 @@
   's/  this->crashes.on_links_lost();/  ;/;s/  this->refusals.clear();/  ;/' "lost links leave requests suspected"
 mutate test_gateway packages/gateway/src/gateway_links.cpp \
   's/  if (others_can_be_asked \&\& this->has_open_connection(backend)) {/  if (false) {/' "a blocked new connection suspends a server"
+mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
+  's/  if (this->in_force < this->required ||/  if (/' "a node proves a configuration that it does not have"
+mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
+  's/  if (version < this->required) {/  if (false) {/' "an old copy of the store confirms the configuration"
+mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
+  's/std::max(this->confirmed_at, query_time)/query_time/' "an older confirmation shortens the proof"
+mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
+  's/ - confirmation_margin;/;/' "the proof has no margin"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/this->confirmed_call_at = this->called_at;/this->confirmed_call_at = now;/' "a response proves the time of its arrival"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/    if (reply.store_version >= this->watch_version) {/    if (true) {/' "a response from older data is a proof"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/this->confirmed_call_at = this->list_called_at;/this->confirmed_call_at = this->called_at;/' "the last page of a list proves the first"
+mutate test_store packages/store/src/change_relay_buffer.cpp \
+  's/std::max(now - this->confirmation->query_time, duration{0})/duration{0}/' "a relay states no age of its proof"
+mutate test_store packages/store/src/change_relay_codec.cpp \
+  's/  if (news->confirmed_age_ms() < 0) {/  if (false) {/' "an answer of an older build is a proof"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/    if (!is_usable(node)) {/    if (false) {/' "nodes without a proof are advertised"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/return node.is_confirmed || !any_confirmed;/return node.is_confirmed;/' "nobody is advertised while no node has a proof"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/return each.second.reaches_backends \&\& is_usable(each.second);/return each.second.reaches_backends;/' "proofs and links together leave nobody to advertise"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/id == this->self || !entry.watching || /id == this->self || /' "refused nodes follow each other"
+mutate test_membership packages/membership/src/heartbeat_codec.cpp \
+  's/!heartbeat.is_confirmed/false/' "heartbeats do not tell of a missing proof"
+mutate test_node packages/node/src/control_thread_confirmation.cpp \
+  's/  return this->confirmation \&\& this->watches.front().feed.is_failing();/  return false;/' "a node that the store refuses follows nobody"
+mutate test_node packages/node/src/control_thread_relay.cpp \
+  's/ \&\& this->confirmation \&\& confirmed) {/ \&\& false) {/' "a follower takes no proof"
+mutate test_node packages/node/src/change_relay_client.cpp \
+  's/this->polled_at - stated->age/this->polled_at/' "the age in an answer does not count"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
