Learn slowness from a mean that resists single long answers

3% of the work takes seven times as long. One such answer more than doubled a server's learned slowness (1 to 2.2), and the server was avoided for seconds. With the default of 0, servers without the figure are judged as before.

--- a/packages/routing/include/zinnia/routing/backend_state.hpp
+++ b/packages/routing/include/zinnia/routing/backend_state.hpp
@@ -13,6 +13,7 @@
 #include "zinnia/routing/lru_object_set.hpp"
 #include "zinnia/routing/rate_limit_share.hpp"
 #include "zinnia/routing/reported_pace.hpp"
+#include "zinnia/routing/robust_slowness.hpp"
 #include "zinnia/routing/wait_queue.hpp"
 
 namespace zinnia {
@@ -126,11 +127,14 @@
   }
   /// \brief Moving average of failed requests, 0 to 1; decays to 0 over time.
   [[nodiscard]] double failure_ratio(time_point now) const noexcept;
-  /// \brief Factor on the usual time of work: the mean over the next `horizon` of what the server reports.
-  /// For
-  ///        a server that reports nothing, the moving average of actual over expected response time, which
-  ///        decays to 1 over time.
+  /// \brief Factor on the usual time of work: the mean over the next `horizon` of what the server reports, or
+  ///        what its answers show if it reports nothing.
   [[nodiscard]] double slowness(time_point now, duration horizon = {}) const noexcept;
+  /// \brief Moving average of actual over expected response time; decays to 1 over time.
+  [[nodiscard]] double learned_slowness(time_point now) const noexcept;
+  /// \brief Sets whether single long answers count little in the learned slowness, also if the server
+  ///        reports no pace.
+  void set_robust_slowness(bool robust) noexcept { this->asks_for_robust_slowness = robust; }
   /// \brief The pace that the server reports.
   [[nodiscard]] const reported_pace& pace() const noexcept { return this->work_pace; }
   /// \brief Records by what factor an answer that found a free slot took longer than on a usual server.
@@ -154,7 +158,6 @@
  private:
   void note_failure(time_point now) noexcept;
   void suspend_for_failure(time_point now) noexcept;
-  [[nodiscard]] double learned_slowness(time_point now) const noexcept;
   [[nodiscard]] double decayed(double value, double neutral, time_point since, time_point now) const noexcept;
 
   backend_declaration declaration;
@@ -187,6 +190,8 @@
   time_point suspended_for_failure_at{far_future};
   double failure_average{0};
   double slowness_average{1};
+  robust_slowness robust_average;
+  bool asks_for_robust_slowness{false};
   reported_pace work_pace;
   time_point last_outcome_at;
   time_point cold_until;
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -218,6 +218,8 @@
 
   [[nodiscard]] request_context make_context(const service_group& group, const placement_request& request,
                                              time_point now);
+  /// Applies the service's settings to its servers and its weights of slots.
+  void apply_settings(service_group& group) const;
   /// Sets the service's weights of slots from the declared servers.
   void update_slot_weights(service_group& group) const;
   /// Records how long a request that did not have to wait for a slot occupied one.
--- a/packages/routing/include/zinnia/routing/placement_settings.hpp
+++ b/packages/routing/include/zinnia/routing/placement_settings.hpp
@@ -36,6 +36,8 @@
   std::size_t queue_limit{64};
   /// How long a request that crashes backend servers is refused; 0 turns this off.
   duration crash_quarantine{600'000};
+  /// True if single long answers count little in a server's slowness, also for servers that report no pace.
+  bool robust_slowness{false};
 };
 
 /// \brief Converts the effective settings of a location to placement parameters.
--- a/packages/routing/src/backend_state.cpp
+++ b/packages/routing/src/backend_state.cpp
@@ -64,6 +64,7 @@
     this->other_nodes_load_average = 0;
     this->failure_average = 0;
     this->slowness_average = 1;
+    this->robust_average = {};
     this->work_pace = {};
     this->rate_share.reset();
     this->leaving = false;
@@ -171,8 +172,10 @@
     const double ratio =
         static_cast<double>(took.ms) / static_cast<double>(std::max<std::int64_t>(expected.ms, 1));
     const double bounded = std::clamp(ratio, impl::min_slowness, impl::max_slowness);
+    const bool is_robust = this->asks_for_robust_slowness || this->work_pace.age(now).has_value();
     this->slowness_average =
-        previous_slowness * (1 - impl::outcome_ewma_weight) + bounded * impl::outcome_ewma_weight;
+        is_robust ? this->robust_average.next(previous_slowness, bounded)
+                  : previous_slowness * (1 - impl::outcome_ewma_weight) + bounded * impl::outcome_ewma_weight;
     this->consecutive_no_responses = 0;
   }
   this->last_outcome_at = now;
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -94,7 +94,7 @@
     }
   }
   for (auto& [id, group] : next_services) {
-    this->update_slot_weights(group);
+    this->apply_settings(group);
   }
   this->remember_departed(next_backends);
   this->services = std::move(next_services);
--- a/packages/routing/src/backend_table_candidates.cpp
+++ b/packages/routing/src/backend_table_candidates.cpp
@@ -23,6 +23,13 @@
 }  // namespace
 }  // namespace impl
 
+void backend_table::apply_settings(service_group& group) const {
+  for (const auto& member : group.members) {
+    member.backend->set_robust_slowness(group.settings.robust_slowness);
+  }
+  this->update_slot_weights(group);
+}
+
 void backend_table::update_slot_weights(service_group& group) const {
   std::map<region_id, region_capacity> regions;
   for (const auto& [domain, region] : this->regions_by_domain) {
--- a/packages/routing/src/placement_settings.cpp
+++ b/packages/routing/src/placement_settings.cpp
@@ -19,6 +19,7 @@
   chosen.overcommit = static_cast<int>(values.overcommit_requests);
   chosen.queue_limit = static_cast<std::size_t>(values.queue_limit);
   chosen.crash_quarantine = duration{values.crash_quarantine_ms};
+  chosen.robust_slowness = values.robust_slowness != 0;
   return chosen;
 }
 
--- a/packages/settings/include/zinnia/settings/service_settings.hpp
+++ b/packages/settings/include/zinnia/settings/service_settings.hpp
@@ -38,6 +38,7 @@
   std::int64_t remembered_objects{40};
   std::int64_t overcommit_requests{1};
   std::int64_t crash_quarantine_ms{600'000};
+  std::int64_t robust_slowness{0};
 
   /// \brief Returns the value of `leave_homes` as a policy.
   [[nodiscard]] spillover_policy spillover() const noexcept {
--- a/packages/settings/src/service_settings.cpp
+++ b/packages/settings/src/service_settings.cpp
@@ -16,7 +16,7 @@
 
 using s = service_settings;
 
-constexpr std::array<setting_descriptor, 18> settings{{
+constexpr std::array<setting_descriptor, 19> settings{{
     {"slots_per_upstream", &s::slots_per_upstream, 1, 10'000},
     {"longest_deadline_ms", &s::longest_deadline_ms, 100, ten_minutes_ms},
     {"queue_limit", &s::queue_limit, 0, 100'000},
@@ -35,6 +35,7 @@
     {"remembered_objects", &s::remembered_objects, 0, 100'000},
     {"overcommit_requests", &s::overcommit_requests, 0, 100},
     {"crash_quarantine_ms", &s::crash_quarantine_ms, 0, one_day_ms},
+    {"robust_slowness", &s::robust_slowness, 0, 1},
 }};
 
 }  // namespace
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -308,5 +308,19 @@
   's/  if (others_can_be_asked \&\& this->has_open_connection(backend)) {/  if (false) {/' "a blocked new connection suspends a server"
 mutate test_gateway packages/gateway/src/statement_decoding.cpp \
   's/i < std::min(parts.size(), counts.size())/i < counts.size() \&\& parts.size() == counts.size()/' "a load with more or fewer figures is dropped"
+mutate test_routing packages/routing/src/backend_state.cpp \
+  's/  return reported ? \*reported : this->learned_slowness(now);/  return this->learned_slowness(now);/' "a reported pace is ignored"
+mutate test_routing packages/routing/src/backend_state.cpp \
+  's/    this->work_pace = {};//' "a server that starts again keeps its pace"
+mutate test_routing packages/routing/src/reported_pace.cpp \
+  's/    this->trusted = .*/    this->trusted = true;/' "wrong figures are believed"
+mutate test_routing packages/routing/src/reported_pace.cpp \
+  's/ \* std::exp(-age_ms \/ impl::figure_decay_ms)//' "a figure stays in force"
+mutate test_routing packages/routing/src/robust_slowness.cpp \
+  's/std::clamp(distance, -bound, bound) \* weight/distance * weight/' "one long answer makes a server slow"
+mutate test_routing packages/routing/src/robust_slowness.cpp \
+  's/impl::initial_bound \* std::exp2(count - 1)/impl::initial_bound/' "several long answers do not make a server slow"
+mutate test_routing packages/routing/src/backend_table_candidates.cpp \
+  's/set_robust_slowness(group.settings.robust_slowness)/set_robust_slowness(false)/' "the setting of slowness does not reach servers"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
