--- a/packages/routing/include/zinnia/routing/placement_settings.hpp
+++ b/packages/routing/include/zinnia/routing/placement_settings.hpp
@@ -39,6 +39,8 @@
   /// True if a server that has started or recovered gets requests as fast as its answers show that it keeps
   /// up.
   bool paces_recovery{false};
+  /// True if single long answers count little in a server's slowness, also for servers that report no pace.
+  bool robust_slowness{false};
 };
 
 /// \brief Converts the effective settings of a location to placement parameters.
--- a/packages/settings/src/service_settings.cpp
+++ b/packages/settings/src/service_settings.cpp
@@ -17,7 +17,7 @@
 
 using s = service_settings;
 
-constexpr std::array<setting_descriptor, 19> settings{{
+constexpr std::array<setting_descriptor, 20> settings{{
     {"slots_per_upstream", &s::slots_per_upstream, 1, 10'000},
     {"longest_deadline_ms", &s::longest_deadline_ms, 100, ten_minutes_ms},
     {"queue_limit", &s::queue_limit, 0, 100'000},
@@ -37,6 +37,7 @@
     {"overcommit_requests", &s::overcommit_requests, 0, 100},
     {"crash_quarantine_ms", &s::crash_quarantine_ms, 0, one_day_ms},
     {"recovery_pace", &s::recovery_pace, 0, 1, recovery_policy_names},
+    {"robust_slowness", &s::robust_slowness, 0, 1},
 }};
 
 }  // namespace
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -352,5 +352,19 @@
   's/ \&\& this->confirmation \&\& confirmed) {/ \&\& false) {/' "a follower takes no proof"
 mutate test_node packages/node/src/change_relay_client.cpp \
   's/this->polled_at - stated->age/this->polled_at/' "the age in an answer does not count"
+mutate test_routing packages/routing/src/backend_state.cpp \
+  's/  return reported ? \*reported : this->learned_slowness(now);/  return this->learned_slowness(now);/' "a reported pace is ignored"
+mutate test_routing packages/routing/src/backend_state.cpp \
+  's/    this->work_pace = {};//' "a server that starts again keeps its pace"
+mutate test_routing packages/routing/src/reported_pace.cpp \
+  's/    this->trusted = .*/    this->trusted = true;/' "wrong figures are believed"
+mutate test_routing packages/routing/src/reported_pace.cpp \
+  's/ \* std::exp(-age_ms \/ impl::figure_decay_ms)//' "a figure stays in force"
+mutate test_routing packages/routing/src/robust_slowness.cpp \
+  's/std::clamp(distance, -bound, bound) \* weight/distance * weight/' "one long answer makes a server slow"
+mutate test_routing packages/routing/src/robust_slowness.cpp \
+  's/impl::initial_bound \* std::exp2(count - 1)/impl::initial_bound/' "several long answers do not make a server slow"
+mutate test_routing packages/routing/src/backend_table_candidates.cpp \
+  's/set_robust_slowness(group.settings.robust_slowness)/set_robust_slowness(false)/' "the setting of slowness does not reach servers"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
