Measure the cost of admission, and test buckets that give and receive tokens

Cause: no test noticed a giver that refills while its tokens lie unused at others.

Change: tests of the bucket, mutations of the token exchange, and a row in build/scale. notice_exchange changes a copy of the decoded notices, as a result's value is const.

--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -6,6 +6,7 @@
 #include <iomanip>
 #include <iostream>
 
+#include "zinnia/accounts/account_limits.hpp"
 #include "zinnia/membership/heartbeat_codec.hpp"
 #include "zinnia/membership/holder_notice_codec.hpp"
 #include "zinnia/routing/backend_table.hpp"
@@ -127,6 +128,34 @@
             << datagram.size() << ", " << full_datagram.size() << " |" << (found < 0 ? "!" : "") << '\n';
 }
 
+void measure_account_limits(int count) {
+  constexpr int calls = 200'000;
+  std::vector<account_declaration> accounts;
+  std::vector<account_id> ids;
+  for (int i = 0; i < count; ++i) {
+    ids.emplace_back("account-" + std::to_string(i));
+    accounts.push_back({ids.back(), {}, 0, 100, 100, {}});
+  }
+  account_limits limits{{duration{5000}, 0.1, 20}, 1, time_point{0}};
+  limits.set_accounts(account_table::make(accounts).value(), time_point{0});
+  limit_holders holders{{}, 0};
+  constexpr int holder_count = 12;
+  for (int i = 0; i < holder_count; ++i) {
+    holders.all.push_back({node_id{"n" + std::to_string(i)}, {"10.0.0.1", 81}, 1});
+  }
+  limits.set_holders(holders, time_point{0});
+  const auto admit = [&](int i) {
+    static_cast<void>(
+        limits.try_admit(ids[static_cast<std::size_t>(i) % ids.size()], time_point{60'000 + i / 50}));
+  };
+  const double first_us = time_us(count, admit);
+  // Far more requests than the limit allows: the longest path.
+  const double admit_us = time_us(calls, admit);
+  const double asks_us =
+      time_us(20, [&](int i) { static_cast<void>(limits.take_asks(time_point{70'000 + 25 * i})); });
+  std::cout << "| " << count << " | " << first_us << " | " << admit_us << " | " << asks_us << " |\n";
+}
+
 }  // namespace
 
 int main() {
@@ -147,5 +176,11 @@
   for (const int count : {1, 30, 1024}) {
     measure_crash_ledger(count);
   }
+  std::cout << "\n| accounts | us for an account's first request | us to admit or reject a request | us for "
+               "a round of "
+               "asks |\n|---|---|---|---|\n";
+  for (const int count : {87, 10'000}) {
+    measure_account_limits(count);
+  }
   return 0;
 }
--- a/packages/accounts/tests/account_limits_test.cpp
+++ b/packages/accounts/tests/account_limits_test.cpp
@@ -160,6 +160,22 @@
   EXPECT_NEAR(tokens(), before - 2, 1e-9);
 }
 
+// Guards against a giver that refills while its tokens lie unused at others.
+TEST(account_bucket, counts_given_tokens_against_the_cap_until_they_expire) {
+  account_bucket bucket{{100, 10, 10, 2, duration{400}}, time_point{0}};
+  bucket.give(10, time_point{0});
+  EXPECT_NEAR(bucket.tokens(time_point{399}), 2, 1e-9);
+  EXPECT_NEAR(bucket.tokens(time_point{1000}), 10, 1e-9);
+}
+
+// Guards against received tokens that stay after they have expired, or are lost although there is room.
+TEST(account_bucket, keeps_received_tokens_above_the_cap_until_they_expire) {
+  account_bucket bucket{{0.001, 2, 1, 0, duration{400}}, time_point{0}};
+  bucket.receive(5, time_point{400}, time_point{0});
+  EXPECT_NEAR(bucket.tokens(time_point{399}), 6, 1e-9);
+  EXPECT_NEAR(bucket.tokens(time_point{400}), 2, 1e-9);
+}
+
 TEST(account_limits, do_not_apply_to_accounts_without_a_limit) {
   account_limits_model model{3, 0, 0, 1};
   for (int i = 0; i < 1000; ++i) {
--- a/packages/node/src/notice_exchange.cpp
+++ b/packages/node/src/notice_exchange.cpp
@@ -156,10 +156,11 @@
     if (problem) {
       return;
     }
-    auto notices = decode_notices({buffer.data(), bytes});
-    if (notices) {
-      notices->sender = {sender.address().to_string(), sender.port()};
-      this->on_notices(*notices);
+    auto decoded = decode_notices({buffer.data(), bytes});
+    if (decoded) {
+      auto notices = std::move(decoded).value();
+      notices.sender = {sender.address().to_string(), sender.port()};
+      this->on_notices(notices);
     } else {
       this->counts.add(counter::malformed_frames);
     }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -306,5 +306,23 @@
   's/  this->crashes.on_links_lost();/  ;/;s/  this->refusals.clear();/  ;/' "lost links leave requests suspected"
 mutate test_gateway packages/gateway/src/gateway_links.cpp \
   's/  if (others_can_be_asked \&\& this->has_open_connection(backend)) {/  if (false) {/' "a blocked new connection suspends a server"
+mutate test_accounts packages/accounts/src/account_bucket.cpp \
+  's/  this->level = std::max(this->level - amount, 0.0);/  ;/' "a giver keeps the tokens that it sends"
+mutate test_accounts packages/accounts/src/account_bucket.cpp \
+  's/  share.start = .*/  share.start = share.cap;/' "a restart fills the bucket"
+mutate test_accounts packages/accounts/src/account_bucket.cpp \
+  's/std::max(this->given_sum - this->current_share.lending, 0.0)/0.0/' "a giver refills while its tokens are unused elsewhere"
+mutate test_accounts packages/accounts/src/account_token_exchange.cpp \
+  's/  entry.asks.erase(ask);/  ;/' "a grant counts twice"
+mutate test_accounts packages/accounts/src/account_token_exchange.cpp \
+  's/now - ask.sent_at > max_account_grant_age/false/' "a late grant counts"
+mutate test_accounts packages/accounts/src/account_token_exchange.cpp \
+  's/duration{pause_ms/duration{20 * pause_ms/' "asks pause for too long"
+mutate test_membership packages/membership/src/account_limit_codec.cpp \
+  's/item->thousandths() > max_thousandths/false/' "a grant of any size is read"
+mutate test_gateway packages/gateway/src/request_flow_limit.cpp \
+  's/ || this->matched_route.is_public//' "public requests take tokens"
+mutate test_gateway packages/gateway/src/request_flow_limit.cpp \
+  's/    this->owner.limits->refund(.*/    ;/' "a request that has not run keeps its token"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
