--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -48,7 +48,7 @@
   's/this->reached_backends});/{}});/' "a peer does not hear which servers were tried"
 mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
   's/end_to_end_fields(this->response.fields, hop_field_names())/end_to_end_fields(this->response.fields, {})/' "callers get the fields between nodes"
-mutate test_gateway packages/gateway/src/request_flow.cpp \
+mutate test_gateway packages/gateway/src/request_flow_account.cpp \
   's/auto replaced = hop_field_names();/std::vector<std::string_view> replaced;/' "servers get the fields between nodes"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/  if (!this->forwarded) {/  if (true) {/' "a forwarded request earns retries at both nodes"
@@ -272,7 +272,7 @@
   's/      if (needed > message_bytes) {/      if (false) {/; s/  return needed <= message_bytes;/  return true;/' "relayed changes grow with how often they refer to the same bytes"
 mutate test_platform platform/src/object_api.cpp \
   's/  if (nesting_of(text) <= max_nesting) {/  if (true) {/' "an object that nests without end ends the process"
-mutate test_platform platform/src/document_decoding.cpp \
+mutate test_platform platform/src/document_fields.hpp \
   's/  if (!is_list_of_names) {/  if (false) {/' "regions that cannot be read allow every region"
 mutate test_zinniactl apps/zinniactl/commands.cpp \
   's/  } else if (this->options.expected_version != object.version.count()) {/  } else if (false) {/' "settings that cannot be read are overwritten"
@@ -306,5 +306,37 @@
   's/  this->crashes.on_links_lost();/  ;/;s/  this->refusals.clear();/  ;/' "lost links leave requests suspected"
 mutate test_gateway packages/gateway/src/gateway_links.cpp \
   's/  if (others_can_be_asked \&\& this->has_open_connection(backend)) {/  if (false) {/' "a blocked new connection suspends a server"
+mutate test_gateway packages/accounts/src/account_access.cpp \
+  's/  if (!is_confirmed) {/  if (false) {/' "keys count although the configuration may be outdated"
+mutate test_gateway packages/accounts/src/account_access.cpp \
+  's/ \&\& holder->id == identity->id//' "a key that went to another account still counts"
+mutate test_gateway packages/accounts/src/account_access.cpp \
+  's/is_public ? reason::none : reason::unknown_key/reason::none/' "unknown keys are served"
+mutate test_gateway packages/accounts/src/account_access.cpp \
+  's/is_public ? reason::none : reason::unknown_key/reason::unknown_key/' "public routes need a key"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/  if (!this->refuse_without_access()) {/  if (true) {/' "a request is not checked again after waiting"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/this->refuse_if_quarantined() || this->refuse_without_access()/this->refuse_if_quarantined()/' "a request is not checked again before a retry"
+mutate test_gateway packages/gateway/src/request_flow_account.cpp \
+  's/    replaced.emplace_back(field_names.account_key);/    ;/' "servers get the key"
+mutate test_gateway packages/gateway/src/request_flow_account.cpp \
+  's/    replaced.emplace_back(field_names.account);/    ;/' "servers get the account that a caller claims"
+mutate test_gateway packages/gateway/src/request_flow_account.cpp \
+  's/  if (this->run_verdict != verdict::did_not_run) {/  if (false) {/' "a request that may have run gets 401"
+mutate test_gateway packages/gateway/src/request_flow_account.cpp \
+  's/this->account == nullptr ? nullptr : &this->account->allowed_regions/nullptr/' "the account's regions are ignored"
+mutate test_gateway packages/gateway/src/request_flow_account.cpp \
+  's/without_account : this->account->priority/without_account : 0/' "the account's priority is ignored"
+mutate test_gateway packages/gateway/src/hop_fields.cpp \
+  's/  parsed.account = impl::find_account(fields);/  ;/' "a peer does not read the account"
+mutate test_gateway packages/routing/include/zinnia/routing/region_filter.hpp \
+  's/ \&\& is_in(this->of_account)/ || is_in(this->of_account)/' "a region is allowed if either allows it"
+mutate test_platform platform/src/document_decoding.cpp \
+  's/  impl::check_destinations(decoded.routing);/  ;/' "a route to an undeclared service is accepted"
+mutate test_platform platform/src/account_decoding.cpp \
+  's/  if (!(value >= 0) || value/  if (value/' "a negative limit is accepted"
+mutate test_platform platform/src/document_decoding.cpp \
+  's/"not JSON: error at byte " + std::to_string(failure.byte)/std::string{failure.what()}/' "an error quotes a key"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
