Order waiting requests fairly by their accounts

By arrival alone, an account that sends many times its usual fills the queue at a server, and the others wait behind it. Within a priority, requests now wait in start-time fair order by account, weighted by the accounts' limits, and the expected wait counts only what is ahead in that order. Without accounts the order is as before.

--- a/packages/accounts/include/zinnia/accounts/account_table.hpp
+++ b/packages/accounts/include/zinnia/accounts/account_table.hpp
@@ -53,6 +53,8 @@
   /// \brief   Returns the priority of requests that need no key and have none.
   /// \details The least urgent of all accounts, so that no caller gains by leaving out its key.
   [[nodiscard]] int priority_without_account() const noexcept { return this->least_urgent; }
+  /// \brief Returns the mean rate of the accounts that have a limit; 1 if none has.
+  [[nodiscard]] double mean_rate_limit() const noexcept { return this->mean_rate; }
   [[nodiscard]] const std::vector<account_declaration>& all() const noexcept { return this->accounts; }
 
  private:
@@ -65,6 +67,7 @@
 
   std::vector<account_declaration> accounts;
   int least_urgent{0};
+  double mean_rate{1};
   // Positions in `accounts`. Invariant: no two keys have the same digest.
   absl::flat_hash_map<std::uint64_t, key_entry> by_digest;
   absl::flat_hash_map<account_id, std::size_t> by_id;
--- a/packages/accounts/src/account_table.cpp
+++ b/packages/accounts/src/account_table.cpp
@@ -70,6 +70,13 @@
       }
     }
   }
+  double sum = 0;
+  int limited = 0;
+  for (const auto& account : table->accounts) {
+    sum += account.requests_per_second;
+    limited += account.requests_per_second > 0 ? 1 : 0;
+  }
+  table->mean_rate = limited == 0 ? 1 : sum / limited;
   return std::shared_ptr<const account_table>{std::move(table)};
 }
 
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -131,6 +131,7 @@
   request.matched_route = &this->matched_route;
   request.regions = this->allowed_regions();
   request.priority = this->priority();
+  request.share = this->fair_share_of_account();
   request.service = this->service;
   request.object = this->object_hash;
   request.repeatable = this->idempotent;
@@ -147,7 +148,8 @@
       this->queued = true;
       this->decision.target->queue.push(
           {this->ticket, request.priority, this->arrived_at,
-           now + (this->decision.expected_total - this->decision.expected_work) + impl::overdue_slack});
+           now + (this->decision.expected_total - this->decision.expected_work) + impl::overdue_slack,
+           request.share});
       return;
     case placement_action::refuse:
       if (this->owner.links.state() == link_condition::half_open) {
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -64,6 +64,8 @@
   [[nodiscard]] bool has_accounts() const noexcept;
   [[nodiscard]] region_filter allowed_regions() const noexcept;
   [[nodiscard]] request_priority priority() const noexcept;
+  /// Returns the part of the room that the account gets while requests wait; empty without accounts.
+  [[nodiscard]] std::optional<fair_share> fair_share_of_account() const noexcept;
   /// Returns the fields that a backend server gets in addition to the caller's.
   [[nodiscard]] header_fields make_backend_fields(const backend_id& target) const;
   /// Builds a request for a server or a peer.
--- a/packages/gateway/src/request_flow_account.cpp
+++ b/packages/gateway/src/request_flow_account.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "request_flow.hpp"
+#include "zinnia/core/rendezvous.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -54,6 +55,18 @@
   return {this->account == nullptr ? without_account : this->account->priority, this->matched_route.priority};
 }
 
+std::optional<fair_share> request_flow::fair_share_of_account() const noexcept {
+  if (this->accounts == nullptr) {
+    return std::nullopt;
+  }
+  if (this->account == nullptr) {
+    return fair_share{};
+  }
+  const double limit = this->account->requests_per_second;
+  return fair_share{stable_hash(this->account->id.str()),
+                    limit > 0 ? limit : this->accounts->mean_rate_limit()};
+}
+
 header_fields request_flow::make_backend_fields(const backend_id& target) const {
   const auto& field_names = this->owner.options.field_names;
   header_fields fields{{field_names.expected_backend, target.str()}};
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -40,6 +40,8 @@
   /// Regions in which the request may be handled.
   region_filter regions;
   request_priority priority;
+  /// Empty if no accounts are configured.
+  std::optional<fair_share> share{};
   service_id service;
   /// Hash of the object that the request names; empty if it names none.
   std::optional<std::uint64_t> object;
--- a/packages/routing/src/backend_table_candidates.cpp
+++ b/packages/routing/src/backend_table_candidates.cpp
@@ -121,7 +121,7 @@
   const double in_transit = backend.in_flight() * domain.round_trip_ms /
                             std::max(domain.round_trip_ms + group.mean_slot_time_ms, 1.0);
   const double load = backend.load(context.now) - in_transit;
-  const double queue_position = load + backend.queue.count_ahead(request.priority) + 1 - slots;
+  const double queue_position = load + backend.queue.count_ahead(request.priority, request.share) + 1 - slots;
   evaluated.wait_ms = std::max(queue_position, 0.0) * group.mean_slot_time_ms * slowness / slots;
   const double contention_ms = impl::contention_fraction * load * group.mean_slot_time_ms / slots;
   // Where no server holds the object, some server has to load it.
