Keep the evidence of crashes while the links may be lost

All three checks of a round then meet crashed servers, the links count as lost, and the lost requests are forgotten. A connection whose close does not arrive holds a verdict back until the deadline of its request (0.9 s seen), and that request is not counted.

Change: up to three more rounds follow while checks fail at once. Lost requests are kept for 10 s, and their servers are checked once the links have returned. A call that is silent for 200 ms is no sign that the server runs. Unanswered requests at a server that is found crashed count as lost.

What is left: an idempotent request goes on to the next server before the first crash is known, so that up to three crashes raise it by one level only.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -161,8 +161,8 @@
   /// Records that no process listens at the server's address. If it had requests, they are suspected only
   /// once another server has shown that this node's links are up.
   void on_backend_refused(backend_state& backend);
-  /// True if a connection to the server is open. The process has not ended then, even if new
-  /// connections are refused.
+  /// True if a connection to the server is open that is idle or has not been silent for long. The process has
+  /// not ended then, even if new connections are refused.
   [[nodiscard]] bool has_open_connection(const backend_state& backend) const;
   /// Records that the server has crashed.
   void on_backend_crashed(std::uint64_t backend, time_point noticed_at);
@@ -173,6 +173,8 @@
   [[nodiscard]] placement_decision choose_backend(const placement_request& request, time_point now);
   /// Takes back what was concluded about servers since the links failed.
   void on_links_failed();
+  /// Checks the servers that lost requests while the links may have failed.
+  void on_links_returned();
   /// True if failures are due to this node's links.
   [[nodiscard]] bool has_link_trouble() const noexcept {
     return this->links.state() >= link_condition::half_open;
--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -13,6 +13,11 @@
 
 /// Pause before a server is checked again that refuses connections while others to it are open.
 constexpr duration blocked_check_pause{50};
+/// A call without an answer for longer is no sign that its connection still works.
+constexpr duration max_silence_of_open{200};
+/// Time after the links have returned until servers are checked that failed with them: links to different
+/// servers may not return at the same moment.
+constexpr duration return_settling_time{100};
 
 }  // namespace
 }  // namespace impl
@@ -31,10 +36,11 @@
 }
 
 void gateway::on_request_lost(backend_state& backend, const lost_request& lost) {
+  const auto now = this->clock.now();
   if (this->has_link_trouble()) {
+    this->crashes.hold(backend.hash(), lost, now);
     return;
   }
-  const auto now = this->clock.now();
   this->crashes.on_lost(backend.hash(), lost, now);
   if (this->crashes.awaits_confirmation(backend.hash(), now)) {
     backend.request_health_check(now);
@@ -71,7 +77,7 @@
 
 bool gateway::has_open_connection(const backend_state& backend) const {
   const auto pool = this->pools.find(backend.declared().id);
-  return pool != this->pools.end() && pool->second->has_established();
+  return pool != this->pools.end() && pool->second->has_established(impl::max_silence_of_open);
 }
 
 void gateway::on_backend_crashed(std::uint64_t backend, time_point noticed_at) {
@@ -80,6 +86,14 @@
     const auto crashed = this->backends.find_by_hash(backend);
     log_line{log_level::warn, "backend_crashed"}.field(
         "backend", crashed == nullptr ? "" : crashed->declared().id.str());
+    // The end of a process does not always reach the calls that it had. One that is answered after all clears
+    // its request again.
+    for (const auto& [ticket, flow] : this->flows) {
+      const auto lost = flow->unanswered_at(backend);
+      if (lost && lost->sent_at <= noticed_at) {
+        this->crashes.on_lost(backend, *lost, noticed_at);
+      }
+    }
   }
   this->crashes.on_crashed(backend, noticed_at);
   this->publish_crashes(true);
@@ -101,7 +115,7 @@
 }
 
 placement_decision gateway::choose_backend(const placement_request& request, time_point now) {
-  const auto decision = this->backends.choose(request, now);
+  auto decision = this->backends.choose(request, now);
   const auto condition = this->links.state();
   const bool is_in_doubt = condition == link_condition::suspected || condition == link_condition::half_open;
   if (decision.candidates > 0 || !is_in_doubt) {
@@ -121,12 +135,22 @@
 
 void gateway::on_links_failed() {
   this->refusals.clear();
-  this->crashes.on_links_lost();
+  this->crashes.on_links_lost(this->clock.now());
   for (const auto& backend : this->backends.all()) {
     backend->forgive_failures(this->links.trouble_since());
   }
 }
 
+void gateway::on_links_returned() {
+  const auto now = this->clock.now();
+  for (const auto hash : this->crashes.on_links_regained(now)) {
+    if (const auto backend = this->backends.find_by_hash(hash)) {
+      backend->request_health_check(now + impl::return_settling_time);
+    }
+  }
+  this->publish_crashes(true);
+}
+
 void gateway::start_link_checks() {
   const auto now = this->clock.now();
   if (!this->links.wants_checks(now)) {
@@ -177,6 +201,8 @@
       .field("silent_ms", this->links.silence(now).ms);
   if (current >= link_condition::half_open) {
     this->on_links_failed();
+  } else if (current == link_condition::up && previous >= link_condition::half_open) {
+    this->on_links_returned();
   }
   if (current == link_condition::lost) {
     this->counts.add(counter::links_lost);
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -42,6 +42,8 @@
   /// \brief  Ends the request if it is quarantined because it crashes backend servers.
   /// \return True if so.
   [[nodiscard]] bool refuse_if_quarantined();
+  /// \brief Returns the request if it is at that server and no part of a response has arrived.
+  [[nodiscard]] std::optional<lost_request> unanswered_at(std::uint64_t backend) const;
   [[nodiscard]] bool is_waiting(request_fingerprint request) const noexcept {
     return this->queued && this->fingerprint == request;
   }
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -45,6 +45,13 @@
   return true;
 }
 
+std::optional<lost_request> request_flow::unanswered_at(std::uint64_t backend) const {
+  const bool is_at_server = this->has_active_call() && !this->peer && !this->connection->is_connecting() &&
+                            this->response.status == 0 && this->decision.target->hash() == backend;
+  return is_at_server ? std::optional{lost_request{this->fingerprint, this->crash_level, this->sent_at}}
+                      : std::nullopt;
+}
+
 header_fields request_flow::make_own_fields(reason why) const {
   header_fields fields;
   if (!this->request_id.empty()) {
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -83,6 +83,11 @@
   [[nodiscard]] bool is_established() const noexcept {
     return this->phase == connection_phase::busy || this->phase == connection_phase::idle;
   }
+  /// \brief True if a call has had no part of a response for that long.
+  [[nodiscard]] bool is_silent(duration silence, time_point now) const noexcept {
+    return this->phase == connection_phase::busy && !this->any_byte_received &&
+           now - this->started_at >= silence;
+  }
   [[nodiscard]] bool is_open() const noexcept { return this->phase != connection_phase::closed; }
   /// \brief True if another call may be started at time `now`.
   [[nodiscard]] bool is_reusable(time_point now) const noexcept {
--- a/packages/http/include/zinnia/http/backend_pool.hpp
+++ b/packages/http/include/zinnia/http/backend_pool.hpp
@@ -33,8 +33,9 @@
   void close_idle();
   /// \brief True if an idle connection could be used for a call.
   [[nodiscard]] bool has_reusable() const;
-  /// \brief True if any connection is established, idle or lent out.
-  [[nodiscard]] bool has_established() const;
+  /// \brief True if any connection is established and either idle or lent out for a call that has not been
+  ///        without a response for `max_silence`.
+  [[nodiscard]] bool has_established(duration max_silence) const;
   /// \brief True if no connection is lent out.
   [[nodiscard]] bool is_unused() const noexcept { return this->lent.empty(); }
   [[nodiscard]] const boost::asio::ip::tcp::endpoint& endpoint() const noexcept { return this->address; }
--- a/packages/http/src/backend_pool.cpp
+++ b/packages/http/src/backend_pool.cpp
@@ -42,10 +42,12 @@
                      [now](const auto& connection) { return connection->is_reusable(now); });
 }
 
-bool backend_pool::has_established() const {
+bool backend_pool::has_established(duration max_silence) const {
+  const auto now = this->clock.now();
   return this->has_reusable() ||
-         std::any_of(this->lent.begin(), this->lent.end(),
-                     [](const auto& connection) { return connection->is_established(); });
+         std::any_of(this->lent.begin(), this->lent.end(), [&](const auto& connection) {
+           return connection->is_established() && !connection->is_silent(max_silence, now);
+         });
 }
 
 void backend_pool::set_endpoint(const boost::asio::ip::tcp::endpoint& address_in) {
--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -71,9 +71,18 @@
   /// \brief Records that no process listens at the server's address.
   void on_crashed(std::uint64_t backend, time_point now);
   /// \brief Records that the server still runs; the requests that it lost are not suspected.
-  void on_alive(std::uint64_t backend) { this->unconfirmed.erase(backend); }
-  /// \brief Forgets the lost requests of all servers: this node's links failed, not the servers.
-  void on_links_lost() { this->unconfirmed.clear(); }
+  void on_alive(std::uint64_t backend) {
+    this->unconfirmed.erase(backend);
+    this->held.erase(backend);
+  }
+  /// \brief Sets the lost requests of all servers aside: this node cannot tell now if its links failed or the
+  ///        servers.
+  void on_links_lost(time_point now);
+  /// \brief Records that a connection ended without a response while the links were not up.
+  void hold(std::uint64_t backend, const lost_request& lost, time_point now);
+  /// \brief   Takes up the requests that were set aside.
+  /// \return  The servers to check now. The requests of those that still refuse connections are suspected.
+  [[nodiscard]] std::vector<std::uint64_t> on_links_regained(time_point now);
   /// \}
 
   /// \name Other nodes
@@ -159,6 +168,8 @@
   absl::flat_hash_map<std::uint64_t, record> records;
   // Requests lost by servers that may have crashed, by server, with the times at which that was noticed.
   absl::flat_hash_map<std::uint64_t, std::vector<std::pair<lost_request, time_point>>> unconfirmed;
+  // Requests lost by servers while this node's links may have failed, by server.
+  absl::flat_hash_map<std::uint64_t, std::vector<lost_request>> held;
   // Recent crashes by server.
   absl::flat_hash_map<std::uint64_t, crash> crashes;
   // The latest answers, each at the position that its fingerprint determines. A node often learns of a crash
--- a/packages/routing/include/zinnia/routing/link_monitor.hpp
+++ b/packages/routing/include/zinnia/routing/link_monitor.hpp
@@ -93,8 +93,10 @@
   [[nodiscard]] bool has_evidence(time_point now) const;
   /// True if no check of the suspicion's round was answered in time.
   [[nodiscard]] bool has_round_failed(time_point now) const noexcept;
-  /// True if no response has arrived since the round began, and for long enough.
+  /// True if no response has arrived since the first round began, and for long enough.
   [[nodiscard]] bool is_silent_since_round(time_point now) const noexcept;
+  /// Starts another round for the suspicion if all checks of this one have failed early.
+  [[nodiscard]] bool continues_rounds(time_point now);
   void begin_round(time_point now);
   /// True if connections are open and nothing suggests that they do not work.
   [[nodiscard]] bool has_usable_connections(time_point now) const;
@@ -125,6 +127,9 @@
   std::size_t round_size{0};
   bool round_wanted{false};
   time_point round_started_at;
+  // The first round of the suspicion, and the rounds that may still follow at once.
+  time_point first_round_at;
+  int more_rounds{0};
   time_point next_round_at;
   // When checks were answered while the links were lost.
   std::deque<time_point> answers;
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -12,6 +12,9 @@
 constexpr duration max_confirmation_time{2000};
 /// Requests that one server may have lost in that time and that are remembered.
 constexpr std::size_t max_lost_per_backend = 256;
+/// How long a request that was lost while the links may have failed is kept after it was sent. Longer than
+/// the links take to return with most cuts, and than a server takes to start again.
+constexpr duration max_holding_time{10'000};
 /// Reports of the same server's crash that are this far apart concern the same crash. A server needs longer
 /// to start again and get requests.
 constexpr duration same_crash_tolerance{1000};
@@ -70,6 +73,41 @@
   }
 }
 
+void crash_ledger::hold(std::uint64_t backend, const lost_request& lost, time_point now) {
+  auto& waiting = this->held[backend];
+  std::erase_if(waiting, [now](const auto& old) { return now - old.sent_at >= impl::max_holding_time; });
+  if (waiting.size() < impl::max_lost_per_backend) {
+    waiting.push_back(lost);
+  }
+}
+
+void crash_ledger::on_links_lost(time_point now) {
+  absl::erase_if(this->held, [now](const auto& each) {
+    return std::none_of(each.second.begin(), each.second.end(),
+                        [now](const auto& lost) { return now - lost.sent_at < impl::max_holding_time; });
+  });
+  for (const auto& [backend, waiting] : std::exchange(this->unconfirmed, {})) {
+    for (const auto& [lost, noticed_at] : waiting) {
+      this->hold(backend, lost, now);
+    }
+  }
+}
+
+std::vector<std::uint64_t> crash_ledger::on_links_regained(time_point now) {
+  std::vector<std::uint64_t> to_check;
+  for (const auto& [backend, waiting] : std::exchange(this->held, {})) {
+    for (const auto& lost : waiting) {
+      if (now - lost.sent_at < impl::max_holding_time) {
+        this->on_lost(backend, lost, now);
+      }
+    }
+    if (this->awaits_confirmation(backend, now)) {
+      to_check.push_back(backend);
+    }
+  }
+  return to_check;
+}
+
 void crash_ledger::record_own_crash(const lost_request& lost, std::uint64_t backend, time_point crashed_at,
                                     time_point now) {
   const auto age = now - crashed_at;
@@ -91,6 +129,9 @@
   for (auto& [backend, waiting] : this->unconfirmed) {
     std::erase_if(waiting, [request](const auto& each) { return each.first.request == request; });
   }
+  for (auto& [backend, waiting] : this->held) {
+    std::erase_if(waiting, [request](const auto& each) { return each.request == request; });
+  }
   this->answers[request.count() % answer_slots] = {request, now};
   if (this->clear(request, now)) {
     this->report_to_others(request, now);
--- a/packages/routing/src/link_monitor.cpp
+++ b/packages/routing/src/link_monitor.cpp
@@ -20,6 +20,9 @@
 /// A check that has no answer by then has failed. Allows for two round trips of the longest link (110 ms) and
 /// a wait for a slot.
 constexpr duration check_time{600};
+/// Rounds that may follow the first one of a suspicion within that time, if all checks fail early. One
+/// request can crash several servers at a time, so that all of three checks meet crashed ones.
+constexpr int max_more_rounds = 3;
 /// Silence from which on links without an answered check are lost. Until then a response on an open
 /// connection may still show that they are half open.
 constexpr duration min_silence{200};
@@ -135,6 +138,9 @@
 
 void link_monitor::on_checks_started(const std::vector<std::uint64_t>& checked, time_point now) {
   this->begin_round(now);
+  if (this->more_rounds == impl::max_more_rounds) {
+    this->first_round_at = now;
+  }
   this->round_wanted = false;
   this->round.insert(checked.begin(), checked.end());
   this->round_size = checked.size();
@@ -159,22 +165,32 @@
 
 void link_monitor::on_check_failed(std::uint64_t backend, time_point now) {
   this->round.erase(backend);
-  if (this->has_round_failed(now)) {
+  if (this->has_round_failed(now) && !this->continues_rounds(now)) {
     this->conclude(now);
   }
 }
 
+bool link_monitor::continues_rounds(time_point now) {
+  const bool failed_early = this->round.empty() && now - this->first_round_at < impl::check_time;
+  if (!failed_early || this->more_rounds == 0 || this->round_size < link_checks_per_round) {
+    return false;
+  }
+  --this->more_rounds;
+  this->begin_round(now);
+  return true;
+}
+
 bool link_monitor::has_round_failed(time_point now) const noexcept {
   return this->current == link_condition::suspected && !this->round_wanted &&
-         (this->round.empty() || now - this->round_started_at >= impl::check_time);
+         (this->round.empty() || now - this->first_round_at >= impl::check_time);
 }
 
 bool link_monitor::is_silent_since_round(time_point now) const noexcept {
-  return this->last_life_at < this->round_started_at && this->silence(now) >= impl::min_silence;
+  return this->last_life_at < this->first_round_at && this->silence(now) >= impl::min_silence;
 }
 
 void link_monitor::conclude(time_point now) {
-  if (this->last_life_at >= this->round_started_at || this->has_usable_connections(now)) {
+  if (this->last_life_at >= this->first_round_at || this->has_usable_connections(now)) {
     const auto began = this->unconnected.empty() ? this->last_life_at : this->unconnected_since;
     this->trouble_began = began - impl::trouble_margin;
     this->set_state(link_condition::half_open, now);
@@ -250,6 +266,7 @@
   }
   if (next == link_condition::suspected) {
     this->trouble_began = now - impl::trouble_margin;
+    this->more_rounds = impl::max_more_rounds;
   }
   this->current = next;
 }
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -47,6 +47,34 @@
   std::uint64_t next_backend{1'000};
 };
 
+/// Guards against evidence of crashes that is forgotten while most servers are down at a time, which looks
+/// like lost links, and against links that are cut again and again and make a popular request suspected.
+TEST_F(crash_ledger_test, keeps_requests_lost_with_the_links_until_their_servers_can_be_checked) {
+  constexpr request_fingerprint answered{3};
+  constexpr request_fingerprint too_old{4};
+  this->ledger.on_lost(14, this->sent_now(too_old), this->now);
+  this->ledger.on_links_lost(this->now);
+  this->advance(5000);
+  this->ledger.on_lost(11, this->sent_now(crashing), this->now);
+  this->ledger.on_lost(12, this->sent_now(innocent), this->now);
+  this->ledger.on_links_lost(this->now);
+  this->ledger.hold(13, this->sent_now(answered), this->now);
+  EXPECT_EQ(this->ledger.unconfirmed_count(this->now), 0U);
+  this->ledger.on_answered(answered, this->now);
+  this->advance(5000);
+  const auto to_check = this->ledger.on_links_regained(this->now);
+  EXPECT_EQ(std::set<std::uint64_t>(to_check.begin(), to_check.end()), (std::set<std::uint64_t>{11, 12}));
+  this->ledger.on_crashed(11, this->now);
+  this->ledger.on_alive(12);
+  for (const std::uint64_t backend : {12, 13, 14}) {
+    this->ledger.on_crashed(backend, this->now);
+  }
+  EXPECT_EQ(this->level(crashing), 1);
+  EXPECT_EQ(this->level(innocent), 0);
+  EXPECT_EQ(this->level(answered), 0);
+  EXPECT_EQ(this->level(too_old), 0);
+}
+
 TEST_F(crash_ledger_test, names_for_a_restored_store_what_is_quarantined_and_what_was_released) {
   EXPECT_TRUE(this->ledger.quarantine_states(this->now).empty());
   this->quarantine(crashing);
--- a/packages/routing/tests/link_monitor_test.cpp
+++ b/packages/routing/tests/link_monitor_test.cpp
@@ -189,6 +189,19 @@
   }
 }
 
+/// Guards against crash verdicts that are dropped since the three servers of a round are among those crashed.
+TEST(link_monitor, does_not_take_crashes_of_most_servers_for_lost_links) {
+  simulated_node node{12, duration{250}};
+  node.run(duration{4000});
+  for (std::size_t server = 0; server < 9; ++server) {
+    node.set(server, reach::refuses);
+  }
+  node.observe();
+  node.run(duration{10'000});
+  EXPECT_FALSE(node.was_lost());
+  EXPECT_FALSE(node.states.contains(link_condition::half_open));
+}
+
 TEST(link_monitor, does_not_take_slow_servers_or_a_pause_for_lost_links) {
   for (const auto period : {duration{20}, duration{400}, duration{5000}}) {
     simulated_node node{5, period};
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -188,6 +188,10 @@
   's/ec == boost::asio::error::connection_refused/false/' "a refused connection does not show a crash"
 mutate test_gateway packages/gateway/src/request_fingerprint.cpp \
   's/ body};/ ""};/' "requests with other bodies are the same"
+mutate test_routing packages/routing/src/link_monitor.cpp \
+  's/max_more_rounds = 3;/max_more_rounds = 0;/' "three crashed servers are taken for lost links"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/      this->hold(backend, lost, now);/      ;/' "requests lost with the links are forgotten"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
   's/    if (known.crashes < known_crash->most_crashes) {/    if (false) {/' "bystanders of a crash are raised"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
