Reject requests beyond their account's limit with 429

Cause: the gateway identified accounts but did not apply their limits.

Change: after identification and before placement, a request of an account with a limit takes a token, waits up to 150 ms for one, or gets 429 account-over-limit with Retry-After. Public routes and forwarded requests take none; a request that ends without having run returns it. The gateway ticks account_limits, sends asks and answers them; nodes show accounts in use at /v1/accounts and on /metrics.

--- a/packages/accounts/include/zinnia/accounts/account_limits.hpp
+++ b/packages/accounts/include/zinnia/accounts/account_limits.hpp
@@ -85,6 +85,8 @@
   double burst{0};
   double tokens{0};
   double demand_per_second{0};
+  /// Requests admitted at this node in the last window, about.
+  std::uint64_t admitted_in_window{0};
   std::uint64_t admitted{0};
   std::uint64_t rejected{0};
 };
@@ -120,7 +122,7 @@
   bool on_grant(const account_grant& grant, time_point now);
 
   /// \brief Returns the accounts in use at this node.
-  [[nodiscard]] std::vector<account_usage> usage(time_point now);
+  [[nodiscard]] std::vector<account_usage> usage(time_point now) const;
   [[nodiscard]] std::size_t tracked_accounts() const noexcept { return this->states.size(); }
 
  private:
@@ -151,6 +153,10 @@
     bool is_short{false};
     std::uint64_t admitted{0};
     std::uint64_t rejected{0};
+    /// Admissions in the current and in the previous window. Windows follow each other.
+    std::uint64_t in_window{0};
+    std::uint64_t in_previous_window{0};
+    std::int64_t window_index{0};
   };
 
   /// Returns null if the account has no limit.
@@ -159,6 +165,9 @@
                                        const std::vector<std::size_t>& account_holders) const;
   [[nodiscard]] std::vector<std::size_t> holders_of(const account_declaration& account) const;
   void update_states(time_point now);
+  /// Begins a new window if the current one is over.
+  void update_window(state& entry, time_point now) const noexcept;
+  void count_admission(state& entry, time_point now) const noexcept;
   static void count_demand(state& entry, time_point now, double arrivals) noexcept;
   /// Returns the largest amount that a node may ask for.
   [[nodiscard]] double max_ask(std::uint64_t account) const;
--- a/packages/accounts/src/account_limits.cpp
+++ b/packages/accounts/src/account_limits.cpp
@@ -175,7 +175,7 @@
   count_demand(*entry, now, 1);
   // Requests that wait come first.
   if (entry->bucket.has(1 + entry->waiting, now) && entry->bucket.try_take(now)) {
-    ++entry->admitted;
+    this->count_admission(*entry, now);
     this->note_short(hash, *entry, now);
     return {};
   }
@@ -198,7 +198,7 @@
     return account_admission::waits;
   }
   entry->waiting = std::max(entry->waiting - 1, 0);
-  ++entry->admitted;
+  this->count_admission(*entry, now);
   return account_admission::admitted;
 }
 
@@ -219,13 +219,34 @@
   }
 }
 
-std::vector<account_usage> account_limits::usage(time_point now) {
+void account_limits::update_window(state& entry, time_point now) const noexcept {
+  const auto index = now.ms / std::max<std::int64_t>(this->settings.window.ms, 1);
+  if (index != entry.window_index) {
+    entry.in_previous_window = index == entry.window_index + 1 ? entry.in_window : 0;
+    entry.in_window = 0;
+    entry.window_index = index;
+  }
+}
+
+void account_limits::count_admission(state& entry, time_point now) const noexcept {
+  this->update_window(entry, now);
+  ++entry.in_window;
+  ++entry.admitted;
+}
+
+std::vector<account_usage> account_limits::usage(time_point now) const {
   std::vector<account_usage> found;
-  for (auto& [hash, entry] : this->states) {
+  for (const auto& [hash, known] : this->states) {
     const auto& account = *this->limited.at(hash);
+    auto entry = known;
     count_demand(entry, now, 0);
+    this->update_window(entry, now);
+    // The part of the previous window that is within one window from now.
+    const auto window_ms = std::max<std::int64_t>(this->settings.window.ms, 1);
+    const double part = 1 - static_cast<double>(now.ms % window_ms) / static_cast<double>(window_ms);
+    const auto earlier = static_cast<std::uint64_t>(part * static_cast<double>(entry.in_previous_window));
     found.push_back({account.id, account.requests_per_second, account.burst, entry.bucket.tokens(now),
-                     entry.demand, entry.admitted, entry.rejected});
+                     entry.demand, entry.in_window + earlier, entry.admitted, entry.rejected});
   }
   return found;
 }
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,6 +14,7 @@
 
 #include "zinnia/accounts/account_access.hpp"
 #include "zinnia/accounts/account_limit_settings.hpp"
+#include "zinnia/accounts/account_limits.hpp"
 #include "zinnia/core/clock.hpp"
 #include "zinnia/gateway/fwd.hpp"
 #include "zinnia/gateway/header_field_names.hpp"
@@ -59,6 +61,8 @@
   /// Called when this node has lost its links to all backend servers (false), and when it has regained them.
   /// May be empty.
   std::function<void(bool)> on_links_change;
+  /// Sends asks or grants of tokens to another node. May be empty.
+  std::function<void(const ip_endpoint&, const account_messages&)> send_account_messages;
   /// Limit for the reports that are repeated at a time.
   std::size_t max_repeated_reports{30};
   /// Set if requests with keys must be refused while the configuration is not known to be current.
@@ -98,6 +102,12 @@
   void set_confirmation(config_version version, time_point valid_until);
   /// \brief Returns false if requests with keys must be refused because the configuration may be outdated.
   [[nodiscard]] bool is_configuration_confirmed(time_point now) const noexcept;
+  /// \brief Sets which nodes hold shares of accounts' limits.
+  void set_limit_holders(limit_holders holders_in);
+  /// \brief Answers another node's asks for tokens, and takes the tokens that it grants.
+  void apply_account_messages(const account_messages& messages, const ip_endpoint& sender);
+  /// \brief Returns the accounts in use whose limits this node applies.
+  [[nodiscard]] std::vector<account_usage> account_usages() const;
   /// \brief Applies what another node tells about the objects that backend servers hold.
   void apply_notices(const std::vector<holder_notice>& notices);
   /// \brief Applies what another node tells about requests that were at servers when these crashed.
@@ -190,6 +200,12 @@
   void publish_crashes(bool found_here);
   /// Refuses the requests with this fingerprint that wait.
   void refuse_waiting(request_fingerprint request);
+  /// Applies the current snapshot's limits.
+  void apply_account_limits();
+  /// Sends due asks for tokens.
+  void send_account_asks();
+  /// Lets requests go on that wait for a token, or ends them, in the order of their arrival.
+  void serve_waiting_for_tokens();
   void tick();
   /// Acts on changes of the state of the links.
   void update_links();
@@ -229,6 +245,11 @@
   gateway_nodes nodes;
   config_version confirmed_version;
   time_point confirmed_until;
+  // Null while no accounts are configured.
+  std::unique_ptr<account_limits> limits;
+  limit_holders holders;
+  // Requests that wait for a token of their account.
+  std::deque<wait_ticket> waiting_for_tokens;
   std::unique_ptr<peer_forwarding> peers;
   // Requests of other nodes among `flows`.
   std::size_t forwarded_in_flight{0};
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -51,6 +51,7 @@
     return;
   }
   this->current_snapshot = std::move(snapshot_in);
+  this->apply_account_limits();
   const auto now = this->clock.now();
   const auto previous_backends = std::vector{this->backends.all()};
   this->backends.apply(*this->current_snapshot, now);
@@ -267,6 +268,8 @@
   this->update_links();
   this->forward_stranded_requests();
   this->start_health_checks();
+  this->serve_waiting_for_tokens();
+  this->send_account_asks();
   auto notices = this->backends.take_notices();
   if (this->options.send_notices) {
     this->options.send_notices(std::move(notices));
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -81,14 +81,14 @@
   const auto left = this->deadline - this->owner.clock.now();
   this->start_deadline_timer(std::chrono::milliseconds{std::max<std::int64_t>(left.ms, 0)});
   if (this->idempotent) {
-    this->place_request();
+    this->admit_and_place();
     return;
   }
   // A non-idempotent request waits until the earlier responses on its connection are complete. If one of them
   // closed the connection, the caller would send this request again although it may have run.
   this->exchange->when_first_in_pipeline([self] {
     if (!self->closed) {
-      self->place_request();
+      self->admit_and_place();
     }
   });
 }
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -47,6 +47,10 @@
     return this->queued && this->fingerprint == request;
   }
 
+  /// \brief  Places the request if its account has a token for it now, or ends it once it has waited too
+  /// long. \return False if it still waits.
+  [[nodiscard]] bool try_leave_token_wait();
+
   void on_head(const response_head& head) override;
   void on_body(std::string_view piece) override;
   void on_end(const backend_call_result& end) override;
@@ -54,6 +58,11 @@
  private:
   /// Chooses the route's destination, and counts the request for it.
   void choose_service();
+  /// Places the request if it is within its account's limit; else it waits for a token or ends with 429.
+  void admit_and_place();
+  void refuse_over_limit(duration retry_after);
+  /// Ends the wait for a token, or returns the token of a request that has not run.
+  void release_token();
   /// Chooses a backend server; then sends the request, queues it or refuses it.
   void place_request();
   void send();
@@ -91,8 +100,8 @@
   void forward_response();
   /// Responds with 503 and Retry-After, which tells the caller that the request did not run.
   void refuse(reason why, duration retry_after);
-  /// Responds with 503 and exactly this Retry-After.
-  void respond_unavailable(reason why, duration retry_after);
+  /// Responds with 503 or 429 and exactly this Retry-After.
+  void respond_unavailable(reason why, duration retry_after, int status = 503);
   /// Responds with an error status, from which the caller cannot conclude that the request did not run.
   void fail(int status, reason why);
   /// Refuses the request if it did not run, or else fails it with 502.
@@ -153,6 +162,10 @@
   int sent_count{0};
   // Combined over all attempts.
   verdict run_verdict{verdict::did_not_run};
+  // Set while the request waits for a token of its account.
+  std::optional<time_point> token_wait_until;
+  // The request has taken a token of its account.
+  bool has_token{false};
   bool queued{false};
   bool closed{false};
   time_point placed_at;
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -23,7 +23,6 @@
 constexpr double max_retry_after_fraction = 0.3;
 
 constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
 }  // namespace
@@ -81,14 +80,14 @@
       why, {wait * (percent - static_cast<std::int64_t>(spread_percent) + 2 * extra) / percent});
 }
 
-void request_flow::respond_unavailable(reason why, duration retry_after) {
+void request_flow::respond_unavailable(reason why, duration retry_after, int status) {
   auto fields = this->make_own_fields(why);
   constexpr double ms_per_second = 1000;
   fields.push_back(
       {"Retry-After", absl::StrFormat("%.3f", static_cast<double>(retry_after.ms) / ms_per_second)});
-  this->exchange->respond(impl::status_unavailable, fields, "");
+  this->exchange->respond(status, fields, "");
   this->owner.counts.record_refusal(why);
-  this->close(impl::status_unavailable, why);
+  this->close(status, why);
 }
 
 void request_flow::fail(int status, reason why) {
@@ -166,6 +165,7 @@
     return;
   }
   this->closed = true;
+  this->release_token();
   this->deadline_timer.cancel();
   const auto took = this->owner.clock.now() - this->arrived_at;
   this->owner.counts.record(timing::request, took);
--- a/packages/node/include/zinnia/node/operator_interface.hpp
+++ b/packages/node/include/zinnia/node/operator_interface.hpp
@@ -20,7 +20,7 @@
 };
 
 /// \brief   Responds to `/metrics`, `/v1/status`, `/v1/servers` (restricted backend servers),
-/// `/v1/requests/ID`
+/// `/v1/requests/ID`, `/v1/accounts` (limits of accounts in use)
 ///          and `/v1/entries?region=R&domain=D`.
 /// \details Responds with 404 to any other path, and to an ID that is not among the latest requests of this
 ///          node.
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -125,6 +125,7 @@
               [this](const auto& received) {
                 this->traffic.apply_notices(received.holders);
                 this->traffic.apply_crash_reports(received.crashes);
+                this->traffic.apply_account_messages(received.accounts, received.sender);
               }},
       traffic{this->context, this->clock, this->counts, this->options()},
       callers{this->context, this->clock, impl::max_caller_connections(settings_in),
@@ -160,6 +161,7 @@
   chosen.on_quarantine_change = [this](const auto& change) { this->control->save_quarantine(change); };
   chosen.on_links_change = [this](bool reaches) { this->control->set_reaches_backends(reaches); };
   chosen.max_repeated_reports = max_notices_per_datagram;
+  chosen.send_account_messages = [this](const auto& to, const auto& sent) { this->notices.send(to, sent); };
   chosen.account_limits = this->settings.account_limits;
   chosen.cold_limits = this->settings.cold_limits;
   return chosen;
@@ -207,6 +209,7 @@
         // This node is not ready or is leaving; it still serves the requests that it has read.
         serving.emplace(this->settings.node, this->settings.own_location);
       }
+      this->traffic.set_limit_holders(nodes.holders);
       this->traffic.set_nodes(
           {std::move(serving), nodes.regions_with_nodes, nodes.registered_count, this->forwarding_peers()});
     });
--- a/packages/node/src/operator_interface.cpp
+++ b/packages/node/src/operator_interface.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "account_report.hpp"
 #include "restriction_report.hpp"
 
 namespace zinnia {
@@ -28,6 +29,7 @@
 void respond_with_metrics(caller_exchange& exchange, const operator_view& view) {
   auto gauges = view.traffic.gauges();
   append_gauges(view.traffic.backend_restrictions(), gauges);
+  append_gauges(view.traffic.account_usages(), gauges);
   exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, view.counts.render(gauges));
 }
 
@@ -81,14 +83,19 @@
   respond_with_json(exchange, restriction_document(view.traffic.backend_restrictions()));
 }
 
+void respond_with_accounts(caller_exchange& exchange, const operator_view& view) {
+  respond_with_json(exchange, account_document(view.traffic.account_usages()));
+}
+
 struct operator_route {
   std::string_view path;
   void (*respond)(caller_exchange&, const operator_view&);
 };
 
-constexpr std::array<operator_route, 5> routes{{{"/metrics", respond_with_metrics},
+constexpr std::array<operator_route, 6> routes{{{"/metrics", respond_with_metrics},
                                                 {"/v1/status", respond_with_status},
                                                 {"/v1/servers", respond_with_restrictions},
+                                                {"/v1/accounts", respond_with_accounts},
                                                 {"/v1/requests/", respond_with_request_record},
                                                 {"/v1/entries", respond_with_entry_addresses}}};
 
