Keep a proof for a moment when a peer announces a newer configuration

A heartbeat that announced a newer configuration ended a node's proof at once, so that at each change the nodes that hear of it last refused all requests with keys, up to about 0.4 s by estimate. Answers that confirm an older configuration still count for nothing.

Test: the one for announcements checks the new end and that repeated announcements prolong nothing.

--- a/packages/node/src/control_thread_confirmation.cpp
+++ b/packages/node/src/control_thread_confirmation.cpp
@@ -31,7 +31,8 @@
 void control_thread::on_announced_configuration(const node_heartbeat& received) {
   // The port also receives datagrams of nodes of other deployments, which must not end the proof.
   if (this->confirmation && this->members.find(received.id)) {
-    this->confirmation->on_peer_configuration(config_version{received.state.configuration});
+    this->confirmation->on_peer_configuration(config_version{received.state.configuration},
+                                              this->clock.now());
   }
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -323,11 +323,13 @@
 mutate test_gateway packages/gateway/src/statement_decoding.cpp \
   's/i < std::min(parts.size(), counts.size())/i < counts.size() \&\& parts.size() == counts.size()/' "a load with more or fewer figures is dropped"
 mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
-  's/  if (this->in_force < this->required ||/  if (/' "a node proves a configuration that it does not have"
+  's/  if (this->in_force < this->confirmed ||/  if (/' "a node proves a configuration that it does not have"
 mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
-  's/  if (version < this->required) {/  if (false) {/' "an old copy of the store confirms the configuration"
+  's/  if (version < std::max(this->confirmed, this->announced)) {/  if (false) {/' "an old copy of the store confirms the configuration"
 mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
   's/std::max(this->confirmed_at, query_time)/query_time/' "an older confirmation shortens the proof"
+mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
+  's/  if (version > this->in_force \&\& .*/  if (true) {/' "repeated announcements prolong the proof"
 mutate test_accounts packages/accounts/src/configuration_confirmation.cpp \
   's/ - confirmation_margin;/;/' "the proof has no margin"
 mutate test_store packages/store/src/object_feed.cpp \
