--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -12,11 +12,9 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <random>
-#include <sstream>
 
 #include "change_relay_server.hpp"
 #include "notice_exchange.hpp"
@@ -380,23 +378,4 @@
   std::quick_exit(code);
 }
 
-result<std::shared_ptr<const settings_tree>> read_settings_tree(const std::string& file_name) {
-  if (file_name.empty()) {
-    return std::make_shared<const settings_tree>();
-  }
-  std::ifstream file{file_name};
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return error{reason::invalid_setting, "tree: cannot be read; allowed: a readable file", file_name};
-  }
-  settings_document document;
-  document.tree_text = text.str();
-  auto parsed = settings_tree::parse(document, file_name);
-  if (!parsed) {
-    return parsed.last_error();
-  }
-  return std::make_shared<const settings_tree>(std::move(parsed).value());
-}
-
 }  // namespace zinnia
