--- a/packages/accounts/src/account_limits.cpp
+++ b/packages/accounts/src/account_limits.cpp
@@ -27,6 +27,10 @@
 }  // namespace impl
 
 void account_limits::set_accounts(std::shared_ptr<const account_table> table_in, time_point now) {
+  if (table_in == this->table) {
+    // Snapshots change far more often than accounts; outstanding asks must stay valid.
+    return;
+  }
   this->table = std::move(table_in);
   this->limited.clear();
   if (this->table != nullptr) {
--- a/packages/accounts/tests/account_limits_test.cpp
+++ b/packages/accounts/tests/account_limits_test.cpp
@@ -143,6 +143,8 @@
   const auto answer = [](const account_ask& ask) {
     return account_grant{ask.account, ask.thousandths, ask.nonce};
   };
+  // A new snapshot with the same accounts must not make the grants that are under way worthless.
+  limits.set_accounts(model.table, begin + duration{50});
   EXPECT_TRUE(limits.on_grant(answer(asks[0].ask), begin + duration{100}));
   EXPECT_FALSE(limits.on_grant(answer(asks[0].ask), begin + duration{101}));
   EXPECT_FALSE(limits.on_grant(answer(asks[1].ask), begin + duration{401}));
