--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -37,15 +37,15 @@
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/this->exchange->abort();/this->exchange->finish();/' "a cut answer is ended as if it were whole"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
-  's/this->sent_count < this->matched_route.max_attempts/this->sent_count < 1/' "nothing is ever repeated"
+  's/  return this->sent_count < this->max_attempts/  return this->sent_count < 1/' "nothing is ever repeated"
 mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
   's/if (!this->forwarded \&\& attempts_left/if (attempts_left/' "a forwarded request is forwarded again"
 mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
-  's/ || !this->idempotent ||/ ||/' "an unsafe request at a server is handed to a peer"
+  's/  if (may_have_run \&\& !this->idempotent) {/  if (false) {/' "an unsafe request at a server is handed to a peer"
 mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
   's/const int attempts_left = .*/const int attempts_left = this->max_attempts;/' "a peer may send as often as if nothing had been sent"
 mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
-  's/this->reached_backends});/{}});/' "a peer does not hear which servers were tried"
+  's/attempts_left, this->reached_backends, this->identity});/attempts_left, {}, this->identity});/' "a peer does not hear which servers were tried"
 mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
   's/end_to_end_fields(this->response.fields, hop_field_names())/end_to_end_fields(this->response.fields, {})/' "callers get the fields between nodes"
 mutate test_gateway packages/gateway/src/request_flow_account.cpp \
@@ -291,7 +291,7 @@
 mutate test_routing packages/routing/src/link_monitor.cpp \
   's/    this->flaps = is_flapping .*/    this->flaps = 0;/' "links that come and go are used each time"
 mutate test_routing packages/routing/src/link_monitor.cpp \
-  's/         (this->current >= link_condition::half_open \&\& now >= this->next_round_at)/         this->current >= link_condition::half_open/' "lost links are checked without a pause"
+  's/(this->current >= link_condition::half_open \&\& now >= this->next_round_at)/this->current >= link_condition::half_open/' "lost links are checked without a pause"
 mutate test_membership packages/membership/src/member_table.cpp \
   's/    if (any_reaches \&\& !node.reaches_backends) {/    if (false) {/' "nodes without links are advertised"
 mutate test_membership packages/membership/src/member_table.cpp \
@@ -300,8 +300,8 @@
   's/!heartbeat.reaches_backends/false/' "heartbeats do not tell of lost links"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/  if (this->owner.links.is_lost(now)) {/  if (false) {/' "requests are tried on lost links"
-mutate test_gateway packages/gateway/src/gateway_links.cpp \
-  's/    flow->on_links_lost();/    ;/' "calls in flight wait on lost links"
+mutate test_gateway packages/gateway/src/gateway_forwarding.cpp \
+  's/    flow->leave_lost_links();/    ;/' "calls in flight wait on lost links"
 mutate test_gateway packages/gateway/src/gateway_links.cpp \
   's/    backend->forgive_failures(.*/    ;/' "servers are blamed for lost links"
 mutate test_gateway packages/gateway/src/gateway_links.cpp \
@@ -422,5 +422,15 @@
   's/  if (!(value >= 0) || value/  if (value/' "a negative limit is accepted"
 mutate test_platform platform/src/document_decoding.cpp \
   's/"not JSON: error at byte " + std::to_string(failure.byte)/std::string{failure.what()}/' "an error quotes a key"
+mutate test_routing packages/routing/src/fair_order.cpp \
+  's/: std::max(now, found->second);/: now;/' "an account's requests do not wait for its earlier ones"
+mutate test_routing packages/routing/src/fair_order.cpp \
+  's/tag + 1 \/ share.weight/tag + 1/' "accounts get the same room whatever their limits"
+mutate test_routing packages/routing/src/fair_order.cpp \
+  's/    found->second -= 1 \/ share.weight;/    ;/' "a request that leaves keeps its turn"
+mutate test_routing packages/routing/src/wait_queue.cpp \
+  's/  const double tag = share ? .*/  const double tag = 1e9;/' "the expected wait counts requests that are served later"
+mutate test_accounts packages/accounts/src/account_limits.cpp \
+  's/  if (table_in == this->table) {/  if (false) {/' "a snapshot with the same accounts forgets outstanding asks"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
