--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -211,7 +211,9 @@
       case placement_action::wait:
         this->queued_requests[pending->id] = pending;
         pending->decision.target->queue.push(
-            {pending->id, {0, pending->kind->priority}, this->current_time(),
+            {pending->id,
+             {0, pending->kind->priority},
+             this->current_time(),
              this->current_time() + (pending->decision.expected_total - pending->decision.expected_work) +
                  duration{static_cast<std::int64_t>(reselect_delay_ms)}});
         return;
