Log what a node makes of each crash of a request's server

The records of the incident do not show whether reports of crashes arrive at other nodes and are set aside there, or are lost, nor what level a node knew when it sent a request. Now each judgement of a crash of a request that has been at several is logged (crash_judged: raised, not-higher, bystander, answered), at most 64 at a time, and request_ended has the level at the last send. Behaviour is unchanged; tests of the ledger and of crashing requests pass.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -93,6 +93,18 @@
   if (!reports.empty() && this->options.send_crash_reports) {
     this->options.send_crash_reports(reports);
   }
+  for (const auto& [crash, judgement] : this->crashes.take_judgements()) {
+    const auto crashed = this->backends.find_by_hash(crash.backend);
+    log_line{log_level::info, "crash_judged"}
+        .field("fingerprint", absl::StrCat(absl::Hex(crash.request.count(), absl::kZeroPad16)))
+        .field("judgement", to_string(judgement))
+        .field("level", crash.level)
+        .field("crashes", crash.crashes)
+        .field("crashed", crashed == nullptr ? "" : crashed->declared().id.str())
+        .field("crashed_ms_ago", crash.age.ms)
+        .field("first_ms_ago", crash.first_age.ms)
+        .field("found_here", found_here ? 1 : 0);
+  }
   for (const auto& change : this->crashes.take_quarantine_changes()) {
     const bool is_release = change.level == 0;
     const auto crashed = this->backends.find_by_hash(change.backend);
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -202,6 +202,7 @@
       .field("verdict", to_string(this->run_verdict))
       .field("reason", to_string(why))
       .field("attempts", this->attempt_history)
+      .field("crash_level", this->crash_level)
       .field("forwarded_to", this->tried_peers.empty() ? "" : this->tried_peers.back().str())
       .field("forwarded_from", this->forwarded ? this->forwarded->sender.str() : "")
       .field("took_ms", took.ms)
--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,26 @@
   time_point sent_at;
 };
 
+/// \brief What the ledger made of one crash of a request's server.
+enum class crash_judgement : unsigned char {
+  raised,
+  /// The request has this level already.
+  not_higher,
+  /// Another request that the server had has been at more crashes.
+  bystander,
+  /// The request has been answered since the first of its crashes.
+  answered,
+};
+
+/// \brief Returns the name in the log, such as "not-higher".
+[[nodiscard]] std::string_view to_string(crash_judgement value) noexcept;
+
+/// \brief A crash that this node has seen or heard of.
+struct judged_crash {
+  crash_report crash;
+  crash_judgement judgement{crash_judgement::raised};
+};
+
 /// \brief   The requests that are suspected of crashing backend servers, and those that are quarantined for
 ///          it. Not thread safe.
 ///
@@ -101,6 +122,10 @@
   [[nodiscard]] std::vector<crash_report> take_quarantine_changes() {
     return std::exchange(this->quarantine_changes, {});
   }
+  /// \brief Returns and clears what has been made of crashes since the last call, of requests that have been
+  /// at
+  ///        several; for the log.
+  [[nodiscard]] std::vector<judged_crash> take_judgements() { return std::exchange(this->judgements, {}); }
   /// \brief Returns what a store that has lost the last changes should hold again: the requests that are
   ///        quarantined, and those that have been until an answer or a better explanation (level 0).
   [[nodiscard]] std::vector<crash_report> quarantine_states(time_point now) const;
@@ -111,6 +136,7 @@
   /// The crashed servers of a request that are remembered, so that each counts once.
   static constexpr std::size_t remembered_backends = 8;
   static constexpr std::size_t answer_slots = 4096;
+  static constexpr std::size_t max_judgements = 64;
 
   struct record {
     // 0 if the request was answered, or only at crashes that others explain.
@@ -145,6 +171,8 @@
   /// Counts a crash for a request and raises its level, unless it has been answered since its first crash or
   /// another request explains this crash better. Returns true if other nodes should know.
   bool raise(const crash_report& crashed, time_point now);
+  /// The same without the record for the log.
+  [[nodiscard]] crash_judgement judge(const crash_report& crashed, time_point now);
   /// Records a crash that this node has seen.
   void record_own_crash(const lost_request& lost, std::uint64_t backend, time_point crashed_at,
                         time_point now);
@@ -177,6 +205,8 @@
   std::vector<answer> answers = std::vector<answer>(answer_slots);
   std::vector<crash_report> outgoing;
   std::vector<crash_report> quarantine_changes;
+  // Invariant: at most `max_judgements`.
+  std::vector<judged_crash> judgements;
   time_point next_repetition_at;
   // The request that was repeated last.
   std::uint64_t repeated_last{0};
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -2,6 +2,7 @@
 #include "zinnia/routing/crash_ledger.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace zinnia {
 namespace impl {
@@ -32,9 +33,15 @@
 /// Reports that may wait to be sent.
 constexpr std::size_t max_outgoing = 300;
 
+constexpr std::array<std::string_view, 4> judgement_names{"raised", "not-higher", "bystander", "answered"};
+
 }  // namespace
 }  // namespace impl
 
+std::string_view to_string(crash_judgement value) noexcept {
+  return impl::judgement_names.at(static_cast<std::size_t>(value));
+}
+
 int crash_ledger::level_of(const record& known, duration term, time_point now) noexcept {
   const auto age = now - known.at;
   if (age < term) {
@@ -226,10 +233,21 @@
 }
 
 bool crash_ledger::raise(const crash_report& crashed, time_point now) {
+  const auto judgement = this->judge(crashed, now);
+  const auto known = this->records.find(crashed.request.count());
+  const int crashes = known == this->records.end() ? 0 : known->second.crashes;
+  if (std::max(crashes, crashed.crashes) > 1 && this->judgements.size() < max_judgements) {
+    this->judgements.push_back({crashed, judgement});
+    this->judgements.back().crash.crashes = crashes;
+  }
+  return judgement == crash_judgement::raised;
+}
+
+crash_judgement crash_ledger::judge(const crash_report& crashed, time_point now) {
   const auto at = now - crashed.age;
   const auto first_at = now - crashed.first_age;
   if (this->longest_term <= duration{0} || this->was_answered_since(crashed.request, first_at)) {
-    return false;
+    return crash_judgement::answered;
   }
   const int level = std::min(crashed.level, quarantine_level);
   auto& known = this->find_or_add(crashed.request, now);
@@ -241,7 +259,7 @@
   count_crash(known, crashed);
   if (auto* const known_crash = this->find_or_add_crash(crashed.backend, at, now)) {
     if (known.crashes < known_crash->most_crashes) {
-      return false;
+      return crash_judgement::bystander;
     }
     if (known.crashes > known_crash->most_crashes) {
       known_crash->most_crashes = known.crashes;
@@ -251,7 +269,7 @@
   // A later crash at the same level is not news: nodes would report their different last crashes to each
   // other for ever.
   if (level <= current) {
-    return false;
+    return crash_judgement::not_higher;
   }
   known.first_at = current > 0 ? std::min(known.first_at, first_at) : first_at;
   known.level = level;
@@ -262,7 +280,7 @@
     known.released = false;
     this->quarantine_changes.push_back(make_report(crashed.request, known, now));
   }
-  return true;
+  return crash_judgement::raised;
 }
 
 crash_ledger::record& crash_ledger::find_or_add(request_fingerprint request, time_point now) {
