--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -5,6 +5,7 @@
 
 #include "zinnia/membership/heartbeat_codec.hpp"
 #include "zinnia/membership/member_codec.hpp"
+#include "zinnia/membership/notice_peers.hpp"
 
 using namespace zinnia;
 
@@ -173,6 +174,44 @@
   EXPECT_EQ(peers.at(5).where.domain, near_b.domain);
 }
 
+TEST_F(member_table_test, crash_reports_reach_the_nodes_of_all_regions_although_heartbeats_do_not) {
+  constexpr int node_count = 90;
+  constexpr int region_count = 3;
+  std::map<node_id, member_table> tables;
+  std::map<std::uint16_t, node_id> by_port;
+  for (int i = 0; i < node_count; ++i) {
+    const auto id = "n" + std::to_string(100 + i);
+    tables.emplace(node_id{id}, node_id{id});
+    by_port.emplace(static_cast<std::uint16_t>(i + 1), id);
+  }
+  for (auto& [id, table] : tables) {
+    table.set_own_state(true, false, {});
+    for (const auto& [port, other] : by_port) {
+      const auto region = "r" + std::to_string(port % region_count);
+      auto registered = make_member(other.str(), {failure_domain_id{region + "-a"}, region_id{region}});
+      registered.notice_port = port;
+      table.add(registered, this->now);
+    }
+  }
+  for (const auto& [id, table] : tables) {
+    for (const auto& peer : table.peers()) {
+      tables.at(peer.id).on_heartbeat(make_heartbeat(id.str()), this->now);
+    }
+  }
+  std::vector<node_id> told{tables.begin()->first};
+  std::set<node_id> reached{told.front()};
+  while (!told.empty()) {
+    const auto sender = told.back();
+    told.pop_back();
+    for (const auto& peer : crash_report_peers(tables.at(sender).alive(this->now), sender)) {
+      if (reached.insert(by_port.at(peer.port)).second) {
+        told.push_back(by_port.at(peer.port));
+      }
+    }
+  }
+  EXPECT_EQ(reached.size(), static_cast<std::size_t>(node_count));
+}
+
 TEST(codecs, round_trip_values_and_tolerate_corrupt_input) {
   const auto heartbeat = make_heartbeat("node-1", "run-1");
   const auto decoded = decode_heartbeat(encode_heartbeat(heartbeat));
--- a/packages/routing/tests/crash_ledger_random_test.cpp
+++ b/packages/routing/tests/crash_ledger_random_test.cpp
@@ -1,5 +1,5 @@
 // Random walks over several nodes, each with a ledger of its own: one request crashes every server that runs
-// it, while messages are lost and late, nodes restart and a failure domain loses power.
+// it, while messages are lost and late, nodes restart, and a failure domain loses power or falls silent.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -17,9 +17,12 @@
 constexpr duration step{10};
 /// Nodes may take this long to learn of the third crash.
 constexpr duration settling{3'000};
-constexpr duration crashing_run_time{90};
 constexpr duration usual_run_time{80};
 constexpr duration server_down_time{3'000};
+constexpr duration silence_time{4'000};
+/// Nodes go on sending to a silent server for that long.
+constexpr duration silence_unnoticed{1'000};
+constexpr duration deadline{2'000};
 constexpr request_fingerprint crashing{0};
 constexpr std::size_t server_count = 24;
 constexpr std::size_t domain_count = 6;
@@ -34,6 +37,10 @@
   std::uint64_t lost_percent{0};
   bool restarts{false};
   bool power_losses{false};
+  duration crashing_run_time{90};
+  bool silent_crashes{false};
+  /// How many come at a time.
+  int crashing_burst{1};
 };
 
 class walk {
@@ -87,6 +94,8 @@
     std::uint64_t id{0};
     bool up{true};
     time_point up_at;
+    // While it is silent: until when nodes take it for one that runs.
+    time_point seems_up_until;
     std::size_t attempts{0};
   };
   struct attempt {
@@ -97,6 +106,8 @@
     int number{1};
     time_point ends_at;
     bool lost{false};
+    // The server is silent.
+    bool unanswered{false};
   };
   struct message {
     std::size_t to{0};
@@ -125,9 +136,52 @@
     this->dead_ids.push_back(crashed.id);
     crashed.id = this->next_server_id++;
   }
+  /// The server ends without a word to those who are connected, and nobody can connect to it.
+  void fall_silent(std::size_t index) {
+    auto& silent = this->servers[index];
+    bool had_crashing = false;
+    for (auto& each : this->attempts) {
+      if (each.server_id == silent.id) {
+        had_crashing = had_crashing || each.request.request == crashing;
+        each.unanswered = true;
+        each.ends_at = each.request.sent_at + deadline;
+      }
+    }
+    this->count_crash(had_crashing);
+    silent.up = false;
+    silent.up_at = this->now + silence_time;
+    silent.seems_up_until = this->now + silence_unnoticed;
+  }
+  void count_crash(bool had_crashing) {
+    if (had_crashing && ++this->crashes == 3) {
+      this->third_crash_at = this->now;
+    }
+  }
+  /// The next start of a server that was silent shows that it has crashed.
+  void return_from_silence(server& returned) {
+    this->dead_ids.push_back(returned.id);
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      this->checks.push_back(
+          {i, returned.id, this->now + duration{static_cast<std::int64_t>(this->below(600))}});
+    }
+    returned.id = this->next_server_id++;
+    returned.seems_up_until = {};
+  }
   void inject_faults() {
     for (auto& each : this->servers) {
-      each.up = each.up || this->now >= each.up_at;
+      const bool returns = !each.up && this->now >= each.up_at;
+      if (returns && each.seems_up_until > time_point{}) {
+        this->return_from_silence(each);
+      }
+      each.up = each.up || returns;
+    }
+    if (this->options.silent_crashes && this->below(300) == 0) {
+      const auto domain = this->below(domain_count);
+      for (std::size_t i = domain; i < server_count; i += domain_count) {
+        if (this->servers[i].up) {
+          this->fall_silent(i);
+        }
+      }
     }
     if (this->options.restarts && this->below(150) == 0) {
       auto& restarted = this->nodes[this->below(this->nodes.size())];
@@ -151,7 +205,7 @@
     }
     std::vector<std::size_t> up;
     for (std::size_t i = 0; i < server_count; ++i) {
-      if (this->servers[i].up) {
+      if (this->servers[i].up || this->servers[i].seems_up_until > this->now) {
         up.push_back(i);
       }
     }
@@ -160,22 +214,27 @@
     }
     const auto chosen = up[this->below(up.size())];
     const bool in_touch = this->now - sender.started_at >= settling;
-    if (request == crashing && this->crashes >= 3 && in_touch &&
+    if (request == crashing && this->servers[chosen].up && this->crashes >= 3 && in_touch &&
         this->now - this->third_crash_at > settling) {
       ++this->late_sends;
     }
-    const auto takes = request == crashing ? crashing_run_time : usual_run_time;
+    const auto takes = !this->servers[chosen].up ? deadline
+                       : request == crashing     ? this->options.crashing_run_time
+                                                 : usual_run_time;
     this->attempts.push_back({index,
                               chosen,
                               this->servers[chosen].id,
                               {request, sender.ledger.level(request, term, this->now), this->now},
                               number,
                               this->now + takes + duration{static_cast<std::int64_t>(this->below(60))},
-                              false});
+                              false,
+                              !this->servers[chosen].up});
   }
   void send_requests(int number) {
     if (static_cast<std::uint64_t>(number) % this->options.crashing_every == 0) {
-      this->send(this->below(this->nodes.size()), crashing, 1);
+      for (int i = 0; i < this->options.crashing_burst; ++i) {
+        this->send(this->below(this->nodes.size()), crashing, 1);
+      }
     }
     for (int i = 0; i < 3; ++i) {
       this->send(this->below(this->nodes.size()), request_fingerprint{1 + this->below(innocent_count)}, 1);
@@ -190,12 +249,13 @@
       return each.ends_at <= this->now;
     });
     for (auto& each : ended) {
+      if (each.unanswered) {
+        continue;
+      }
       // Another attempt that ended in this step may have crashed the server.
       each.lost = each.lost || this->servers[each.server].id != each.server_id;
       if (!each.lost && each.request.request == crashing) {
-        if (++this->crashes == 3) {
-          this->third_crash_at = this->now;
-        }
+        this->count_crash(true);
         this->crash(each.server);
         each.lost = true;
       }
@@ -286,7 +346,13 @@
            {"rare, messages lost", {.crashing_every = 250, .lost_percent = 5}},
            {"three nodes, messages lost, restarts", {.nodes = 3, .lost_percent = 10, .restarts = true}},
            {"restarts and power losses",
-            {.crashing_every = 40, .lost_percent = 5, .restarts = true, .power_losses = true}}}) {
+            {.crashing_every = 40, .lost_percent = 5, .restarts = true, .power_losses = true}},
+           {"long runs, servers that fall silent",
+            {.nodes = 12,
+            .crashing_every = 25,
+            .lost_percent = 5,
+            .crashing_run_time = duration{600},
+            .silent_crashes = true}}}) {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
       walk walked{each.options, seed};
       walked.run(steps);
@@ -301,4 +367,23 @@
   }
 }
 
+TEST(crash_ledger_random, a_request_in_bursts_that_crash_several_servers_each_keeps_the_bound) {
+  constexpr int steps = 3'000;
+  constexpr std::uint64_t seeds = 30;
+  for (const int run_time_ms : {90, 600}) {
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+      walk walked{{.nodes = 12,
+                   .crashing_every = 450,
+                   .lost_percent = 5,
+                   .crashing_run_time = duration{run_time_ms},
+                   .crashing_burst = 3},
+                  seed};
+      walked.run(steps);
+      EXPECT_GE(walked.crashes, 3) << run_time_ms << " ms, seed " << seed;
+      EXPECT_LE(walked.late_sends, max_later_sends) << run_time_ms << " ms, seed " << seed;
+      EXPECT_EQ(walked.condemned_innocents, 0) << run_time_ms << " ms, seed " << seed;
+    }
+  }
+}
+
 }  // namespace
