Send crash reports to registered nodes of all regions

Cause: reports went to the nodes that are alive, and a node counts those as alive whose heartbeats arrive. Heartbeats go to the 24 nearest, so from 25 nodes a region on no node of another region is among them. A bounded view was taken for the whole. Change: the receivers are chosen from the registry, as those of the limits of accounts are, 64 at most, by rendezvous; nodes that are told pass rises on, so that all are reached. The list is computed when the registry changes.

--- a/packages/membership/include/zinnia/membership/member_table.hpp
+++ b/packages/membership/include/zinnia/membership/member_table.hpp
@@ -75,6 +75,9 @@
 /// \brief The nodes that are alive and accept requests.
 using live_members = std::map<node_id, member>;
 
+/// \brief The addresses at which nodes take notices.
+using notice_addresses = std::map<node_id, ip_endpoint>;
+
 /// \brief   The registered nodes and the state received from them in heartbeats. Not thread-safe.
 /// \details Liveness is determined by heartbeats alone; the registry only lists the nodes to expect.
 class member_table {
@@ -126,6 +129,10 @@
   /// the
   ///          same registry agree: the share of a node that is only disconnected is not given to others.
   [[nodiscard]] const limit_holders& holders_of_limits();
+  /// \brief Returns where the registered nodes take notices, alive or not.
+  [[nodiscard]] notice_addresses registered_notice_addresses() const;
+  /// \brief Changes whenever a node is registered or removed.
+  [[nodiscard]] std::uint64_t registry_revision() const noexcept { return this->revision; }
   /// \brief Returns the number of registered nodes, alive or not.
   [[nodiscard]] std::size_t registered_count() const noexcept { return this->members.size(); }
 
@@ -160,9 +167,10 @@
   bool self_reaches_backends{true};
   bool self_confirmed{true};
   node_load self_load;
-  // Result of `holders_of_limits` unless the registry has changed since.
+  std::uint64_t revision{1};
+  // Result of `holders_of_limits` as of that revision.
   limit_holders cached_holders;
-  bool registry_changed{true};
+  std::uint64_t holders_revision{0};
   // Serving nodes of each failure domain, as chosen by the last call of `alive`.
   std::map<failure_domain_id, std::set<node_id>> serving_by_domain;
 };
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -33,12 +33,12 @@
     entry.registered_at = now;
   }
   entry.registered = registered;
-  this->registry_changed = true;
+  ++this->revision;
 }
 
 void member_table::remove(const node_id& id) {
   this->members.erase(id);
-  this->registry_changed = true;
+  ++this->revision;
 }
 
 void member_table::on_heartbeat(const node_heartbeat& heartbeat, time_point now) {
@@ -108,7 +108,7 @@
 }
 
 const limit_holders& member_table::holders_of_limits() {
-  if (!std::exchange(this->registry_changed, false)) {
+  if (std::exchange(this->holders_revision, this->revision) == this->revision) {
     return this->cached_holders;
   }
   std::map<failure_domain_id, std::vector<serving_candidate>> candidates;
@@ -320,6 +320,14 @@
   return others;
 }
 
+notice_addresses member_table::registered_notice_addresses() const {
+  notice_addresses addresses;
+  for (const auto& [id, entry] : this->members) {
+    addresses.emplace(id, ip_endpoint{entry.registered.peer_address.ip, entry.registered.notice_port});
+  }
+  return addresses;
+}
+
 std::set<region_id> member_table::regions_with_nodes() const {
   std::set<region_id> regions;
   for (const auto& [id, entry] : this->members) {
--- a/packages/membership/src/notice_peers.cpp
+++ b/packages/membership/src/notice_peers.cpp
@@ -10,13 +10,12 @@
 namespace impl {
 namespace {
 
-[[nodiscard]] std::vector<ip_endpoint> choose_peers(const live_members& alive, const node_id& self,
-                                                    bool only_serving) {
+/// Chooses at most `max_notice_peers` nodes other than `self`.
+[[nodiscard]] std::vector<ip_endpoint> choose_peers(const notice_addresses& nodes, const node_id& self) {
   std::vector<std::pair<std::uint64_t, ip_endpoint>> ranked;
-  for (const auto& [id, known] : alive) {
-    if ((known.serves || !only_serving) && id != self) {
-      ranked.emplace_back(rendezvous_weight(self.str(), id.str()),
-                          ip_endpoint{known.peer_address.ip, known.notice_port});
+  for (const auto& [id, address] : nodes) {
+    if (id != self) {
+      ranked.emplace_back(rendezvous_weight(self.str(), id.str()), address);
     }
   }
   const auto count = std::min(ranked.size(), max_notice_peers);
@@ -33,11 +32,17 @@
 }  // namespace impl
 
 std::vector<ip_endpoint> holder_notice_peers(const live_members& alive, const node_id& self) {
-  return impl::choose_peers(alive, self, true);
+  notice_addresses serving;
+  for (const auto& [id, known] : alive) {
+    if (known.serves) {
+      serving.emplace(id, ip_endpoint{known.peer_address.ip, known.notice_port});
+    }
+  }
+  return impl::choose_peers(serving, self);
 }
 
-std::vector<ip_endpoint> crash_report_peers(const live_members& alive, const node_id& self) {
-  return impl::choose_peers(alive, self, false);
+std::vector<ip_endpoint> crash_report_peers(const notice_addresses& registered, const node_id& self) {
+  return impl::choose_peers(registered, self);
 }
 
 }  // namespace zinnia
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -203,7 +203,7 @@
   while (!told.empty()) {
     const auto sender = told.back();
     told.pop_back();
-    for (const auto& peer : crash_report_peers(tables.at(sender).alive(this->now), sender)) {
+    for (const auto& peer : crash_report_peers(tables.at(sender).registered_notice_addresses(), sender)) {
       if (reached.insert(by_port.at(peer.port)).second) {
         told.push_back(by_port.at(peer.port));
       }
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -36,6 +36,8 @@
   std::size_t registered_count{1};
   /// The holders of limits; none while the node list is incomplete.
   limit_holders holders{};
+  /// The nodes to send crash reports to.
+  std::vector<ip_endpoint> report_peers{};
 
   friend bool operator==(const membership_view&, const membership_view&) = default;
 };
@@ -211,6 +213,9 @@
   std::array<watched_kind, 5> watches;
   snapshot_builder builder;
   member_table members;
+  // As of that revision of the registry.
+  std::vector<ip_endpoint> report_peers;
+  std::uint64_t report_peers_revision{0};
   std::unique_ptr<class quarantine_store> quarantines;
   membership_view published_nodes;
   std::unique_ptr<class load_meter> meter;
--- a/packages/node/src/control_thread_state.cpp
+++ b/packages/node/src/control_thread_state.cpp
@@ -1,8 +1,10 @@
 // What this node holds in force although the store may lack it: told to other nodes, and learned from them.
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "peer_state_exchange.hpp"
+#include "zinnia/membership/notice_peers.hpp"
 #include "zinnia/node/control_thread.hpp"
 #include "zinnia/observe/log.hpp"
 #include "zinnia/store/store_era.hpp"
@@ -18,6 +20,11 @@
 membership_view control_thread::view_of_nodes(time_point now) {
   membership_view nodes{this->members.alive(now), this->members.regions_with_nodes(),
                         std::max<std::size_t>(this->members.registered_count(), 1)};
+  const auto revision = this->members.registry_revision();
+  if (std::exchange(this->report_peers_revision, revision) != revision) {
+    this->report_peers = crash_report_peers(this->members.registered_notice_addresses(), this->self.id);
+  }
+  nodes.report_peers = this->report_peers;
   // Shares computed from a part of the nodes would be too large.
   if (this->node_watch().feed.is_complete()) {
     nodes.holders = this->members.holders_of_limits();
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -196,8 +196,7 @@
   handlers.on_nodes = [this](const membership_view& nodes) {
     boost::asio::post(this->context, [this, nodes] {
       this->alive = nodes.alive;
-      this->notices.set_peers(holder_notice_peers(this->alive, this->settings.node),
-                              crash_report_peers(this->alive, this->settings.node));
+      this->notices.set_peers(holder_notice_peers(this->alive, this->settings.node), nodes.report_peers);
       std::map<node_id, location> serving;
       for (const auto& [id, known] : this->alive) {
         if (known.serves) {
