Quarantine a request at a crash long after a burst in which it crashed several servers

Cause: a level is one crash in succession. All crashes that come before the first one is known are one level, so that servers which lose power together condemn no request; a request that comes several at a time, and then not for seconds, so crashes several servers for each level. The class: evidence that is discounted as a coincidence stays discounted when it comes again. Change: a request at level two that has been at three crashed servers, the first 3 s ago or more, is quarantined at once. The ledger's reports and the names of judgements move to files of their own, unchanged.

--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -6,11 +6,11 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/routing/crash_judgement.hpp"
 #include "zinnia/routing/crash_report.hpp"
 
 namespace zinnia {
@@ -23,26 +23,6 @@
   time_point sent_at;
 };
 
-/// \brief What the ledger made of one crash of a request's server.
-enum class crash_judgement : unsigned char {
-  raised,
-  /// The request has this level already.
-  not_higher,
-  /// Another request that the server had has been at more crashes.
-  bystander,
-  /// The request has been answered since the first of its crashes.
-  answered,
-};
-
-/// \brief Returns the name in the log, such as "not-higher".
-[[nodiscard]] std::string_view to_string(crash_judgement value) noexcept;
-
-/// \brief A crash that this node has seen or heard of.
-struct judged_crash {
-  crash_report crash;
-  crash_judgement judgement{crash_judgement::raised};
-};
-
 /// \brief   The requests that are suspected of crashing backend servers, and those that are quarantined for
 ///          it. Not thread safe.
 ///
@@ -50,10 +30,12 @@
 ///          sent when the crash before was known. So servers that crash at the same moment, as when a failure
 ///          domain loses power, raise the requests that they had by one level, however many they were. Of the
 ///          requests that a crashed server had, only those that have been at the most crashes are raised; the
-///          others are bystanders. A request that any server answers after the first of its crashes is not
-///          suspected any more. At `quarantine_level` a request is quarantined: it is refused for a term
-///          after its last crash. For another term, one more crash quarantines it again; then it is
-///          forgotten.
+///          others are bystanders. A request at level two that has been at three crashed servers, the first
+///          of them long ago, is raised to the third level as well: crashes that come before the first one is
+///          known would otherwise let it crash several servers for each level. A request that any server
+///          answers after the first of its crashes is not suspected any more. At `quarantine_level` a request
+///          is quarantined: it is refused for a term after its last crash. For another term, one more crash
+///          quarantines it again; then it is forgotten.
 ///
 ///          Nodes exchange reports. Merging takes the higher level, so that reports may be lost, repeated or
 ///          come in any order; a node that knows of an answer objects. Reports are repeated to a few nodes at
@@ -137,6 +119,9 @@
   static constexpr std::size_t remembered_backends = 8;
   static constexpr std::size_t answer_slots = 4096;
   static constexpr std::size_t max_judgements = 64;
+  /// Times in reports seem later by their delay: the longest one-way delay, and the time that reports wait to
+  /// be sent and read.
+  static constexpr duration report_delay{300};
 
   struct record {
     // 0 if the request was answered, or only at crashes that others explain.
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -1,8 +1,7 @@
-// Records of suspected requests, unconfirmed crashes and reports.
+// Records of suspected requests, and crashes that are not confirmed yet.
 #include "zinnia/routing/crash_ledger.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace zinnia {
 namespace impl {
@@ -19,29 +18,14 @@
 /// Reports of the same server's crash that are this far apart concern the same crash. A server needs longer
 /// to start again and get requests.
 constexpr duration same_crash_tolerance{1000};
-/// Times in reports seem later by their delay: the longest one-way delay, and the time that reports wait to
-/// be sent and read.
-constexpr duration report_delay{300};
+/// Servers that crash together, as in a failure domain that loses power, are all noticed within this time. A
+/// request that was at several of them is not suspected more than one that was at one; a later crash tells.
+constexpr duration separate_crashes{3000};
 constexpr std::size_t max_crashes = 4096;
-/// How long a report is repeated while it does not quarantine a request.
-constexpr duration repetition_time{5000};
-constexpr duration repetition_period{1000};
-constexpr duration one_second{1000};
-/// Reports of other nodes' first crashes that are forwarded in a second. Most concern bystanders, and a
-/// failure domain that loses power has thousands of them.
-constexpr int max_forwarded_per_second = 30;
-/// Reports that may wait to be sent.
-constexpr std::size_t max_outgoing = 300;
-
-constexpr std::array<std::string_view, 4> judgement_names{"raised", "not-higher", "bystander", "answered"};
 
 }  // namespace
 }  // namespace impl
 
-std::string_view to_string(crash_judgement value) noexcept {
-  return impl::judgement_names.at(static_cast<std::size_t>(value));
-}
-
 int crash_ledger::level_of(const record& known, duration term, time_point now) noexcept {
   const auto age = now - known.at;
   if (age < term) {
@@ -148,7 +132,7 @@
 bool crash_ledger::clear(request_fingerprint request, time_point answered_at) {
   const auto found = this->records.find(request.count());
   if (found == this->records.end() || found->second.level == 0 ||
-      found->second.first_at > answered_at + impl::report_delay) {
+      found->second.first_at > answered_at + report_delay) {
     return false;
   }
   const bool was_quarantined = found->second.level >= quarantine_level;
@@ -249,7 +233,6 @@
   if (this->longest_term <= duration{0} || this->was_answered_since(crashed.request, first_at)) {
     return crash_judgement::answered;
   }
-  const int level = std::min(crashed.level, quarantine_level);
   auto& known = this->find_or_add(crashed.request, now);
   const int current = level_of(known, this->longest_term, now);
   if (current == 0) {
@@ -266,12 +249,17 @@
       this->lower_bystanders(crashed.backend, known.crashes);
     }
   }
+  const auto known_since = current > 0 ? std::min(known.first_at, first_at) : first_at;
+  const bool crashed_several_again = std::max(crashed.level, current) > 1 &&
+                                     known.crashes >= quarantine_level &&
+                                     at - known_since >= impl::separate_crashes;
+  const int level = crashed_several_again ? quarantine_level : std::min(crashed.level, quarantine_level);
   // A later crash at the same level is not news: nodes would report their different last crashes to each
   // other for ever.
   if (level <= current) {
     return crash_judgement::not_higher;
   }
-  known.first_at = current > 0 ? std::min(known.first_at, first_at) : first_at;
+  known.first_at = known_since;
   known.level = level;
   known.answered = false;
   known.backend = crashed.backend;
@@ -298,98 +286,6 @@
   return this->records[request.count()];
 }
 
-crash_report crash_ledger::make_report(request_fingerprint request, const record& known,
-                                       time_point now) noexcept {
-  return {request, known.backend, known.level, known.crashes, now - known.at, now - known.first_at};
-}
-
-void crash_ledger::report_to_others(request_fingerprint request, time_point now) {
-  const auto found = this->records.find(request.count());
-  if (found == this->records.end() || (found->second.level == 0 && !found->second.answered)) {
-    return;
-  }
-  if (this->outgoing.size() < impl::max_outgoing || found->second.level >= quarantine_level) {
-    this->outgoing.push_back(make_report(request, found->second, now));
-  }
-}
-
-bool crash_ledger::may_forward(int level_reported, time_point now) {
-  if (level_reported > 1) {
-    return true;
-  }
-  if (now - this->forwarding_since >= impl::one_second) {
-    this->forwarding_since = now;
-    this->forwarded_in_second = 0;
-  }
-  return ++this->forwarded_in_second <= impl::max_forwarded_per_second;
-}
-
-void crash_ledger::apply(const crash_report& report, time_point now) {
-  if (report.level == 0) {
-    const int previous = this->level(report.request, this->longest_term, now);
-    if (this->clear(report.request, now - report.age) && this->may_forward(previous, now)) {
-      this->report_to_others(report.request, now);
-    }
-  } else if (this->was_answered_since(report.request, now - report.first_age - impl::report_delay)) {
-    this->object(report.request, now);
-  } else if (this->raise(report, now) && this->may_forward(report.level, now)) {
-    this->report_to_others(report.request, now);
-  }
-}
-
-void crash_ledger::object(request_fingerprint request, time_point now) {
-  const auto& latest = this->answers[request.count() % answer_slots];
-  if (latest.request == request && latest.at > time_point{}) {
-    auto& known = this->find_or_add(request, now);
-    if (!known.answered || known.at < latest.at) {
-      known = {0, true, 0, latest.at, latest.at, 0, {}, known.released};
-    }
-  }
-  if (this->may_forward(0, now)) {
-    this->report_to_others(request, now);
-  }
-}
-
-std::vector<crash_report> crash_ledger::reports_to_repeat(std::size_t max_count, time_point now) {
-  if (this->records.empty() || now < this->next_repetition_at) {
-    return {};
-  }
-  this->next_repetition_at = now + impl::repetition_period;
-  absl::erase_if(this->records,
-                 [&](const auto& each) { return now - each.second.at >= this->longest_term * 2; });
-  std::vector<crash_report> reports;
-  for (const auto& [request, known] : this->records) {
-    const bool is_recent = (known.level > 0 || known.answered) && now - known.at < impl::repetition_time;
-    if (is_recent || level_of(known, this->longest_term, now) >= quarantine_level) {
-      reports.push_back(make_report(request_fingerprint{request}, known, now));
-    }
-  }
-  // Each time those that follow the last one repeated, so that all have their turn.
-  const auto distance = [this](const crash_report& each) {
-    return each.request.count() - this->repeated_last - 1;
-  };
-  std::sort(reports.begin(), reports.end(),
-            [&](const auto& a, const auto& b) { return distance(a) < distance(b); });
-  reports.resize(std::min(reports.size(), max_count));
-  if (!reports.empty()) {
-    this->repeated_last = reports.back().request.count();
-  }
-  return reports;
-}
-
-std::vector<crash_report> crash_ledger::quarantine_states(time_point now) const {
-  std::vector<crash_report> states;
-  for (const auto& [fingerprint, known] : this->records) {
-    const request_fingerprint request{fingerprint};
-    if (level_of(known, this->longest_term, now) >= quarantine_level) {
-      states.push_back(make_report(request, known, now));
-    } else if (known.released) {
-      states.push_back({request});
-    }
-  }
-  return states;
-}
-
 std::size_t crash_ledger::count_from_level(int min_level, time_point now) const noexcept {
   return static_cast<std::size_t>(std::count_if(
       this->records.begin(), this->records.end(),
--- a/packages/routing/tests/crash_ledger_test.cpp
+++ b/packages/routing/tests/crash_ledger_test.cpp
@@ -127,6 +127,27 @@
   EXPECT_EQ(this->ledger.count_from_level(2, this->now), 0U);
 }
 
+TEST_F(crash_ledger_test, quarantines_a_request_at_a_crash_long_after_a_burst_that_crashed_several_servers) {
+  const auto burst = this->sent_now(crashing);
+  this->crash(1, {burst, this->sent_now(innocent)});
+  this->crash(2, {burst});
+  this->crash(3, {burst});
+  EXPECT_EQ(this->level(crashing), 1);
+  this->advance(4000);
+  this->crash(4, {this->sent_now(crashing), this->sent_now(innocent)});
+  EXPECT_TRUE(this->is_quarantined(crashing));
+  EXPECT_EQ(this->level(innocent), 1);
+}
+
+TEST_F(crash_ledger_test, does_not_quarantine_the_requests_of_servers_that_crash_together_at_the_next_crash) {
+  const auto burst = this->sent_now(innocent);
+  for (std::uint64_t backend = 1; backend <= 4; ++backend) {
+    this->crash(backend, {burst});
+  }
+  this->crash(5, {this->sent_now(innocent)});
+  EXPECT_EQ(this->level(innocent), 2);
+}
+
 TEST_F(crash_ledger_test, does_not_raise_the_bystanders_of_a_request_that_explains_the_crash) {
   this->crash(1, {this->sent_now(crashing), this->sent_now(innocent)});
   EXPECT_EQ(this->level(crashing), 1);
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -190,6 +190,10 @@
   's/ body};/ ""};/' "requests with other bodies are the same"
 mutate test_routing packages/routing/src/link_monitor.cpp \
   's/max_more_rounds = 3;/max_more_rounds = 0;/' "three crashed servers are taken for lost links"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/crashed_several_again ? quarantine_level/false ? quarantine_level/' "bursts of crashes count once however late"
+mutate test_routing packages/routing/src/crash_ledger.cpp \
+  's/at - known_since >= impl::separate_crashes/true/' "servers that crash together quarantine their requests at the next crash"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
   's/      this->hold(backend, lost, now);/      ;/' "requests lost with the links are forgotten"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
@@ -200,7 +204,7 @@
   's/  const int level_before = .*/  const int level_before = this->level(lost.request, this->longest_term, now);/' "servers that crash together count one after the other"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
   's/  if (this->clear(request, now)) {/  if (false) {/' "an answer clears nothing"
-mutate test_routing packages/routing/src/crash_ledger.cpp \
+mutate test_routing packages/routing/src/crash_ledger_reports.cpp \
   's/    this->object(report.request, now);/    ;/' "a node that knows of an answer does not object"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
   's/  return age < term \* 2 \&\& known.level >= quarantine_level ? quarantine_level - 1 : 0;/  return 0;/' "a quarantine that has ended is forgotten at once"
@@ -262,7 +266,7 @@
   's/std::max(this->end_version, change.object.version), now/this->end_version, now/' "relay: a later page of a list is passed over"
 mutate test_store packages/store/src/change_log.cpp \
   's/if (named\[i\] != known\[i\])/if (false)/' "relay: a late reply is applied"
-mutate test_routing packages/routing/src/crash_ledger.cpp \
+mutate test_routing packages/routing/src/crash_ledger_reports.cpp \
   's/} else if (known.released) {/} else if (false) {/' "a released request stays quarantined in a restored store"
 mutate test_gateway packages/gateway/src/gateway.cpp \
   's/writer->first == this->options.self/true/' "all nodes write a quarantine to a restored store"
