Count requests given up at a server that crashed without closing connections

Cause: a crash was seen only by a reset and a refused connection while the request was there. At a silent server a request ends at its deadline, and counted for nothing when the server was found crashed at its return, seconds later. The class: evidence that is dropped with the call that it belongs to. Change: a request that is given up at a server which has been silent for 300 ms is remembered for 10 s from when it was sent. A response of the server, a health check or an answer to the request clears it; the server's crash counts for it.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -179,6 +179,8 @@
   void reassign_waiting(const std::vector<wait_ticket>& tickets);
   /// Records that a request's connection ended without a response, and checks if the server has crashed.
   void on_request_lost(backend_state& backend, const lost_request& lost);
+  /// Records that a request was given up although the server had sent no part of a response for some time.
+  void on_request_given_up(const backend_state& backend, const lost_request& lost);
   /// Records that no process listens at the server's address. If it had requests, they are suspected only
   /// once another server has shown that this node's links are up.
   void on_backend_refused(backend_state& backend);
--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -49,6 +49,15 @@
   this->publish_crashes(true);
 }
 
+void gateway::on_request_given_up(const backend_state& backend, const lost_request& lost) {
+  const auto now = this->clock.now();
+  if (this->has_link_trouble()) {
+    this->crashes.hold(backend.hash(), lost, now);
+  } else {
+    this->crashes.on_given_up(backend.hash(), lost, now);
+  }
+}
+
 void gateway::on_backend_refused(backend_state& backend) {
   if (this->has_link_trouble()) {
     return;
@@ -65,7 +74,7 @@
     return;
   }
   backend.suspend_until_checked(now);
-  const bool has_requests = this->crashes.awaits_confirmation(backend.hash(), now) || backend.in_flight() > 0;
+  const bool has_requests = this->crashes.has_lost_requests(backend.hash(), now) || backend.in_flight() > 0;
   if (!has_requests || !others_can_be_asked) {
     this->on_backend_crashed(backend.hash(), now);
     return;
@@ -81,7 +90,7 @@
 }
 
 void gateway::on_backend_crashed(std::uint64_t backend, time_point noticed_at) {
-  if (this->crashes.awaits_confirmation(backend, noticed_at)) {
+  if (this->crashes.has_lost_requests(backend, noticed_at)) {
     this->counts.add(counter::backend_crashes);
     const auto crashed = this->backends.find_by_hash(backend);
     log_line{log_level::warn, "backend_crashed"}.field(
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -215,6 +215,7 @@
     return;
   }
   this->owner.links.on_life(this->owner.clock.now());
+  this->owner.crashes.on_response(this->decision.target->hash());
   if (this->connection->connect_time()) {
     this->owner.links.on_connected();
   }
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -22,6 +22,9 @@
 /// Largest Retry-After as a fraction of the request's remaining time; callers ignore longer waits.
 constexpr double max_retry_after_fraction = 0.3;
 
+/// A server that has sent no part of a response for that long may have crashed without closing connections.
+constexpr duration silence_of_crashed{300};
+
 constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
 
@@ -151,6 +154,9 @@
     return;
   }
   const auto target = this->decision.target;
+  if (this->connection->is_silent(impl::silence_of_crashed, this->owner.clock.now())) {
+    this->owner.on_request_given_up(*target, {this->fingerprint, this->crash_level, this->sent_at});
+  }
   this->connection->cancel();
   this->owner.release_connection(*target, std::exchange(this->connection, nullptr));
   target->on_abandoned();
--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -315,6 +315,36 @@
   }
 }
 
+TEST_F(crashing_request, is_suspected_if_it_is_given_up_at_a_server_that_turns_out_to_have_crashed) {
+  std::atomic<bool> given_up{false};
+  const auto first_is_silent_and_crashes = [&](int) {
+    if (this->arrived++ > 0) {
+      return good_response();
+    }
+    while (!given_up) {
+      std::this_thread::yield();
+    }
+    return crash_response();
+  };
+  this->add_server(first_is_silent_and_crashes);
+  this->add_server(first_is_silent_and_crashes);
+  this->start(request_kind::unsafe);
+  raw_tcp_client client{this->nodes[0]->port};
+  client.send(
+      "POST /x/1 HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 600\r\nConnection: close\r\nContent-Length: "
+      "0\r\n\r\n");
+  EXPECT_TRUE(client.read_all(10'000).starts_with("HTTP/1.1 504"));
+  given_up = true;
+  const auto suspected = [&] {
+    return this->on_nodes_thread([&] { return gauge_value(*this->nodes[0], "zinnia_requests_suspected"); });
+  };
+  for (int number = 0; number < 200 && suspected() == 0; ++number) {
+    static_cast<void>(this->send_request("POST", number));
+    this->settle();
+  }
+  EXPECT_EQ(suspected(), 1);
+}
+
 TEST_F(crashing_request, is_not_suspected_if_the_server_only_drops_connections) {
   this->clock = &this->stopped;
   this->add_server([](int) { return scripted_response{"", false, 0, true}; });
--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -61,6 +61,9 @@
   /// \brief Records that a request's connection to a backend server ended without a response. The request is
   ///        suspected if the server turns out to have crashed within a few seconds.
   void on_lost(std::uint64_t backend, const lost_request& lost, time_point now);
+  /// \brief Records that a request was given up although no part of a response had arrived. The request is
+  ///        suspected if the server turns out to have crashed and has shown no sign of life before.
+  void on_given_up(std::uint64_t backend, const lost_request& lost, time_point now);
   /// \brief Records that a backend server answered a request.
   void on_answered(request_fingerprint request, time_point now);
   /// \}
@@ -69,7 +72,11 @@
   /// \{
   /// \brief Returns true if the server has lost requests and it is not known yet if it has crashed.
   [[nodiscard]] bool awaits_confirmation(std::uint64_t backend, time_point now) const noexcept;
-  /// \brief Returns the number of such servers.
+  /// \brief Returns true if requests were lost at the server or given up, so that its crash would count.
+  [[nodiscard]] bool has_lost_requests(std::uint64_t backend, time_point now) const noexcept {
+    return this->given_up.contains(backend) || this->awaits_confirmation(backend, now);
+  }
+  /// \brief Returns the number of servers that await confirmation.
   [[nodiscard]] std::size_t unconfirmed_count(time_point now) const noexcept;
   /// \brief Records that no process listens at the server's address.
   void on_crashed(std::uint64_t backend, time_point now);
@@ -77,7 +84,10 @@
   void on_alive(std::uint64_t backend) {
     this->unconfirmed.erase(backend);
     this->held.erase(backend);
+    this->given_up.erase(backend);
   }
+  /// \brief Records that a response of the server has begun: it ran when requests were given up before.
+  void on_response(std::uint64_t backend) { this->given_up.erase(backend); }
   /// \brief Sets the lost requests of all servers aside: this node cannot tell now if its links failed or the
   ///        servers.
   void on_links_lost(time_point now);
@@ -149,7 +159,13 @@
     request_fingerprint request;
     time_point at;
   };
+  /// By server.
+  using lost_requests = absl::flat_hash_map<std::uint64_t, std::vector<lost_request>>;
 
+  /// Adds a request that is not too old, and drops those that are.
+  static void keep(lost_requests& kept, std::uint64_t backend, const lost_request& lost, time_point now);
+  /// Drops the servers all of whose requests are too old.
+  static void drop_expired(lost_requests& kept, time_point now);
   [[nodiscard]] static int level_of(const record& known, duration term, time_point now) noexcept;
   /// Counts the crash of a server for a request that it had.
   static void count_crash(record& known, const crash_report& crashed);
@@ -181,8 +197,10 @@
   absl::flat_hash_map<std::uint64_t, record> records;
   // Requests lost by servers that may have crashed, by server, with the times at which that was noticed.
   absl::flat_hash_map<std::uint64_t, std::vector<std::pair<lost_request, time_point>>> unconfirmed;
-  // Requests lost by servers while this node's links may have failed, by server.
-  absl::flat_hash_map<std::uint64_t, std::vector<lost_request>> held;
+  // Requests lost by servers while this node's links may have failed.
+  lost_requests held;
+  // Requests given up at servers that have been silent since.
+  lost_requests given_up;
   // Recent crashes by server.
   absl::flat_hash_map<std::uint64_t, crash> crashes;
   // The latest answers, each at the position that its fingerprint determines. A node often learns of a crash
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -64,24 +64,43 @@
   }
 }
 
-void crash_ledger::hold(std::uint64_t backend, const lost_request& lost, time_point now) {
-  auto& waiting = this->held[backend];
+void crash_ledger::keep(lost_requests& kept, std::uint64_t backend, const lost_request& lost,
+                        time_point now) {
+  auto& waiting = kept[backend];
   std::erase_if(waiting, [now](const auto& old) { return now - old.sent_at >= impl::max_holding_time; });
   if (waiting.size() < impl::max_lost_per_backend) {
     waiting.push_back(lost);
   }
 }
 
-void crash_ledger::on_links_lost(time_point now) {
-  absl::erase_if(this->held, [now](const auto& each) {
+void crash_ledger::drop_expired(lost_requests& kept, time_point now) {
+  absl::erase_if(kept, [now](const auto& each) {
     return std::none_of(each.second.begin(), each.second.end(),
                         [now](const auto& lost) { return now - lost.sent_at < impl::max_holding_time; });
   });
+}
+
+void crash_ledger::hold(std::uint64_t backend, const lost_request& lost, time_point now) {
+  keep(this->held, backend, lost, now);
+}
+
+void crash_ledger::on_given_up(std::uint64_t backend, const lost_request& lost, time_point now) {
+  drop_expired(this->given_up, now);
+  keep(this->given_up, backend, lost, now);
+}
+
+void crash_ledger::on_links_lost(time_point now) {
+  drop_expired(this->held, now);
   for (const auto& [backend, waiting] : std::exchange(this->unconfirmed, {})) {
     for (const auto& [lost, noticed_at] : waiting) {
       this->hold(backend, lost, now);
     }
   }
+  for (const auto& [backend, waiting] : std::exchange(this->given_up, {})) {
+    for (const auto& lost : waiting) {
+      this->hold(backend, lost, now);
+    }
+  }
 }
 
 std::vector<std::uint64_t> crash_ledger::on_links_regained(time_point now) {
@@ -120,8 +139,10 @@
   for (auto& [backend, waiting] : this->unconfirmed) {
     std::erase_if(waiting, [request](const auto& each) { return each.first.request == request; });
   }
-  for (auto& [backend, waiting] : this->held) {
-    std::erase_if(waiting, [request](const auto& each) { return each.request == request; });
+  for (auto* const kept : {&this->held, &this->given_up}) {
+    for (auto& [backend, waiting] : *kept) {
+      std::erase_if(waiting, [request](const auto& each) { return each.request == request; });
+    }
   }
   this->answers[request.count() % answer_slots] = {request, now};
   if (this->clear(request, now)) {
@@ -166,11 +187,18 @@
 
 void crash_ledger::on_crashed(std::uint64_t backend, time_point now) {
   static_cast<void>(this->find_or_add_crash(backend, now, now));
-  if (!this->awaits_confirmation(backend, now)) {
-    return;
+  std::vector<lost_request> lost;
+  if (this->awaits_confirmation(backend, now)) {
+    const auto waiting = this->unconfirmed.extract(backend);
+    for (const auto& [request, lost_at] : waiting.mapped()) {
+      lost.push_back(request);
+    }
+  }
+  drop_expired(this->given_up, now);
+  if (const auto kept = this->given_up.extract(backend)) {
+    lost.insert(lost.end(), kept.mapped().begin(), kept.mapped().end());
   }
-  const auto lost = std::move(this->unconfirmed.extract(backend).mapped());
-  for (const auto& [request, lost_at] : lost) {
+  for (const auto& request : lost) {
     this->record_own_crash(request, backend, now, now);
   }
 }
@@ -219,10 +247,10 @@
 bool crash_ledger::raise(const crash_report& crashed, time_point now) {
   const auto judgement = this->judge(crashed, now);
   const auto known = this->records.find(crashed.request.count());
-  const int crashes = known == this->records.end() ? 0 : known->second.crashes;
-  if (std::max(crashes, crashed.crashes) > 1 && this->judgements.size() < max_judgements) {
+  const int crash_count = known == this->records.end() ? 0 : known->second.crashes;
+  if (std::max(crash_count, crashed.crashes) > 1 && this->judgements.size() < max_judgements) {
     this->judgements.push_back({crashed, judgement});
-    this->judgements.back().crash.crashes = crashes;
+    this->judgements.back().crash.crashes = crash_count;
   }
   return judgement == crash_judgement::raised;
 }
--- a/packages/routing/tests/crash_ledger_random_test.cpp
+++ b/packages/routing/tests/crash_ledger_random_test.cpp
@@ -250,6 +250,8 @@
     });
     for (auto& each : ended) {
       if (each.unanswered) {
+        ++this->lost_requests;
+        this->nodes[each.node].ledger.on_given_up(each.server_id, each.request, this->now);
         continue;
       }
       // Another attempt that ended in this step may have crashed the server.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -154,6 +154,8 @@
   's/  if (this->phase == connection_phase::open) {/  if (true) {/' "a caller that sends keeps a finished connection open"
 mutate test_http packages/http/src/caller_connection.cpp \
   's/return this->write_active || unacknowledged_bytes.*/return false;/' "a stop does not wait for responses being read"
+mutate test_gateway packages/gateway/src/request_flow_end.cpp \
+  's/    this->owner.on_request_given_up(.*/    ;/' "requests given up at a server that has crashed do not count"
 mutate test_gateway packages/gateway/src/request_flow_end.cpp \
   's/this->committed \&\& this->exchange->has_unsent_output()/false/' "a response is cut at the timeout while its caller reads"
 mutate test_gateway packages/gateway/src/gateway.cpp \
