Repeat a request only once it is known if its server has crashed

Cause: the retry after a lost connection was sent at once, while the check of the server was still on its way. The class: an action is repeated before the evidence of the first time is in.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -187,6 +187,10 @@
   /// True if a connection to the server is open that is idle or has not been silent for long. The process has
   /// not ended then, even if new connections are refused.
   [[nodiscard]] bool has_open_connection(const backend_state& backend) const;
+  /// True if the server has lost requests and nothing tells yet if it has crashed.
+  [[nodiscard]] bool is_crash_undecided(const backend_state& backend) const;
+  /// Places requests again that waited for the news that a server has crashed.
+  void resume_held_retries();
   /// Records that the server has crashed.
   void on_backend_crashed(std::uint64_t backend, time_point noticed_at);
   /// Judges the servers that were found refusing before the links were shown to be up.
@@ -246,6 +250,8 @@
   // Health checks in progress.
   std::map<backend_id, std::unique_ptr<health_check>> health_checks;
   wait_ticket next_ticket{1};
+  // Requests that wait to be repeated.
+  std::vector<wait_ticket> held_retries;
   recent_records records;
   // Bytes of the bodies of all requests in flight. Invariant: at most `max_buffered_body_bytes`.
   std::size_t buffered_body_bytes{0};
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -279,6 +279,7 @@
     }
   }
   this->update_links();
+  this->resume_held_retries();
   this->forward_stranded_requests();
   this->start_health_checks();
   this->serve_waiting_for_tokens();
--- a/packages/gateway/src/gateway_links.cpp
+++ b/packages/gateway/src/gateway_links.cpp
@@ -89,6 +89,25 @@
   return pool != this->pools.end() && pool->second->has_established(impl::max_silence_of_open);
 }
 
+bool gateway::is_crash_undecided(const backend_state& backend) const {
+  const auto check = this->health_checks.find(backend.declared().id);
+  const bool listens =
+      check != this->health_checks.end() && check->second != nullptr && check->second->is_connected();
+  return !listens && this->crashes.awaits_confirmation(backend.hash(), this->clock.now());
+}
+
+void gateway::resume_held_retries() {
+  for (const auto held : std::exchange(this->held_retries, {})) {
+    const auto found = this->flows.find(held);
+    if (found != this->flows.end()) {
+      const auto kept_alive = found->second;
+      if (!kept_alive->try_resume_retry()) {
+        this->held_retries.push_back(held);
+      }
+    }
+  }
+}
+
 void gateway::on_backend_crashed(std::uint64_t backend, time_point noticed_at) {
   if (this->crashes.has_lost_requests(backend, noticed_at)) {
     this->counts.add(counter::backend_crashes);
--- a/packages/gateway/src/health_check.cpp
+++ b/packages/gateway/src/health_check.cpp
@@ -69,6 +69,7 @@
 void health_check::on_end(const backend_call_result& end) {
   this->finish(this->healthy && end.complete);
   this->report_crash_state(end);
+  this->owner.resume_held_retries();
 }
 
 void health_check::report_crash_state(const backend_call_result& end) {
--- a/packages/gateway/src/health_check.hpp
+++ b/packages/gateway/src/health_check.hpp
@@ -22,6 +22,8 @@
   health_check(health_check&&) = delete;
   health_check& operator=(health_check&&) = delete;
 
+  /// \brief True if a process listens at the server's address.
+  [[nodiscard]] bool is_connected() const noexcept { return this->connection->is_established(); }
   void on_head(const response_head& head) override;
   void on_body(std::string_view /*piece*/) override {}
   void on_end(const backend_call_result& end) override;
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -17,10 +17,6 @@
 /// Bytes of a response body that are held back before the first are forwarded. Until then, a response that
 /// breaks off can be replaced by another server's.
 constexpr std::size_t max_held_response_bytes = 64 << 10;
-/// A request is retried after up to this many failed connects, which do not count as attempts.
-constexpr int max_connect_failures = 2;
-/// The same while the links are in doubt: a server to which a connection is open may be among the next ones.
-constexpr int max_blocked_connects = 16;
 /// Time in ms that a queued request waits beyond the expected wait before it is placed again.
 constexpr duration overdue_slack{40};
 
@@ -349,7 +345,7 @@
     this->close(this->response.status, attempt.failure_reason);
   } else if (attempt.can_retry && !this->committed && this->try_retry(attempt)) {
     this->owner.counts.record_retry(attempt.failure_reason);
-    this->place_request();
+    this->retry();
   } else if (end.complete && attempt.can_forward) {
     this->forward_response();
     this->close(this->response.status, attempt.failure_reason);
@@ -375,24 +371,4 @@
   this->owner.links.on_ended(backend, now);
 }
 
-bool request_flow::try_retry(const attempt_result& attempt) {
-  if (this->run_verdict != verdict::did_not_run && !this->idempotent) {
-    return false;
-  }
-  if (attempt.outcome == backend_outcome::no_response && this->crash_level > 0) {
-    // The request has been at two servers, one after the other, when they crashed.
-    return false;
-  }
-  this->tried_backends.push_back(this->decision.target->declared().id);
-  const auto now = this->owner.clock.now();
-  if (attempt.outcome == backend_outcome::unreachable) {
-    const int max_failures = this->owner.links.state() == link_condition::up ? impl::max_connect_failures
-                                                                             : impl::max_blocked_connects;
-    return this->connect_failures <= max_failures || this->owner.links.is_lost(now);
-  }
-  return this->sent_count < this->max_attempts && now < this->deadline &&
-         this->owner.retry_limiters[this->service].try_consume(
-             this->owner.options.retry_budget, static_cast<int>(this->owner.nodes.registered_count), now);
-}
-
 }  // namespace zinnia
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -46,8 +46,11 @@
   /// \brief Returns the request if it is at that server and no part of a response has arrived.
   [[nodiscard]] std::optional<lost_request> unanswered_at(std::uint64_t backend) const;
   [[nodiscard]] bool is_waiting(request_fingerprint request) const noexcept {
-    return this->queued && this->fingerprint == request;
+    return (this->queued || this->retry_held_until) && this->fingerprint == request;
   }
+  /// \brief  Places a request again that waits to be repeated, if it need not wait any longer.
+  /// \return False if it still waits.
+  [[nodiscard]] bool try_resume_retry();
 
   /// \brief  Places the request if its account has a token for it now, or ends it once it has waited too
   /// long. \return False if it still waits.
@@ -98,6 +101,9 @@
   /// Returns true if the request may be sent again. Takes the retry from the budget, except after a failed
   /// connect.
   [[nodiscard]] bool try_retry(const attempt_result& attempt);
+  /// Places the request again, once it is known if its server has crashed: each crash should count before the
+  /// request can cause the next one.
+  void retry();
   /// Starts forwarding the response; from then on it cannot be replaced by another.
   void commit();
   /// Forwards what is left of a complete response and ends it.
@@ -171,6 +177,8 @@
   // The request has taken a token of its account.
   bool has_token{false};
   bool queued{false};
+  // Set while the request waits to be repeated.
+  std::optional<time_point> retry_held_until;
   bool closed{false};
   time_point placed_at;
   time_point sent_at;
--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -197,6 +197,16 @@
   EXPECT_NE(last.find("Retry-After: "), std::string::npos) << last;
 }
 
+TEST_F(crashing_request, that_is_repeated_at_once_crashes_no_second_server_for_the_same_level) {
+  this->add_servers_that_crash();
+  this->start(request_kind::safe);
+  for (int number = 0; number < server_count; ++number) {
+    static_cast<void>(this->send_request("GET", number));
+    this->settle();
+  }
+  EXPECT_EQ(this->crashed_servers(), crashes_until_known);
+}
+
 TEST_F(crashing_request, that_is_not_idempotent_does_not_crash_server_after_server) {
   this->add_servers_that_crash();
   this->start(request_kind::unsafe);
