Read the other objects of a response in which one cannot be represented

Here a number beyond a double (1e999, 400 digits), a word such as NaN or a lone surrogate in any field of one entry failed the list and each watch for as long as the entry stood: the JSON library refuses the whole text. Deep nesting, ports out of range and large integers were harmless already. The class: an error of one object reported for the whole message. Change: if a response cannot be parsed, what the parser refuses is replaced in a second attempt (null, U+FFFD), so that the object alone is affected: its own decoder names the field. An object whose name or revision cannot be read is left out and logged (store_object_unreadable). A response without metadata, which the store writes, still is a failed call. Configuration, members, quarantines, settings and relayed changes are read from the same objects; their decoders catch the rest. Evidence: new tests with 14 odd values in five places of a list and a watch; three of the four fail without the change.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -222,6 +222,8 @@
   's/  if (is_pending \&\& ++written.attempts < impl::max_attempts) {/  if (false) {/' "a quarantine that could not be stored is given up"
 mutate test_node packages/node/src/quarantine_store.cpp \
   's/    } else if (report->age < impl::max_age) {/    } else if (true) {/' "quarantines are read from the store for ever"
+mutate test_platform platform/src/response_text.cpp \
+  's/replace_unreadable_values(valid)/valid/' "one number beyond a double hides all objects of a list"
 mutate test_platform platform/src/object_api.cpp \
   's/    reply.status = \*era > era_of(call.since_version) ? feed_status::history_gone : feed_status::failed;/    ;/' "changes of another era are taken"
 mutate test_node platform/src/object_api.cpp \
