Take no earlier response on a kept connection for the one to a request that runs

Here a response with another request's id was discarded, but one without an id was believed, one to an id that the connection had carried before, and any for a request without an id. The class: a missing identifier is read as a matching one. Change: on a connection whose responses have named their requests, one that names none ends the call as may-have-run: the caller gets 502 or a retry that is allowed, never 503. A connection that has carried an id among its last 32 calls is not used for it again. The response to a request without an id must not name one of these. Servers that never name requests are served as before.

--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -183,7 +183,8 @@
   // Half-open links take no new connections.
   const bool may_use_pool =
       pool != nullptr && (this->owner.links.state() != link_condition::half_open || pool->has_reusable());
-  this->connection = may_use_pool ? pool->acquire(this->owner.connection_limit(*target)) : nullptr;
+  this->connection =
+      may_use_pool ? pool->acquire(this->owner.connection_limit(*target), this->request_id) : nullptr;
   if (this->connection == nullptr) {
     this->tried_backends.push_back(target->declared().id);
     this->place_request();
--- a/packages/gateway/src/request_flow_account.cpp
+++ b/packages/gateway/src/request_flow_account.cpp
@@ -81,10 +81,8 @@
   const auto& head = this->exchange->head();
   backend_call call;
   call.is_head_request = head.method == "HEAD";
-  if (!this->request_id.empty()) {
-    call.id_field = field_names.request_id;
-    call.id = this->request_id;
-  }
+  call.id_field = field_names.request_id;
+  call.id = this->request_id;
   absl::StrAppend(&call.bytes, head.method, " ", absl::string_view{target.data(), target.size()},
                   " HTTP/1.1\r\n");
   auto replaced = hop_field_names();
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -55,7 +57,7 @@
   bool is_head_request{false};
   /// Name of the response field that repeats the request's identifier. Empty: responses are not checked.
   std::string_view id_field;
-  /// The identifier that the response must have, if it has the field.
+  /// The identifier that the response must have, if it has the field. Empty: the request has none.
   std::string id;
 };
 
@@ -89,6 +91,9 @@
            now - this->started_at >= silence;
   }
   [[nodiscard]] bool is_open() const noexcept { return this->phase != connection_phase::closed; }
+  /// \brief True if one of the last calls on this connection had this identifier: a response to it that is
+  ///        sent once more could not be told from the response to another call with the same one.
+  [[nodiscard]] bool has_carried(std::string_view id) const noexcept;
   /// \brief True if another call may be started at time `now`.
   [[nodiscard]] bool is_reusable(time_point now) const noexcept {
     return this->phase == connection_phase::idle && now < this->idle_until;
@@ -103,6 +108,9 @@
   void read_available();
   void consume(std::string_view data);
   [[nodiscard]] bool deliver_head();
+  /// Decides by the identifier if the response is the one to the current request. Ends the call if that
+  /// cannot be told.
+  [[nodiscard]] bool is_current_response(const response_head& head);
   void complete_response(bool keeps_open);
   void fail(verdict outcome, reason failure_reason, bool is_refused = false);
   void close_socket();
@@ -123,6 +131,10 @@
   bool head_delivered{false};
   // The response being read belongs to an earlier request and is discarded.
   bool discarding_response{false};
+  // The identifiers of the last calls, as hashes, the oldest first.
+  std::deque<std::uint64_t> carried_ids;
+  // A response on this connection has named its request, so the server does so in all.
+  bool responses_name_requests{false};
   // A response was discarded during this call, so the connection is not reused.
   bool response_discarded{false};
   // Responses to the current request's connection that were not its final response.
--- a/packages/http/include/zinnia/http/backend_pool.hpp
+++ b/packages/http/include/zinnia/http/backend_pool.hpp
@@ -21,7 +21,9 @@
 
   /// \brief Returns a connection for one call, or null if the limit is reached.
   /// \param max_connections The number of connections that this node may have to the backend server.
-  [[nodiscard]] std::shared_ptr<backend_connection> acquire(std::size_t max_connections);
+  /// \param id              The call's identifier; a connection that has carried it before is not used.
+  [[nodiscard]] std::shared_ptr<backend_connection> acquire(std::size_t max_connections,
+                                                            std::string_view id = {});
   /// \brief Returns a connection to the pool after its call, in any state. Closes it if it is not reusable.
   void release(std::shared_ptr<backend_connection> connection);
   /// \brief   Directs all further calls to another address.
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -5,10 +5,12 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
 
+#include "zinnia/core/rendezvous.hpp"
 #include "zinnia/http/socket_options.hpp"
 
 namespace zinnia {
@@ -29,6 +31,8 @@
 /// Interim responses (1xx) and responses to other requests before the response to a request.
 constexpr int max_skipped_responses = 16;
 constexpr int first_final_status = 200;
+/// Calls whose identifiers are remembered. A response that is sent once more comes soon after the first time.
+constexpr std::size_t remembered_ids = 32;
 
 [[nodiscard]] std::array<char, 64 << 10>& response_buffer() {
   thread_local std::array<char, 64 << 10> buffer;
@@ -74,6 +78,12 @@
   this->paused = false;
   this->connect_duration.reset();
   this->started_at = this->clock.now();
+  if (!this->current.id.empty()) {
+    this->carried_ids.push_back(stable_hash(this->current.id));
+    if (this->carried_ids.size() > impl::remembered_ids) {
+      this->carried_ids.pop_front();
+    }
+  }
   this->make_parser();
   if (this->phase == connection_phase::idle) {
     this->send_request();
@@ -223,17 +233,33 @@
   if (head.status < impl::first_final_status) {
     return true;
   }
-  if (!this->current.id_field.empty()) {
-    const auto id = find_field(head.fields, this->current.id_field);
-    if (id && *id != this->current.id) {
-      this->discarding_response = true;
-      return true;
-    }
+  if (this->is_current_response(head)) {
+    this->handler->on_head(head);
   }
-  this->handler->on_head(head);
   return this->handler != nullptr;
 }
 
+bool backend_connection::is_current_response(const response_head& head) {
+  if (this->current.id_field.empty()) {
+    return true;
+  }
+  const auto id = find_field(head.fields, this->current.id_field);
+  this->discarding_response =
+      id && (this->current.id.empty() ? this->has_carried(*id) : *id != this->current.id);
+  if (!id && this->responses_name_requests && !this->current.id.empty()) {
+    // It may be an earlier response once more, while this request runs.
+    this->fail(verdict::may_have_run, reason::answer_unsound);
+    return false;
+  }
+  this->responses_name_requests = this->responses_name_requests || id;
+  return !this->discarding_response;
+}
+
+bool backend_connection::has_carried(std::string_view id) const noexcept {
+  return !id.empty() && std::find(this->carried_ids.begin(), this->carried_ids.end(), stable_hash(id)) !=
+                            this->carried_ids.end();
+}
+
 void backend_connection::make_parser() {
   this->head_delivered = false;
   this->discarding_response = false;
--- a/packages/http/src/backend_pool.cpp
+++ b/packages/http/src/backend_pool.cpp
@@ -9,12 +9,12 @@
                            const clock_source& clock_in)
     : context{context_in}, address{std::move(address_in)}, clock{clock_in} {}
 
-std::shared_ptr<backend_connection> backend_pool::acquire(std::size_t max_connections) {
+std::shared_ptr<backend_connection> backend_pool::acquire(std::size_t max_connections, std::string_view id) {
   const auto now = this->clock.now();
   while (!this->idle.empty()) {
     auto connection = std::move(this->idle.back());
     this->idle.pop_back();
-    if (connection->is_reusable(now)) {
+    if (connection->is_reusable(now) && !connection->has_carried(id)) {
       this->lent.push_back(connection);
       return connection;
     }
--- a/standins/scripted_tcp_server.cpp
+++ b/standins/scripted_tcp_server.cpp
@@ -82,6 +82,7 @@
   while (impl::wait_readable(this->listening_socket, this->stopping)) {
     const int connection = ::accept(this->listening_socket, nullptr, nullptr);
     if (connection >= 0) {
+      ++this->connection_count;
       this->connection_threads.emplace_back([this, connection] {
         this->serve(connection);
         if (this->crashed) {
--- a/standins/scripted_tcp_server.hpp
+++ b/standins/scripted_tcp_server.hpp
@@ -43,6 +43,8 @@
   [[nodiscard]] std::uint16_t port() const noexcept { return this->bound_port; }
   /// \brief Returns the number of complete requests received.
   [[nodiscard]] int requests() const noexcept { return this->request_count.load(); }
+  /// \brief Returns the number of connections accepted, those of health checks included.
+  [[nodiscard]] int connections() const noexcept { return this->connection_count.load(); }
   /// \brief True once a request has crashed the server.
   [[nodiscard]] bool has_crashed() const noexcept { return this->crashed.load(); }
 
@@ -56,6 +58,7 @@
   int listening_socket{-1};
   std::uint16_t bound_port{0};
   std::atomic<int> request_count{0};
+  std::atomic<int> connection_count{0};
   std::atomic<bool> stopping{false};
   std::atomic<bool> crashed{false};
   /// Started and joined only by `accept_thread`.
