Guard against a response whose head breaks off

It does not happen here: a response exists from its complete head on, and one that ends before gives 502 or a retry. Shown for heads with a length, in chunks, until the end and after an interim response, cut at each byte, closed and reset, on kept connections; and through a gateway for GET, HEAD and POST. No code changes.

--- a/packages/gateway/tests/repeated_response_test.cpp
+++ b/packages/gateway/tests/repeated_response_test.cpp
@@ -59,6 +59,22 @@
   EXPECT_FALSE(this->send_as("POST", "").starts_with("HTTP/1.1 503"));
 }
 
+TEST_F(repeated_response, a_head_that_breaks_off_gives_no_success) {
+  const std::vector<std::string> heads{"HTTP/1.1 200 X\r\n", "HTTP/1.1 200 X\r\nStamp: s\r\n",
+                                       "HTTP/1.1 200 X\r\nStamp: s\r\nContent-Length: 0\r\n"};
+  std::vector<std::unique_ptr<scripted_tcp_server>> servers;
+  for (const auto& head : heads) {
+    servers.push_back(std::make_unique<scripted_tcp_server>([head](int) { return scripted_response{head}; }));
+    this->add("s" + std::to_string(servers.size()), servers.back()->port());
+  }
+  this->route_with(request_kind::safe);
+  this->start();
+  for (const auto* const method : {"GET", "HEAD", "POST"}) {
+    const auto response = this->send_as(method, id(method));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 50")) << method << ": " << response;
+  }
+}
+
 TEST_F(repeated_response, servers_that_name_no_requests_are_believed_on_kept_connections) {
   const scripted_tcp_server server{[](int number) {
     return scripted_response{number == 1 ? refusal("") : success(""), true};
--- a/packages/http/tests/backend_connection_test.cpp
+++ b/packages/http/tests/backend_connection_test.cpp
@@ -169,6 +169,29 @@
   }
 }
 
+TEST_F(backend_connection_test, head_that_breaks_off_at_any_byte_is_no_response) {
+  const std::string first = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\none";
+  const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nServer-Stamp: s\r\n";
+  for (const auto& head :
+       {start + "Content-Length: 0\r\n\r\n", start + "Transfer-Encoding: chunked\r\n\r\n",
+        start + "Connection: close\r\n\r\n", "HTTP/1.1 103 Early\r\n\r\n" + start + "\r\n"}) {
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      const bool resets = length % 2 == 1;
+      const scripted_tcp_server server{[&](int number) {
+        return number == 0 ? scripted_response{first, true}
+                           : scripted_response{head.substr(0, length), false, 0, resets};
+      }};
+      const auto connection = this->connect(server.port());
+      ASSERT_EQ(this->run_call(*connection, "r1")->body, "one");
+      const auto handler = this->run_call(*connection, "r2");
+      ASSERT_TRUE(handler->end) << head.substr(0, length);
+      EXPECT_FALSE(handler->end->complete) << head.substr(0, length);
+      EXPECT_EQ(handler->end->outcome, verdict::may_have_run) << head.substr(0, length);
+      EXPECT_EQ(handler->status, 0) << head.substr(0, length);
+    }
+  }
+}
+
 TEST_F(backend_connection_test, refused_connection_did_not_run_the_request) {
   std::uint16_t port = 0;
   {
