Count the serving nodes of all regions when a limit is divided

So each region took the tenth for itself. Change: the number comes from the registry, if it is larger. No report of this from the users; at three regions it is 1.1 of the limit by the same arithmetic.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -81,6 +81,8 @@
   std::size_t registered_count{1};
   /// Other nodes that serve requests which this node forwards while it cannot reach the backend servers.
   std::vector<forwarding_peer> forwarding_peers{};
+  /// The number of nodes that serve if all registered ones are alive.
+  std::size_t registered_serving{0};
 };
 
 /// \brief   Routes requests and keeps the state of the backend servers.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -56,7 +56,8 @@
   const auto now = this->clock.now();
   const auto previous_backends = std::vector{this->backends.all()};
   this->backends.apply(*this->current_snapshot, now);
-  this->backends.set_nodes(this->nodes.serving, this->nodes.regions_with_nodes, this->options.self, now);
+  this->backends.set_nodes(this->nodes.serving, this->nodes.regions_with_nodes, this->options.self, now,
+                           this->nodes.registered_serving);
   duration longest_quarantine{0};
   for (const auto& [id, service] : this->current_snapshot->services) {
     longest_quarantine = std::max(longest_quarantine, this->backends.settings_of(id).crash_quarantine);
@@ -73,7 +74,7 @@
 void gateway::set_nodes(gateway_nodes nodes_in) {
   this->nodes = std::move(nodes_in);
   this->backends.set_nodes(this->nodes.serving, this->nodes.regions_with_nodes, this->options.self,
-                           this->clock.now());
+                           this->clock.now(), this->nodes.registered_serving);
   this->peers->set_peers(this->nodes.forwarding_peers, this->nodes.registered_count);
 }
 
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -208,8 +208,8 @@
         serving.emplace(this->settings.node, this->settings.own_location);
       }
       this->traffic.set_limit_holders(nodes.holders);
-      this->traffic.set_nodes(
-          {std::move(serving), nodes.regions_with_nodes, nodes.registered_count, this->forwarding_peers()});
+      this->traffic.set_nodes({std::move(serving), nodes.regions_with_nodes, nodes.registered_count,
+                               this->forwarding_peers(), nodes.holders.all.size()});
     });
   };
   handlers.on_relay_update = [this] {
--- a/packages/routing/include/zinnia/routing/backend_table.hpp
+++ b/packages/routing/include/zinnia/routing/backend_table.hpp
@@ -113,8 +113,10 @@
   /// \param alive Nodes that are alive, including this one.
   /// \param regions_with_nodes Regions with registered nodes, alive or not. Only these nodes warm the
   ///                           region's servers or have large parts of their limits.
+  /// \param registered_serving The number of nodes that serve if all registered ones are alive. Of other
+  ///                           regions this node may hear nothing, but they send as well.
   void set_nodes(const std::map<node_id, location>& alive, const std::set<region_id>& regions_with_nodes,
-                 const node_id& self, time_point now);
+                 const node_id& self, time_point now, std::size_t registered_serving = 0);
 
   /// \brief Sets the bound on requests to cold servers.
   void set_cold_limits(const cold_limit_settings& limits) noexcept { this->cold_limits = limits; }
--- a/packages/routing/src/backend_table.cpp
+++ b/packages/routing/src/backend_table.cpp
@@ -119,7 +119,7 @@
 
 void backend_table::set_nodes(const std::map<node_id, location>& alive,
                               const std::set<region_id>& regions_with_nodes, const node_id& self,
-                              time_point now) {
+                              time_point now, std::size_t registered_serving) {
   for (const auto& backend : this->backend_list) {
     const auto& id = backend->declared().id;
     const location backend_location{backend->declared().domain, this->region_of(backend->declared().domain)};
@@ -135,7 +135,7 @@
         own == alive.end() ? std::pair<int, std::uint64_t>{-1, 0} : precedence(self, own->second);
     node_standing standing;
     standing.phase = rendezvous_weight(self.str(), id.str());
-    standing.serving_count = std::max<std::size_t>(alive.size(), 1);
+    standing.serving_count = std::max<std::size_t>({alive.size(), registered_serving, 1});
     std::size_t in_region = 0;
     for (const auto& [node, where] : alive) {
       const auto other = precedence(node, where);
--- a/packages/routing/tests/backend_restriction_test.cpp
+++ b/packages/routing/tests/backend_restriction_test.cpp
@@ -44,6 +44,38 @@
   backend_table table{{domain_a, region}, {{domain_a, region}, {domain_b, region}}};
 };
 
+TEST_F(backend_restrictions, nodes_that_hear_only_of_their_own_region_keep_to_a_limit_together) {
+  constexpr int region_count = 36;
+  constexpr int nodes_per_region = 4;
+  constexpr double limit = 100;
+  const auto own_domain = [](int i) { return failure_domain_id{i == 0 ? "a" : "d" + std::to_string(i)}; };
+  const auto own_region = [](int i) { return region_id{"r" + std::to_string(i)}; };
+  std::map<failure_domain_id, region_id> domains;
+  std::set<region_id> with_nodes;
+  for (int i = 0; i < region_count; ++i) {
+    domains[own_domain(i)] = own_region(i);
+    with_nodes.insert(own_region(i));
+  }
+  double sum = 0;
+  for (int i = 0; i < region_count; ++i) {
+    std::map<node_id, location> heard_of;
+    for (int k = 0; k < nodes_per_region; ++k) {
+      heard_of[node_id{std::to_string(i) + "-" + std::to_string(k)}] = {own_domain(i), own_region(i)};
+    }
+    for (const auto& [id, where] : heard_of) {
+      backend_table view{where, domains};
+      view.apply(this->snapshot, this->now);
+      view.set_nodes(heard_of, with_nodes, id, this->now, region_count * nodes_per_region);
+      auto& server = *view.find(backend_id{"b1"});
+      backend_statement statement;
+      statement.rate_limit = limit;
+      server.on_statement(statement, this->now);
+      sum += server.rate_of_this_node();
+    }
+  }
+  EXPECT_LE(sum, limit + 0.001);
+}
+
 TEST_F(backend_restrictions, names_why_and_until_when_each_server_is_out_of_use) {
   EXPECT_TRUE(this->table.restrictions(this->now).empty());
   const backend_id first{"b1"};
