Point the mutations at the files that their lines have moved to

Five lines of scripts/mutations.sh matched nothing any more after retries, the reading of responses and the receivers of reports had moved; one is replaced, since stand-by nodes are told as registered ones: only nodes whose heartbeats arrive are told. New lines for the held retry and the shares of a rate limit.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -28,7 +28,7 @@
   cp "$file.kept" "$file"
 }
 
-mutate test_gateway packages/gateway/src/request_flow.cpp \
+mutate test_gateway packages/gateway/src/request_flow_retry.cpp \
   's/if (this->run_verdict != verdict::did_not_run \&\& !this->idempotent)/if (false)/' "an unsafe request is repeated after it may have run"
 mutate test_gateway packages/gateway/src/attempt_result.cpp \
   's/  if (impl::is_not_run_status(response.status)) {/  if (false) {/' "a refusal that promises nothing is passed on"
@@ -36,7 +36,7 @@
   's/!find_field(response.fields, field_names.response_stamp) ||/false ||/' "a success without a stamp is passed on"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/this->exchange->abort();/this->exchange->finish();/' "a cut answer is ended as if it were whole"
-mutate test_gateway packages/gateway/src/request_flow.cpp \
+mutate test_gateway packages/gateway/src/request_flow_retry.cpp \
   's/  return this->sent_count < this->max_attempts/  return this->sent_count < 1/' "nothing is ever repeated"
 mutate test_gateway packages/gateway/src/request_flow_forwarding.cpp \
   's/if (!this->forwarded \&\& attempts_left/if (attempts_left/' "a forwarded request is forwarded again"
@@ -73,7 +73,7 @@
 mutate test_routing packages/routing/src/peer_choice.cpp \
   's/ \&\& !is_excluded;/;/' "a peer that cannot be reached is chosen again"
 mutate test_http packages/http/src/backend_connection.cpp \
-  's/if (id \&\& \*id != this->current.id) {/if (false) {/' "another request's answer is taken"
+  's/ : \*id != this->current.id);/ : false);/' "another request's answer is taken"
 mutate test_http packages/http/src/backend_connection.cpp \
   's/this->input.empty() \&\& !this->parser/!this->parser/' "a connection with leftover bytes is kept"
 mutate test_http packages/http/src/caller_connection.cpp \
@@ -140,8 +140,12 @@
   's/count >= impl::min_typical_samples/count >= 0/' "a slow route makes servers look slow"
 mutate test_node packages/node/src/notice_exchange.cpp \
   's/is_load ? impl::load_notice_delay : impl::confirmation_delay/impl::confirmation_delay/' "loads are told late"
-mutate test_membership packages/membership/src/notice_peers.cpp \
-  's/return impl::choose_peers(alive, self, false);/return impl::choose_peers(alive, self, true);/' "nodes that stand by are not told of crashes"
+mutate test_membership packages/membership/src/member_table.cpp \
+  's/    addresses.emplace(id, ip_endpoint/    if (entry.heartbeat_received) addresses.emplace(id, ip_endpoint/' "only nodes whose heartbeats arrive are told of crashes"
+mutate test_gateway packages/gateway/src/request_flow_retry.cpp \
+  's/  if (!this->owner.is_crash_undecided(.*/  if (true) {/' "a retry does not wait until it is known if the server has crashed"
+mutate test_routing packages/routing/src/backend_table.cpp \
+  's/{alive.size(), registered_serving, 1}/{alive.size(), 0, 1}/' "each region takes the rest of a rate limit for itself"
 mutate test_membership packages/membership/src/member_table.cpp \
   's/now - entry.last_heartbeat_at < heartbeat_timeout;/true;/' "silent nodes are named to callers"
 mutate test_node packages/node/src/control_thread.cpp \
@@ -286,7 +290,7 @@
   's/      report.missing.push_back(answer);//' "a node that does not answer is not named"
 mutate test_store packages/store/src/change_relay_codec.cpp \
   's/      if (needed > message_bytes) {/      if (false) {/; s/  return needed <= message_bytes;/  return true;/' "relayed changes grow with how often they refer to the same bytes"
-mutate test_platform platform/src/object_api.cpp \
+mutate test_platform platform/src/response_text.cpp \
   's/  if (nesting_of(text) <= max_nesting) {/  if (true) {/' "an object that nests without end ends the process"
 mutate test_platform platform/src/document_fields.hpp \
   's/  if (!is_list_of_names) {/  if (false) {/' "regions that cannot be read allow every region"
