Keep a request given up at a silent server for 10 s from then on

A request given up at a server that had been silent for its whole deadline was kept for 10 s from when it was sent. Where callers wait for 8 to 10 s, as they do on one deployment, it was dropped before the server's crash could be found, so that silent crashes counted for nothing there. Cause: the term of requests lost with the links was taken over, which end soon after they are sent. Change: each kept request has the time until which it is kept. Requests lost with the links are kept as before. Evidence: the new test (given up after 10 s, crash found 3 s later) fails without the change; all 151 tests of the package pass.

--- a/packages/routing/include/zinnia/routing/crash_ledger.hpp
+++ b/packages/routing/include/zinnia/routing/crash_ledger.hpp
@@ -159,13 +159,15 @@
     request_fingerprint request;
     time_point at;
   };
+  struct kept_request {
+    lost_request lost;
+    time_point until;
+  };
   /// By server.
-  using lost_requests = absl::flat_hash_map<std::uint64_t, std::vector<lost_request>>;
+  using kept_requests = absl::flat_hash_map<std::uint64_t, std::vector<kept_request>>;
 
-  /// Adds a request that is not too old, and drops those that are.
-  static void keep(lost_requests& kept, std::uint64_t backend, const lost_request& lost, time_point now);
-  /// Drops the servers all of whose requests are too old.
-  static void drop_expired(lost_requests& kept, time_point now);
+  /// Adds a request, and drops those that have been kept for long enough.
+  static void keep(kept_requests& kept, std::uint64_t backend, const kept_request& added, time_point now);
   [[nodiscard]] static int level_of(const record& known, duration term, time_point now) noexcept;
   /// Counts the crash of a server for a request that it had.
   static void count_crash(record& known, const crash_report& crashed);
@@ -198,9 +200,9 @@
   // Requests lost by servers that may have crashed, by server, with the times at which that was noticed.
   absl::flat_hash_map<std::uint64_t, std::vector<std::pair<lost_request, time_point>>> unconfirmed;
   // Requests lost by servers while this node's links may have failed.
-  lost_requests held;
+  kept_requests held;
   // Requests given up at servers that have been silent since.
-  lost_requests given_up;
+  kept_requests given_up;
   // Recent crashes by server.
   absl::flat_hash_map<std::uint64_t, crash> crashes;
   // The latest answers, each at the position that its fingerprint determines. A node often learns of a crash
--- a/packages/routing/src/crash_ledger.cpp
+++ b/packages/routing/src/crash_ledger.cpp
@@ -12,8 +12,9 @@
 constexpr duration max_confirmation_time{2000};
 /// Requests that one server may have lost in that time and that are remembered.
 constexpr std::size_t max_lost_per_backend = 256;
-/// How long a request that was lost while the links may have failed is kept after it was sent. Longer than
-/// the links take to return with most cuts, and than a server takes to start again.
+/// How long a request that was lost while the links may have failed is kept after it was sent, and one given
+/// up at a silent server after that. Longer than the links take to return with most cuts, and than a server
+/// takes to start again.
 constexpr duration max_holding_time{10'000};
 /// Reports of the same server's crash that are this far apart concern the same crash. A server needs longer
 /// to start again and get requests.
@@ -64,41 +65,35 @@
   }
 }
 
-void crash_ledger::keep(lost_requests& kept, std::uint64_t backend, const lost_request& lost,
+void crash_ledger::keep(kept_requests& kept, std::uint64_t backend, const kept_request& added,
                         time_point now) {
+  absl::erase_if(kept, [now](auto& each) {
+    std::erase_if(each.second, [now](const auto& old) { return old.until <= now; });
+    return each.second.empty();
+  });
   auto& waiting = kept[backend];
-  std::erase_if(waiting, [now](const auto& old) { return now - old.sent_at >= impl::max_holding_time; });
   if (waiting.size() < impl::max_lost_per_backend) {
-    waiting.push_back(lost);
+    waiting.push_back(added);
   }
 }
 
-void crash_ledger::drop_expired(lost_requests& kept, time_point now) {
-  absl::erase_if(kept, [now](const auto& each) {
-    return std::none_of(each.second.begin(), each.second.end(),
-                        [now](const auto& lost) { return now - lost.sent_at < impl::max_holding_time; });
-  });
-}
-
 void crash_ledger::hold(std::uint64_t backend, const lost_request& lost, time_point now) {
-  keep(this->held, backend, lost, now);
+  keep(this->held, backend, {lost, lost.sent_at + impl::max_holding_time}, now);
 }
 
 void crash_ledger::on_given_up(std::uint64_t backend, const lost_request& lost, time_point now) {
-  drop_expired(this->given_up, now);
-  keep(this->given_up, backend, lost, now);
+  keep(this->given_up, backend, {lost, now + impl::max_holding_time}, now);
 }
 
 void crash_ledger::on_links_lost(time_point now) {
-  drop_expired(this->held, now);
   for (const auto& [backend, waiting] : std::exchange(this->unconfirmed, {})) {
     for (const auto& [lost, noticed_at] : waiting) {
       this->hold(backend, lost, now);
     }
   }
   for (const auto& [backend, waiting] : std::exchange(this->given_up, {})) {
-    for (const auto& lost : waiting) {
-      this->hold(backend, lost, now);
+    for (const auto& each : waiting) {
+      keep(this->held, backend, each, now);
     }
   }
 }
@@ -106,8 +101,8 @@
 std::vector<std::uint64_t> crash_ledger::on_links_regained(time_point now) {
   std::vector<std::uint64_t> to_check;
   for (const auto& [backend, waiting] : std::exchange(this->held, {})) {
-    for (const auto& lost : waiting) {
-      if (now - lost.sent_at < impl::max_holding_time) {
+    for (const auto& [lost, until] : waiting) {
+      if (now < until) {
         this->on_lost(backend, lost, now);
       }
     }
@@ -141,7 +136,7 @@
   }
   for (auto* const kept : {&this->held, &this->given_up}) {
     for (auto& [backend, waiting] : *kept) {
-      std::erase_if(waiting, [request](const auto& each) { return each.request == request; });
+      std::erase_if(waiting, [request](const auto& each) { return each.lost.request == request; });
     }
   }
   this->answers[request.count() % answer_slots] = {request, now};
@@ -194,9 +189,12 @@
       lost.push_back(request);
     }
   }
-  drop_expired(this->given_up, now);
   if (const auto kept = this->given_up.extract(backend)) {
-    lost.insert(lost.end(), kept.mapped().begin(), kept.mapped().end());
+    for (const auto& [request, until] : kept.mapped()) {
+      if (now < until) {
+        lost.push_back(request);
+      }
+    }
   }
   for (const auto& request : lost) {
     this->record_own_crash(request, backend, now, now);
--- a/packages/routing/tests/crash_ledger_silence_test.cpp
+++ b/packages/routing/tests/crash_ledger_silence_test.cpp
@@ -52,6 +52,15 @@
   EXPECT_EQ(this->ledger.count_from_level(1, this->now), 0U);
 }
 
+TEST_F(crash_ledger_silence, counts_a_request_that_was_given_up_only_after_a_long_time) {
+  const lost_request sent{crashing, 0, this->now};
+  this->now = this->now + duration{10'000};
+  this->ledger.on_given_up(1, sent, this->now);
+  this->now = this->now + duration{3000};
+  this->ledger.on_crashed(1, this->now);
+  EXPECT_EQ(this->ledger.level(crashing, term, this->now), 1);
+}
+
 TEST_F(crash_ledger_silence, judges_requests_given_up_before_the_links_were_lost_once_they_have_returned) {
   this->give_up(1, crashing);
   this->ledger.on_links_lost(this->now);
