Use no share of the common retries while the other nodes are not known

A node may make as many retries as its requests earn, and an equal share of those that all may make beyond. Until it had read the list of nodes it counted itself alone and took all of these: half of budgetExtra each, so that three nodes that start together while their servers shed exceed it. Change: the share is 0 until the list of registered nodes is complete. What requests earn is not affected; a list that was complete once stays so.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -83,6 +83,14 @@
   std::vector<forwarding_peer> forwarding_peers{};
   /// The number of nodes that serve if all registered ones are alive.
   std::size_t registered_serving{0};
+  /// False while the list of registered nodes is incomplete, as after a start: this node cannot tell its
+  /// share of the retries that all nodes may make beyond what requests earn, and makes none of these.
+  bool is_list_complete{true};
+
+  /// \brief Returns the number of nodes that share the retry budget; 0 if it is not known.
+  [[nodiscard]] int retry_sharers() const noexcept {
+    return this->is_list_complete ? static_cast<int>(this->registered_count) : 0;
+  }
 };
 
 /// \brief   Routes requests and keeps the state of the backend servers.
--- a/packages/gateway/src/request_flow_forwarding.cpp
+++ b/packages/gateway/src/request_flow_forwarding.cpp
@@ -125,11 +125,10 @@
   this->run_verdict = combine(this->run_verdict, verdict::may_have_run);
   this->abandon_call();
   const auto now = this->owner.clock.now();
-  const bool may_repeat =
-      !this->forwarded && now < this->deadline && this->sent_count < this->max_attempts &&
-      this->owner.peers->has_peer(this->wanted_peer()) &&
-      this->owner.retry_limiters[this->service].try_consume(
-          this->owner.options.retry_budget, static_cast<int>(this->owner.nodes.registered_count), now);
+  const bool may_repeat = !this->forwarded && now < this->deadline && this->sent_count < this->max_attempts &&
+                          this->owner.peers->has_peer(this->wanted_peer()) &&
+                          this->owner.retry_limiters[this->service].try_consume(
+                              this->owner.options.retry_budget, this->owner.nodes.retry_sharers(), now);
   if (!may_repeat) {
     this->fail(impl::status_bad_gateway, reason::links_lost);
     return;
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -331,4 +331,17 @@
   server.join();
 }
 
+TEST_F(gateway_contract, a_node_that_has_just_started_uses_no_share_of_the_retries_of_all_nodes) {
+  const scripted_tcp_server full{[](int) { return shed_response; }};
+  this->route_with(request_kind::safe);
+  this->add("s1", full.port());
+  this->add("s2", full.port());
+  gateway_nodes unknown;
+  unknown.is_list_complete = false;
+  this->traffic->set_nodes(std::move(unknown));
+  this->start();
+  EXPECT_TRUE(this->send_request().starts_with("HTTP/1.1 503"));
+  EXPECT_EQ(full.requests(), 1);
+}
+
 }  // namespace
--- a/packages/node/include/zinnia/node/control_thread.hpp
+++ b/packages/node/include/zinnia/node/control_thread.hpp
@@ -38,6 +38,8 @@
   limit_holders holders{};
   /// The nodes to send crash reports to.
   std::vector<ip_endpoint> report_peers{};
+  /// All registered nodes are known.
+  bool is_list_complete{false};
 
   friend bool operator==(const membership_view&, const membership_view&) = default;
 };
--- a/packages/node/src/control_thread_state.cpp
+++ b/packages/node/src/control_thread_state.cpp
@@ -26,7 +26,8 @@
   }
   nodes.report_peers = this->report_peers;
   // Shares computed from a part of the nodes would be too large.
-  if (this->node_watch().feed.is_complete()) {
+  nodes.is_list_complete = this->node_watch().feed.is_complete();
+  if (nodes.is_list_complete) {
     nodes.holders = this->members.holders_of_limits();
   }
   return nodes;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -209,7 +209,7 @@
       }
       this->traffic.set_limit_holders(nodes.holders);
       this->traffic.set_nodes({std::move(serving), nodes.regions_with_nodes, nodes.registered_count,
-                               this->forwarding_peers(), nodes.holders.all.size()});
+                               this->forwarding_peers(), nodes.holders.all.size(), nodes.is_list_complete});
     });
   };
   handlers.on_relay_update = [this] {
@@ -266,6 +266,9 @@
     return exit_listen_failed;
   }
   this->wait_for_signal();
+  gateway_nodes unknown;
+  unknown.is_list_complete = false;
+  this->traffic.set_nodes(std::move(unknown));
   this->control = std::make_unique<control_thread>(this->adapter, this->settings, this->tree, this->self(),
                                                    this->counts, this->events());
   this->relay_server =
--- a/packages/routing/include/zinnia/routing/retry_limiter.hpp
+++ b/packages/routing/include/zinnia/routing/retry_limiter.hpp
@@ -30,7 +30,8 @@
   /// \brief Counts one first attempt.
   void on_request(const retry_budget_settings& budget, time_point now) noexcept;
   /// \brief  Counts one retry if the budget allows it, and returns true if so.
-  /// \param  nodes The number of nodes that share the budget, including this one.
+  /// \param  nodes The number of nodes that share the budget, including this one. 0 if it is not known: only
+  ///               retries that this node's requests earn are allowed.
   [[nodiscard]] bool try_consume(const retry_budget_settings& budget, int nodes, time_point now) noexcept;
 
  private:
--- a/packages/routing/src/retry_limiter.cpp
+++ b/packages/routing/src/retry_limiter.cpp
@@ -46,8 +46,8 @@
       requests += counted.index > oldest + 1 ? counted.requests : 0;
     }
   }
-  const double allowed = impl::ratio_fraction * budget.ratio * requests +
-                         impl::extra_fraction * budget.extra_per_window / std::max(nodes, 1);
+  const double extra = nodes > 0 ? impl::extra_fraction * budget.extra_per_window / nodes : 0;
+  const double allowed = impl::ratio_fraction * budget.ratio * requests + extra;
   if (retries + 1 > allowed) {
     return false;
   }
--- a/packages/routing/tests/routing_components_test.cpp
+++ b/packages/routing/tests/routing_components_test.cpp
@@ -175,6 +175,21 @@
   }
 };
 
+TEST(retry_limiter, a_node_that_does_not_know_the_others_makes_only_retries_that_its_requests_earn) {
+  const retry_budget_settings budget{0.2, 200, duration{10'000}};
+  retry_limiter limiter;
+  constexpr int requests = 100;
+  for (int i = 0; i < requests; ++i) {
+    limiter.on_request(budget, time_point{1000});
+  }
+  int retries = 0;
+  while (limiter.try_consume(budget, 0, time_point{1000})) {
+    ++retries;
+  }
+  EXPECT_GT(retries, 0);
+  EXPECT_LE(retries, 20);
+}
+
 TEST(retry_limiter, all_nodes_together_stay_within_the_budget_in_any_window) {
   const retry_budget_settings budget{0.2, 58, duration{10'000}};
   constexpr int nodes = 9;
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -200,6 +200,8 @@
   's/ body};/ ""};/' "requests with other bodies are the same"
 mutate test_routing packages/routing/src/link_monitor.cpp \
   's/max_more_rounds = 3;/max_more_rounds = 0;/' "three crashed servers are taken for lost links"
+mutate test_gateway packages/gateway/include/zinnia/gateway/gateway.hpp \
+  's/return this->is_list_complete ? /return true ? /' "a node that does not know the others takes the whole retry budget"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
   's/crashed_several_again ? quarantine_level/false ? quarantine_level/' "bursts of crashes count once however late"
 mutate test_routing packages/routing/src/crash_ledger.cpp \
