--- a/review/standins/backend_server.hpp
+++ b/review/standins/backend_server.hpp
@@ -1,11 +1,10 @@
 // A stand-in for an upstream of one service.
 #pragma once
 
-#include <atomic>
 #include <condition_variable>
-#include <functional>
 #include <map>
 #include <mutex>
+#include <random>
 #include <string>
 
 #include "http_io.hpp"
@@ -24,8 +23,12 @@
   int work_ms{100};
   /// Bytes of each answer's body.
   std::size_t answer_bytes{16};
-  /// Returns the number of bytes after which an answer breaks off, or 0 for a whole answer. May be empty.
-  std::function<std::size_t(const http_message&)> breaks_off_after;
+  /// The part of the answers after which the server closes the connection, as they say.
+  double closing_part{0};
+  /// False: refusals look as `fleetbench wire` prints them, without the request's id.
+  bool names_requests_in_refusals{true};
+  /// The part of the refusals that are sent once more, late: when the next request on the connection runs.
+  double repeated_part{0};
 };
 
 /// \brief When a request reached the server, and what became of it.
@@ -52,7 +55,7 @@
   std::map<std::string, run_state> states;
 };
 
-/// \brief   A sound server, but for answers that break off if its options say so.
+/// \brief   A sound server, but for refusals that are sent once more if its options say so.
 /// \details Serves each connection on a thread of its own, works on `slots` requests at a time, and answers
 ///          421 to requests for another instance and `Not-Executed` when it is full.
 class backend_server {
@@ -63,7 +66,11 @@
 
  private:
   void serve(const tcp_socket& connection);
-  [[nodiscard]] bool answer(const tcp_socket& connection, const http_message& request);
+  /// \param extra What is sent once more before the next answer on this connection.
+  [[nodiscard]] bool answer(const tcp_socket& connection, const http_message& request, std::string& extra);
+  [[nodiscard]] bool refuse(const tcp_socket& connection, const std::string& id, const std::string& load,
+                            std::string& extra);
+  [[nodiscard]] bool happens(double part);
   [[nodiscard]] std::string load_field();
 
   backend_options options;
@@ -72,6 +79,7 @@
   tcp_socket listener;
   std::mutex mutex;
   std::condition_variable slot_free;
+  std::mt19937 random;
   int running{0};
   int waiting{0};
 };
