Tell how much of the retry budget a node uses, by service

Change: requests, retries and allowed retries of the current window as gauges by service, and a counter of retries that the budget forbade. Nothing is decided otherwise. Test: gateway_contract.tells_how_much_of_the_retry_budget_is_used; gateway_contract passed whole (18 tests).

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -234,6 +234,8 @@
   void start_link_checks();
   /// Starts a health check unless one of this server is in progress. Returns false if none can be made.
   [[nodiscard]] bool start_health_check(const std::shared_ptr<backend_state>& backend);
+  /// Takes one retry of requests to the service from the budget of all nodes; returns false if there is none.
+  [[nodiscard]] bool try_consume_retry(const service_id& service);
   /// Closes expired idle connections and removes the pools of servers that no longer exist.
   void clean_up_pools();
   void start_health_checks();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -323,6 +323,13 @@
   }
 }
 
+bool gateway::try_consume_retry(const service_id& service) {
+  const bool is_allowed = this->retry_limiters[service].try_consume(
+      this->options.retry_budget, this->nodes.retry_sharers(), this->clock.now());
+  this->counts.add(counter::retries_over_budget, is_allowed ? 0 : 1);
+  return is_allowed;
+}
+
 duration gateway::max_route_timeout() const noexcept {
   duration longest{0};
   if (this->current_snapshot != nullptr && this->current_snapshot->routes != nullptr) {
@@ -349,7 +356,7 @@
     waiting += static_cast<std::int64_t>(backend->queue.size());
     in_flight += backend->in_flight();
   }
-  return {
+  std::vector<gauge> values{
       {"zinnia_requests_under_way", "", static_cast<std::int64_t>(this->flows.size())},
       {"zinnia_requests_waiting", "", waiting},
       {"zinnia_backend_requests", "", in_flight},
@@ -369,6 +376,14 @@
       {"zinnia_log_lines_dropped", "", static_cast<std::int64_t>(dropped_log_lines())},
       {"zinnia_config_version", "",
        this->current_snapshot ? static_cast<std::int64_t>(this->current_snapshot->version.count()) : 0}};
+  for (const auto& [service, limiter] : this->retry_limiters) {
+    const auto used = limiter.usage(this->options.retry_budget, this->nodes.retry_sharers(), now);
+    const auto labels = label("service", service.str());
+    values.push_back({"zinnia_retry_window_requests", labels, used.requests});
+    values.push_back({"zinnia_retry_window_retries", labels, used.retries});
+    values.push_back({"zinnia_retry_window_allowed", labels, static_cast<std::int64_t>(used.allowed)});
+  }
+  return values;
 }
 
 }  // namespace zinnia
--- a/packages/gateway/src/request_flow_forwarding.cpp
+++ b/packages/gateway/src/request_flow_forwarding.cpp
@@ -127,8 +127,7 @@
   const auto now = this->owner.clock.now();
   const bool may_repeat = !this->forwarded && now < this->deadline && this->sent_count < this->max_attempts &&
                           this->owner.peers->has_peer(this->wanted_peer()) &&
-                          this->owner.retry_limiters[this->service].try_consume(
-                              this->owner.options.retry_budget, this->owner.nodes.retry_sharers(), now);
+                          this->owner.try_consume_retry(this->service);
   if (!may_repeat) {
     this->fail(impl::status_bad_gateway, reason::links_lost);
     return;
--- a/packages/gateway/src/request_flow_retry.cpp
+++ b/packages/gateway/src/request_flow_retry.cpp
@@ -34,8 +34,7 @@
     return this->connect_failures <= max_failures || this->owner.links.is_lost(now);
   }
   return this->sent_count < this->max_attempts && now < this->deadline &&
-         this->owner.retry_limiters[this->service].try_consume(this->owner.options.retry_budget,
-                                                               this->owner.nodes.retry_sharers(), now);
+         this->owner.try_consume_retry(this->service);
 }
 
 void request_flow::retry() {
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -344,4 +344,23 @@
   EXPECT_EQ(full.requests(), 1);
 }
 
+TEST_F(gateway_contract, tells_how_much_of_the_retry_budget_is_used) {
+  const scripted_tcp_server full{[](int) { return shed_response; }};
+  this->route_with(request_kind::safe);
+  this->add("s1", full.port());
+  this->add("s2", full.port());
+  this->start();
+  static_cast<void>(this->send_request());
+  std::promise<std::vector<gauge>> told;
+  boost::asio::post(this->context, [&] { told.set_value(this->traffic->gauges()); });
+  std::map<std::string, std::int64_t> values;
+  for (const auto& each : told.get_future().get()) {
+    values[each.name + each.labels] = each.value;
+  }
+  EXPECT_EQ(values["zinnia_retry_window_requestsservice=\"desk\""], 1);
+  EXPECT_EQ(values["zinnia_retry_window_retriesservice=\"desk\""], 1);
+  EXPECT_GT(values["zinnia_retry_window_allowedservice=\"desk\""], 1);
+  EXPECT_EQ(this->counts.value(counter::retries_over_budget), 0U);
+}
+
 }  // namespace
--- a/packages/observe/include/zinnia/observe/metrics.hpp
+++ b/packages/observe/include/zinnia/observe/metrics.hpp
@@ -46,6 +46,8 @@
   forwarded_refused,
   /// Requests answered 401 because their key is missing or unknown.
   unauthorized,
+  /// Retries that were not made because the retry budget was used up.
+  retries_over_budget,
   count,
 };
 
--- a/packages/observe/src/metrics.cpp
+++ b/packages/observe/src/metrics.cpp
@@ -22,7 +22,7 @@
     "backend_crashes",    "requests_quarantined",
     "links_lost",         "requests_forwarded",
     "forwarded_received", "forwarded_refused",
-    "unauthorized"};
+    "unauthorized",       "retries_over_budget"};
 static_assert(!counter_names.back().empty(), "every counter has a name");
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(timing::count)> timing_names{
--- a/packages/routing/include/zinnia/routing/retry_limiter.hpp
+++ b/packages/routing/include/zinnia/routing/retry_limiter.hpp
@@ -18,6 +18,13 @@
   duration window{10'000};
 };
 
+/// \brief What a node has counted in the current window, and how many retries that allows.
+struct retry_usage {
+  std::int64_t requests{0};
+  std::int64_t retries{0};
+  double allowed{0};
+};
+
 /// \brief   Counts the requests and retries of a sliding window.
 ///
 /// \details Prevents a retry storm when all backend servers of a service fail at once. A node may retry as
@@ -33,6 +40,8 @@
   /// \param  nodes The number of nodes that share the budget, including this one. 0 if it is not known: only
   ///               retries that this node's requests earn are allowed.
   [[nodiscard]] bool try_consume(const retry_budget_settings& budget, int nodes, time_point now) noexcept;
+  [[nodiscard]] retry_usage usage(const retry_budget_settings& budget, int nodes,
+                                  time_point now) const noexcept;
 
  private:
   /// The window is counted in slices of equal length.
--- a/packages/routing/src/retry_limiter.cpp
+++ b/packages/routing/src/retry_limiter.cpp
@@ -34,24 +34,29 @@
   ++this->current_slice(slice_index(budget, now)).requests;
 }
 
-bool retry_limiter::try_consume(const retry_budget_settings& budget, int nodes, time_point now) noexcept {
+retry_usage retry_limiter::usage(const retry_budget_settings& budget, int nodes,
+                                 time_point now) const noexcept {
   const auto index = slice_index(budget, now);
   const auto oldest = index - static_cast<std::int64_t>(slices_per_window);
-  std::uint32_t requests = 0;
-  std::uint32_t retries = 0;
+  retry_usage used;
   for (const auto& counted : this->slices) {
     if (counted.index >= oldest && counted.index <= index) {
-      retries += counted.retries;
+      used.retries += counted.retries;
       // Of the oldest two slices, parts may be outside the window.
-      requests += counted.index > oldest + 1 ? counted.requests : 0;
+      used.requests += counted.index > oldest + 1 ? counted.requests : 0;
     }
   }
   const double extra = nodes > 0 ? impl::extra_fraction * budget.extra_per_window / nodes : 0;
-  const double allowed = impl::ratio_fraction * budget.ratio * requests + extra;
-  if (retries + 1 > allowed) {
+  used.allowed = impl::ratio_fraction * budget.ratio * static_cast<double>(used.requests) + extra;
+  return used;
+}
+
+bool retry_limiter::try_consume(const retry_budget_settings& budget, int nodes, time_point now) noexcept {
+  const auto used = this->usage(budget, nodes, now);
+  if (static_cast<double>(used.retries + 1) > used.allowed) {
     return false;
   }
-  ++this->current_slice(index).retries;
+  ++this->current_slice(slice_index(budget, now)).retries;
   return true;
 }
 
