Let a test send its next request only once the silent server has crashed

crashing_request.is_suspected_if_it_is_given_up_at_a_server_that_turns_out_to_have_crashed failed in 5 of 6 whole runs of test_gateway beside six busy processes ("suspected() is 2, not 1"). Trace: the script's thread is told to crash and the next request is sent at once; if it reaches the server first, it is lost there too and rightly suspected. Ruled out: a change of the code, none of which touches the ledger. Change: the test waits until a server has crashed. The check is the same: exactly the request that was given up is suspected.

--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -345,6 +345,10 @@
       "0\r\n\r\n");
   EXPECT_TRUE(client.read_all(10'000).starts_with("HTTP/1.1 504"));
   given_up = true;
+  // A request that comes before the crash would be lost with the server, and be suspected as well.
+  while (this->crashed_servers() == 0) {
+    std::this_thread::yield();
+  }
   const auto suspected = [&] {
     return this->on_nodes_thread([&] { return gauge_value(*this->nodes[0], "zinnia_requests_suspected"); });
   };
