Pay for retries with tokens that no request earns twice

Cause (class: a bound over the fleet that rests on memory of one process): a limiter allowed 0.8 of the ratio for the requests of its own last window. What it had used was forgotten when its process ended, and stayed behind when callers moved to another node; the requests of the window before paid for a burst, and the next ones paid again. The share of the common retries came back whole with each start. Change: a retry takes a token. A request earns 0.55 of the ratio; at most 0.42 of the ratio for each request of the last window is kept, so that tokens at hand and tokens earned in any window add up to less than the ratio whatever became of the processes. The share comes as tokens too, half of it a window, from nothing at a start, and at the smaller rate if it has grown.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -45,6 +45,8 @@
   std::map<failure_domain_id, region_id> regions;
   header_field_names field_names;
   retry_budget_settings retry_budget;
+  /// When the process started: how much it retried before is not known, and may count against the budget.
+  time_point retries_counted_since;
   /// Limit for the bodies of all requests in flight together, in bytes.
   std::size_t max_buffered_body_bytes{64 << 20};
   /// The number of finished requests whose records are kept.
@@ -234,6 +236,7 @@
   void start_link_checks();
   /// Starts a health check unless one of this server is in progress. Returns false if none can be made.
   [[nodiscard]] bool start_health_check(const std::shared_ptr<backend_state>& backend);
+  [[nodiscard]] retry_limiter& retry_limiter_for(const service_id& service);
   /// Takes one retry of requests to the service from the budget of all nodes; returns false if there is none.
   [[nodiscard]] bool try_consume_retry(const service_id& service);
   /// Closes expired idle connections and removes the pools of servers that no longer exist.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -323,8 +323,12 @@
   }
 }
 
+retry_limiter& gateway::retry_limiter_for(const service_id& service) {
+  return this->retry_limiters.try_emplace(service, this->options.retries_counted_since).first->second;
+}
+
 bool gateway::try_consume_retry(const service_id& service) {
-  const bool is_allowed = this->retry_limiters[service].try_consume(
+  const bool is_allowed = this->retry_limiter_for(service).try_consume(
       this->options.retry_budget, this->nodes.retry_sharers(), this->clock.now());
   this->counts.add(counter::retries_over_budget, is_allowed ? 0 : 1);
   return is_allowed;
@@ -381,7 +385,7 @@
     const auto labels = label("service", service.str());
     values.push_back({"zinnia_retry_window_requests", labels, used.requests});
     values.push_back({"zinnia_retry_window_retries", labels, used.retries});
-    values.push_back({"zinnia_retry_window_allowed", labels, static_cast<std::int64_t>(used.allowed)});
+    values.push_back({"zinnia_retry_tokens", labels, static_cast<std::int64_t>(used.available)});
   }
   return values;
 }
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -99,8 +99,8 @@
       chosen == destinations.end() ? this->owner.split.pick(this->matched_route) : chosen->service;
   if (!this->forwarded) {
     // The node that forwards a request has counted it.
-    this->owner.retry_limiters[this->service].on_request(this->owner.options.retry_budget,
-                                                         this->owner.clock.now());
+    this->owner.retry_limiter_for(this->service)
+        .on_request(this->owner.options.retry_budget, this->owner.clock.now());
   }
 }
 
--- a/packages/gateway/tests/gateway_contract_test.cpp
+++ b/packages/gateway/tests/gateway_contract_test.cpp
@@ -359,7 +359,7 @@
   }
   EXPECT_EQ(values["zinnia_retry_window_requestsservice=\"desk\""], 1);
   EXPECT_EQ(values["zinnia_retry_window_retriesservice=\"desk\""], 1);
-  EXPECT_GT(values["zinnia_retry_window_allowedservice=\"desk\""], 1);
+  EXPECT_GT(values["zinnia_retry_tokensservice=\"desk\""], 1);
   EXPECT_EQ(this->counts.value(counter::retries_over_budget), 0U);
 }
 
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -150,6 +150,7 @@
   chosen.regions = this->settings.regions;
   chosen.field_names = this->adapter.field_names();
   chosen.retry_budget = this->settings.retry_budget;
+  chosen.retries_counted_since = this->clock.now();
   chosen.fate_records = this->settings.fate_records;
   chosen.send_notices = [this](std::vector<holder_notice> sent) {
     this->notices.offer(std::move(sent), this->clock.now());
--- a/packages/routing/include/zinnia/routing/retry_limiter.hpp
+++ b/packages/routing/include/zinnia/routing/retry_limiter.hpp
@@ -18,34 +18,40 @@
   duration window{10'000};
 };
 
-/// \brief What a node has counted in the current window, and how many retries that allows.
+/// \brief What a node has counted in the current window, and how many retries it may make now.
 struct retry_usage {
   std::int64_t requests{0};
   std::int64_t retries{0};
-  double allowed{0};
+  double available{0};
 };
 
-/// \brief   Counts the requests and retries of a sliding window.
+/// \brief   Pays for retries with tokens: those that this node's requests earn, and those that it gets as its
+///          share of `extra_per_window`.
 ///
-/// \details Prevents a retry storm when all backend servers of a service fail at once. A node may retry as
-/// often as its
-///          own requests of the window allow, and in addition has an equal share of `extra_per_window`. So
-///          the nodes together keep the budget whatever they believe of each other, and a node that carries
-///          many requests may use what they earn.
+/// \details Prevents a retry storm when all backend servers of a service fail at once.
+///          Invariant: all nodes together keep the budget in each window, also if processes end and start
+///          and callers move between nodes, so that nobody knows what was retried before. The tokens at hand
+///          when a window begins are bounded by the requests of the window before it; all others are
+///          earned within it. The fractions of `ratio` for both add up to less than 1. A process starts with
+///          no tokens.
 class retry_limiter {
  public:
+  /// \param started_at_in When the process started.
+  explicit retry_limiter(time_point started_at_in = {}) noexcept : refilled_at{started_at_in} {}
+
   /// \brief Counts one first attempt.
   void on_request(const retry_budget_settings& budget, time_point now) noexcept;
-  /// \brief  Counts one retry if the budget allows it, and returns true if so.
+  /// \brief  Takes a token for one retry, and returns true if there is one.
   /// \param  nodes The number of nodes that share the budget, including this one. 0 if it is not known: only
-  ///               retries that this node's requests earn are allowed.
+  ///               tokens that this node's requests earn are used.
   [[nodiscard]] bool try_consume(const retry_budget_settings& budget, int nodes, time_point now) noexcept;
+  /// \param nodes As for `try_consume`.
   [[nodiscard]] retry_usage usage(const retry_budget_settings& budget, int nodes,
                                   time_point now) const noexcept;
 
  private:
   /// The window is counted in slices of equal length.
-  static constexpr std::size_t slices_per_window = 20;
+  static constexpr std::size_t slices_per_window = 40;
 
   struct slice {
     std::int64_t index{-1};
@@ -55,9 +61,20 @@
 
   [[nodiscard]] static std::int64_t slice_index(const retry_budget_settings& budget, time_point now) noexcept;
   [[nodiscard]] slice& current_slice(std::int64_t index) noexcept;
+  /// Returns the requests and retries of the slices that are entirely in the window.
+  [[nodiscard]] slice count_window(const retry_budget_settings& budget, time_point now) const noexcept;
+  [[nodiscard]] double earned_now(const retry_budget_settings& budget, time_point now) const noexcept;
+  [[nodiscard]] double shared_now(const retry_budget_settings& budget, double share,
+                                  time_point now) const noexcept;
 
-  // One more than a window has, so that retries of a slice that is partly in the window count.
-  std::array<slice, slices_per_window + 1> slices{};
+  std::array<slice, slices_per_window> slices{};
+  // Tokens that requests have earned. Bounded by the requests of the current window when used.
+  double earned{0};
+  // Tokens of this node's share of `extra_per_window` at `refilled_at`.
+  double shared{0};
+  time_point refilled_at;
+  // This node's share at that time; 0 if it was never known.
+  double latest_share{0};
 };
 
 }  // namespace zinnia
--- a/packages/routing/tests/retry_limiter_walk_test.cpp
+++ b/packages/routing/tests/retry_limiter_walk_test.cpp
@@ -103,7 +103,7 @@
         if (this->up_to(100) < percent) {
           each.down_since = this->now;
           each.up_from = this->now + duration{300 + this->up_to(1'000)};
-          each.limiter = retry_limiter{};
+          each.limiter = retry_limiter{each.up_from};
         }
       }
     }
@@ -214,4 +214,40 @@
   }
 }
 
+/// Every node uses all that it may just before all processes end, and again from then on.
+TEST(retry_limiter_walk, a_burst_before_all_nodes_start_again_leaves_room_for_the_retries_that_follow) {
+  const retry_budget_settings budget{0.2, 218, duration{10'000}};
+  constexpr std::size_t nodes = 36;
+  constexpr int requests_per_step = 12;
+  constexpr duration length{40'000};
+  for (const duration life : {duration{1'000}, duration{3'000}, duration{9'000}, duration{40'000}}) {
+    const time_point burst{12'000};
+    std::vector<retry_limiter> limiters(nodes);
+    time_point started{};
+    std::vector<int> retries(static_cast<std::size_t>(length.ms / 10));
+    std::size_t next = 0;
+    for (time_point now{}; now < time_point{} + length; now = now + duration{10}) {
+      if (now == burst || (now > burst && now - started >= life)) {
+        started = now;
+        limiters.assign(nodes, retry_limiter{now});
+      }
+      for (int i = 0; i < requests_per_step; ++i) {
+        limiters[next++ % nodes].on_request(budget, now);
+      }
+      for (auto& limiter : limiters) {
+        while (now + duration{100} >= burst && limiter.try_consume(budget, nodes, now)) {
+          ++retries[static_cast<std::size_t>(now.ms / 10)];
+        }
+      }
+    }
+    const auto window = static_cast<std::ptrdiff_t>(budget.window.ms / 10);
+    const double allowed =
+        budget.ratio * static_cast<double>(window) * requests_per_step + budget.extra_per_window;
+    for (auto from = retries.begin(); retries.end() - from >= window; ++from) {
+      ASSERT_LE(std::accumulate(from, from + window, 0), allowed)
+          << "from " << (from - retries.begin()) * 10 << " ms, a start each " << life.ms << " ms";
+    }
+  }
+}
+
 }  // namespace
--- a/packages/routing/tests/routing_components_test.cpp
+++ b/packages/routing/tests/routing_components_test.cpp
@@ -212,6 +212,22 @@
   EXPECT_GT(all.retries.size(), all.requests.size() / 10) << "a useful fraction of the budget is spent";
 }
 
+TEST(retry_limiter, a_share_that_grows_suddenly_is_not_counted_for_the_time_before) {
+  const retry_budget_settings budget{0.2, 720, duration{10'000}};
+  retry_limiter limiter;
+  time_point now{60'000};
+  const auto consume_all = [&](int nodes) {
+    int taken = 0;
+    while (limiter.try_consume(budget, nodes, now)) {
+      ++taken;
+    }
+    return taken;
+  };
+  EXPECT_EQ(consume_all(36), 10);
+  now = now + budget.window;
+  EXPECT_EQ(consume_all(1), 10);
+}
+
 /// Restarted nodes forget what they have used.
 TEST(retry_limiter, a_restart_of_all_nodes_stays_within_the_budget) {
   const retry_budget_settings budget{0.2, 58, duration{10'000}};
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -119,9 +119,15 @@
 mutate test_routing packages/routing/src/backend_state.cpp \
   's/recent) + 1 <= rate/recent) <= rate + 5/' "a cold server gets more than its rate"
 mutate test_routing packages/routing/src/retry_limiter.cpp \
-  's/  if (retries + 1 > allowed) {/  if (false) {/' "retries have no bound"
+  's/  if (this->earned + shared_tokens < 1) {/  if (false) {/' "retries have no bound"
 mutate test_routing packages/routing/src/retry_limiter.cpp \
-  's/counted.index >= oldest \&\& counted.index <= index/counted.index == index/' "the retry budget holds for a moment only"
+  's/earned_fraction = 0.55/earned_fraction = 0.85/; s/static_assert(earned_fraction.*//' "requests pay twice when nodes restart or callers move"
+mutate test_routing packages/routing/src/retry_limiter.cpp \
+  's/return std::min(this->earned,/return std::max(this->earned,/' "tokens are saved without a bound"
+mutate test_routing packages/routing/src/retry_limiter.cpp \
+  's/return std::clamp(this->shared + rate \* windows, 0.0, share)/return share/' "a process starts with all of its share"
+mutate test_routing packages/routing/src/retry_limiter.cpp \
+  's/std::min(share, this->latest_share)/share/' "a node that counts few others for a moment takes a large share at once"
 mutate test_routing packages/routing/src/region_shares.cpp \
   's/std::min(own_slots \/ own_need, 1.0)/1.0/' "a small region keeps all its objects"
 mutate test_routing packages/routing/src/backend_table_candidates.cpp \
