Answer every request that a stopping node has read before its process ends

Cause (class: a time limit that ends the process and not the work): the stop ended the event loop at its limit. Nothing bounded the deadlines of requests by that limit, so requests waited for servers beyond it, and submissions were sent which could last longer. Change: from SIGTERM on, all deadlines are bounded by the limit less the time for the last responses. Requests that wait are placed again at once: those that cannot be served in time are refused then, and not at the end. A request that may run only once is not sent if its own deadline is later. What is at a server at the end gets 504. Peers take a refusal for this reason as one on arrival. Reading stops one longest timeout before the time by which all is answered, not before the limit itself.

--- a/packages/core/include/zinnia/core/reason.hpp
+++ b/packages/core/include/zinnia/core/reason.hpp
@@ -32,6 +32,8 @@
   links_lost,
   /// All connections to the peers that could serve the request are in use, or the peer has no room.
   peer_busy,
+  /// This node is stopping, and the request could not be answered for certain before its process ends.
+  node_stopping,
   // During forwarding to a backend server.
   connect_failed,
   backend_shed,
--- a/packages/core/src/enum_names.cpp
+++ b/packages/core/src/enum_names.cpp
@@ -28,6 +28,7 @@
     "request-quarantined",
     "links-lost",
     "peer-busy",
+    "node-stopping",
     "connect-failed",
     "backend-shed",
     "backend-replaced",
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -133,6 +133,13 @@
   /// \brief Handles a request that another node has forwarded, and writes the response to the exchange.
   void handle_forwarded(const std::shared_ptr<caller_exchange>& exchange);
 
+  /// \brief   Answers all requests by this time, because the process ends soon after.
+  /// \details Requests that wait are placed again, and refused at once if they cannot be answered in time; so
+  /// are
+  ///          those that arrive later. A request that may run only once is not sent any more if its deadline
+  ///          is later. What is at a server at that time is ended, unless its response has begun.
+  void begin_stop(time_point answer_by_in);
+
   [[nodiscard]] link_monitor& link_state() noexcept { return this->links; }
   [[nodiscard]] std::size_t requests_in_flight() const noexcept { return this->flows.size(); }
   [[nodiscard]] const routing_snapshot* snapshot() const noexcept { return this->current_snapshot.get(); }
@@ -281,6 +288,8 @@
   std::unique_ptr<peer_forwarding> peers;
   // Requests of other nodes among `flows`.
   std::size_t forwarded_in_flight{0};
+  // Set once the node is stopping.
+  std::optional<time_point> answer_by;
   boost::asio::steady_timer tick_timer;
   time_point pools_cleaned_at;
 };
--- a/packages/gateway/src/hop_fields.cpp
+++ b/packages/gateway/src/hop_fields.cpp
@@ -120,7 +120,7 @@
   return result.own_reason == reason::links_lost || result.own_reason == reason::peer_busy ||
          result.own_reason == reason::no_settings || result.own_reason == reason::no_route ||
          result.own_reason == reason::memory_short || result.own_reason == reason::unknown_key ||
-         result.own_reason == reason::configuration_unconfirmed;
+         result.own_reason == reason::configuration_unconfirmed || result.own_reason == reason::node_stopping;
 }
 
 }  // namespace zinnia
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -61,7 +61,11 @@
       this->deadline = std::min(this->deadline, this->arrived_at + duration{*ms});
     }
   }
-  this->exchange->set_deadline(this->deadline);
+  this->own_deadline = this->deadline;
+  if (this->owner.answer_by) {
+    this->deadline = std::min(this->deadline, *this->owner.answer_by);
+  }
+  this->exchange->set_deadline(this->own_deadline);
   const auto key = find_field(fields, field_names.object_key);
   this->fingerprint = fingerprint_of(this->exchange->head(), this->exchange->body(), key);
   if (this->matched_route.sticky && key) {
@@ -74,8 +78,7 @@
   this->choose_service();
   const auto self = this->shared_from_this();
   this->exchange->on_disconnect = [self] { self->on_caller_left(); };
-  const auto left = this->deadline - this->owner.clock.now();
-  this->start_deadline_timer(std::chrono::milliseconds{std::max<std::int64_t>(left.ms, 0)});
+  this->start_deadline_timer(this->time_left());
   if (this->idempotent) {
     this->admit_and_place();
     return;
@@ -115,7 +118,7 @@
 }
 
 void request_flow::place_request() {
-  if (this->refuse_if_quarantined() || this->refuse_without_access()) {
+  if (this->refuse_if_quarantined() || this->refuse_without_access() || this->refuse_if_stopping()) {
     return;
   }
   const auto now = this->owner.clock.now();
@@ -148,7 +151,9 @@
            request.share});
       return;
     case placement_action::refuse:
-      if (this->owner.links.state() == link_condition::half_open) {
+      if (this->is_cut_short_by_stop()) {
+        this->end_for_stop();
+      } else if (this->owner.links.state() == link_condition::half_open) {
         this->forward_to_peer(this->decision.refusal_reason, this->decision.retry_after);
       } else if (this->run_verdict == verdict::did_not_run) {
         this->refuse(this->decision.refusal_reason, this->decision.retry_after);
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -43,6 +43,9 @@
   /// \brief  Ends the request if it is quarantined because it crashes backend servers.
   /// \return True if so.
   [[nodiscard]] bool refuse_if_quarantined();
+  /// \brief   Bounds the deadline, because the node is stopping; a request that waits is placed again.
+  /// \details Has no effect once the response has begun.
+  void answer_before_stop(time_point answer_by);
   /// \brief Returns the request if it is at that server and no part of a response has arrived.
   [[nodiscard]] std::optional<lost_request> unanswered_at(std::uint64_t backend) const;
   [[nodiscard]] bool is_waiting(request_fingerprint request) const noexcept {
@@ -76,6 +79,13 @@
   [[nodiscard]] bool refuse_without_access();
   /// True if accounts are configured now, or were when the request arrived.
   [[nodiscard]] bool has_accounts() const noexcept;
+  /// Refuses a request that may run only once if the node may end before its deadline. Returns true if it has
+  /// ended.
+  [[nodiscard]] bool refuse_if_stopping();
+  /// Ends a request that is at no server and cannot be answered before the node ends.
+  void end_for_stop();
+  /// True if the request must be answered before its deadline because the node is stopping.
+  [[nodiscard]] bool is_cut_short_by_stop() const noexcept { return this->deadline < this->own_deadline; }
   [[nodiscard]] region_filter allowed_regions() const noexcept;
   [[nodiscard]] request_priority priority() const noexcept;
   /// Returns the part of the room that the account gets while requests wait; empty without accounts.
@@ -117,6 +127,8 @@
   /// Refuses the request if it did not run, or else fails it with 502.
   void end_without_response(reason why);
   void start_deadline_timer(std::chrono::milliseconds after);
+  /// Returns the time until the deadline, or 0 if it has passed.
+  [[nodiscard]] std::chrono::milliseconds time_left() const noexcept;
   void on_deadline();
   void on_caller_left();
   /// Cancels the call in progress, if there is one.
@@ -156,6 +168,9 @@
   request_fingerprint fingerprint;
   bool idempotent{true};
   time_point arrived_at;
+  // The caller's or the route's, whichever is earlier.
+  time_point own_deadline;
+  // Invariant: not later than `own_deadline`; earlier if the node is stopping.
   time_point deadline;
   boost::asio::steady_timer deadline_timer;
 
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -111,6 +111,12 @@
   if (this->closed) {
     return;
   }
+  if (this->committed && this->is_cut_short_by_stop()) {
+    // What has begun may go on until the process ends.
+    this->deadline = this->own_deadline;
+    this->start_deadline_timer(this->time_left());
+    return;
+  }
   if (this->committed && this->exchange->has_unsent_output()) {
     // The caller is still reading what arrived in time. Its connection closes if it makes no progress.
     this->start_deadline_timer(impl::late_read_check_period);
@@ -124,7 +130,12 @@
       this->close(this->response.status, reason::route_timeout);
       return;
     }
-    this->fail(impl::status_gateway_timeout, reason::route_timeout);
+    this->fail(impl::status_gateway_timeout,
+               this->is_cut_short_by_stop() ? reason::node_stopping : reason::route_timeout);
+    return;
+  }
+  if (this->is_cut_short_by_stop()) {
+    this->end_for_stop();
     return;
   }
   if (this->run_verdict == verdict::did_not_run) {
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -83,6 +83,10 @@
   [[nodiscard]] duration lookup_lifetime() const;
   void wait_for_signal();
   void begin_stop();
+  /// Returns the time by which a stopping node answers all requests.
+  [[nodiscard]] time_point answer_limit() const noexcept {
+    return this->stop_began + (this->settings.stop_limit - stop_margin - response_flush_time);
+  }
   void continue_stop();
 
   const deployment& adapter;
@@ -339,6 +343,7 @@
   this->control->begin_leaving();
   this->callers.drain();
   this->forwarded.drain();
+  this->traffic.begin_stop(this->answer_limit());
   this->continue_stop();
 }
 
@@ -346,9 +351,10 @@
   const auto elapsed = this->clock.now() - this->stop_began;
   const auto limit = this->settings.stop_limit - stop_margin;
   const bool is_idle = elapsed > min_stop_time && this->callers.open_connections() == 0;
-  // Requests that have been read must complete before the limit, even with the longest route timeout.
-  const auto read_limit = std::max(limit - this->traffic.max_route_timeout(), min_stop_time);
-  if (!this->reading_stopped && (is_idle || elapsed > read_limit)) {
+  // Requests that are read until then end at their deadlines at the latest.
+  const auto read_until = this->answer_limit() - this->traffic.max_route_timeout();
+  const bool is_late = elapsed > min_stop_time && this->clock.now() > read_until;
+  if (!this->reading_stopped && (is_idle || is_late)) {
     this->reading_stopped = true;
     this->callers.stop_reading();
     this->forwarded.stop_reading();
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -118,6 +118,10 @@
   's/this->rate_share.reset();//' "a server that starts again keeps its old limit"
 mutate test_routing packages/routing/src/backend_state.cpp \
   's/recent) + 1 <= rate/recent) <= rate + 5/' "a cold server gets more than its rate"
+mutate test_gateway packages/gateway/src/gateway_stop.cpp \
+  's/    flow->answer_before_stop(answer_by_in);//' "a stopping node cuts off the requests that wait in it"
+mutate test_gateway packages/gateway/src/gateway_stop.cpp \
+  's/  if (this->idempotent || !this->is_cut_short_by_stop()) {/  if (true) {/' "a stopping node sends what may run only once and last longer"
 mutate test_routing packages/routing/src/retry_limiter.cpp \
   's/  if (this->earned + shared_tokens < 1) {/  if (false) {/' "retries have no bound"
 mutate test_routing packages/routing/src/retry_limiter.cpp \
