Keep no connection on which a refusal without an id could come once more

Cause (class: a word that nothing ties to the request is believed): a response without an id counts as that of the request under way unless an earlier one on the connection has named its request. Change: after a failure that names no request the connection is closed, also if the request had no id. So such a refusal is believed only on a connection that has carried no other one. Peers, which pass on other servers' words on one connection, are left as they are. Test: repeated_response.a_refusal_without_an_id_that_comes_again_releases_no_request_that_runs fails without the change (the second caller got 503) and passes with it; test_http and the other tests of repeated_response pass.

--- a/packages/gateway/tests/repeated_response_test.cpp
+++ b/packages/gateway/tests/repeated_response_test.cpp
@@ -14,6 +14,20 @@
                 "Left: 3000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     return client.read_all();
   }
+  /// Starts the gateway, or replaces its snapshot.
+  void apply_snapshot() {
+    if (!this->thread.joinable()) {
+      this->start();
+      return;
+    }
+    std::promise<void> applied;
+    boost::asio::post(this->context, [&] {
+      ++this->snapshot.sequence;
+      this->traffic->apply(std::make_shared<const routing_snapshot>(this->snapshot));
+      applied.set_value();
+    });
+    applied.get_future().wait();
+  }
   [[nodiscard]] static std::string id(const std::string& value) { return "Request-Id: " + value + "\r\n"; }
   [[nodiscard]] static std::string refusal(const std::string& id_field) {
     return "HTTP/1.1 503 X\r\n" + id_field + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -34,6 +48,27 @@
   EXPECT_TRUE(this->send_as("POST", id("b")).starts_with("HTTP/1.1 502"));
 }
 
+TEST_F(repeated_response, a_refusal_without_an_id_that_comes_again_releases_no_request_that_runs) {
+  for (const auto& first_id : {id("a"), std::string{}}) {
+    const scripted_tcp_server* running = nullptr;
+    const scripted_tcp_server server{[&](int number) {
+      if (number == 0) {
+        return scripted_response{refusal(""), true};
+      }
+      const bool is_same_connection = running->connections() == 1;
+      return scripted_response{(is_same_connection ? refusal("") : "") + success(id("b")), true};
+    }};
+    running = &server;
+    this->route_with(request_kind::unsafe);
+    this->snapshot.backends.clear();
+    this->add("s" + std::to_string(first_id.size()), server.port());
+    this->apply_snapshot();
+    EXPECT_TRUE(this->send_as("POST", first_id).starts_with("HTTP/1.1 503"));
+    EXPECT_TRUE(this->send_as("POST", id("b")).starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(server.connections(), 2);
+  }
+}
+
 TEST_F(repeated_response, an_id_is_not_sent_twice_on_one_connection_so_that_its_responses_can_be_told_apart) {
   const scripted_tcp_server server{[](int number) {
     return scripted_response{number == 0 ? refusal(id("a")) : success(id(number == 1 ? "b" : "a")), true};
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -113,6 +113,8 @@
   /// Decides by the identifier if the response is the one to the current request. Ends the call if that
   /// cannot be told.
   [[nodiscard]] bool is_current_response(const response_head& head);
+  /// True if the response could not be told from that to a later request if it came once more.
+  [[nodiscard]] bool is_ambiguous_if_repeated() const noexcept;
   void complete_response(bool keeps_open);
   void fail(verdict outcome, reason failure_reason, bool is_refused = false);
   void close_socket();
@@ -139,6 +141,8 @@
   bool responses_name_requests{false};
   // A response was discarded during this call, so the connection is not reused.
   bool response_discarded{false};
+  // The response to the current request names no request.
+  bool response_unnamed{false};
   // Responses to the current request's connection that were not its final response.
   int skipped_responses{0};
   bool any_byte_received{false};
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -31,6 +31,7 @@
 /// Interim responses (1xx) and responses to other requests before the response to a request.
 constexpr int max_skipped_responses = 16;
 constexpr int first_final_status = 200;
+constexpr int first_failure_status = 300;
 /// Calls whose identifiers are remembered. A response that is sent once more comes soon after the first time.
 constexpr std::size_t remembered_ids = 32;
 
@@ -74,6 +75,7 @@
   this->request_written = false;
   this->any_byte_received = false;
   this->response_discarded = false;
+  this->response_unnamed = false;
   this->skipped_responses = 0;
   this->paused = false;
   this->connect_duration.reset();
@@ -252,9 +254,16 @@
     return false;
   }
   this->responses_name_requests = this->responses_name_requests || id;
+  this->response_unnamed = !id;
   return !this->discarding_response;
 }
 
+bool backend_connection::is_ambiguous_if_repeated() const noexcept {
+  // A success without a name is as ambiguous, but no request is sent to another server because of it.
+  return this->response_unnamed && !this->current.is_relayed &&
+         this->parser->head().status >= impl::first_failure_status;
+}
+
 bool backend_connection::has_carried(std::string_view id) const noexcept {
   return !id.empty() && std::find(this->carried_ids.begin(), this->carried_ids.end(), stable_hash(id)) !=
                             this->carried_ids.end();
@@ -283,7 +292,8 @@
   end.outcome = verdict::ran;
   end.closes_connection = !this->parser->keep_alive();
   const bool reusable = keeps_open && !end.closes_connection && this->request_written &&
-                        !this->response_discarded && this->input.empty() && !this->parser->need_eof();
+                        !this->response_discarded && !this->is_ambiguous_if_repeated() &&
+                        this->input.empty() && !this->parser->need_eof();
   if (reusable) {
     this->phase = connection_phase::idle;
     this->idle_until = this->clock.now() + impl::keep_alive_timeout(this->parser->head());
