Reset the connections of calls that are given up

Cause (class: giving up a call does not take back its bytes): the socket was closed in order, so that the system went on sending what had not been acknowledged. Change: a connection to a server or a peer is reset if its call is cancelled or fails, or if the response is complete before the request is written; what had not been received is dropped. All ends of calls go through backend_connection, those of peers and health checks too. Connections that have finished their calls are closed in order as before.

--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -75,7 +75,7 @@
   /// \brief Sends a request. A new connection connects first; any other must be idle.
   /// \param call_handler Must outlive the call unless `cancel` is called.
   void start(backend_call call, backend_call_handler& call_handler);
-  /// \brief Drops the call without a result and closes the connection.
+  /// \brief Drops the call without a result and resets the connection, so that nothing of it is sent later.
   void cancel();
   /// \brief Pauses or resumes reading the response.
   void set_paused(bool paused_in);
@@ -117,6 +117,8 @@
   [[nodiscard]] bool is_ambiguous_if_repeated() const noexcept;
   void complete_response(bool keeps_open);
   void fail(verdict outcome, reason failure_reason, bool is_refused = false);
+  /// Closes the connection; if a call is in progress, with a reset.
+  void give_up_call();
   void close_socket();
   void finish(const backend_call_result& end);
   void make_parser();
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -299,15 +299,17 @@
     this->idle_until = this->clock.now() + impl::keep_alive_timeout(this->parser->head());
     this->current.bytes.clear();
     this->wait_readable();
-  } else {
+  } else if (this->request_written) {
     this->close_socket();
+  } else {
+    this->give_up_call();
   }
   this->finish(end);
 }
 
 void backend_connection::fail(verdict outcome, reason failure_reason, bool is_refused) {
   const bool was_idle = this->phase == connection_phase::idle;
-  this->close_socket();
+  this->give_up_call();
   if (!was_idle) {
     backend_call_result end;
     end.outcome = outcome;
@@ -327,6 +329,15 @@
 
 void backend_connection::cancel() {
   this->handler = nullptr;
+  this->give_up_call();
+}
+
+void backend_connection::give_up_call() {
+  if (this->phase == connection_phase::busy) {
+    // A reset drops what the server has not received yet; otherwise it could arrive and run long afterwards.
+    impl::error_code ignored;
+    this->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+  }
   this->close_socket();
 }
 
--- a/packages/http/tests/backend_connection_test.cpp
+++ b/packages/http/tests/backend_connection_test.cpp
@@ -261,4 +261,30 @@
   pool.release(second);
 }
 
+TEST_F(backend_connection_test, a_call_that_is_given_up_leaves_no_bytes_that_arrive_later) {
+  boost::asio::io_context server_context;
+  boost::asio::ip::tcp::acceptor acceptor{server_context, {boost::asio::ip::address_v4::loopback(), 0}};
+  // More than the buffers of both sockets take, so that a part waits at the sender.
+  constexpr std::size_t request_bytes = 64 << 20;
+  for (const bool is_whole_request : {true, false}) {
+    const auto connection = this->connect(acceptor.local_endpoint().port());
+    recording_handler handler{this->context};
+    backend_call request;
+    request.bytes.assign(is_whole_request ? 100 : request_bytes, 'x');
+    connection->start(std::move(request), handler);
+    this->context.restart();
+    this->context.run_for(std::chrono::milliseconds{200});
+    connection->cancel();
+    auto server_side = acceptor.accept();
+    std::string received(1 << 20, '\0');
+    std::size_t total = 0;
+    boost::system::error_code problem;
+    while (!problem) {
+      total += server_side.read_some(boost::asio::buffer(received), problem);
+    }
+    EXPECT_EQ(problem, boost::asio::error::connection_reset) << problem.message();
+    EXPECT_LT(total, request_bytes);
+  }
+}
+
 }  // namespace
