--- a/packages/routing/include/zinnia/routing/retry_limiter.hpp
+++ b/packages/routing/include/zinnia/routing/retry_limiter.hpp
@@ -36,8 +36,9 @@
 ///          no tokens.
 class retry_limiter {
  public:
+  retry_limiter() = default;
   /// \param started_at_in When the process started.
-  explicit retry_limiter(time_point started_at_in = {}) noexcept : refilled_at{started_at_in} {}
+  explicit retry_limiter(time_point started_at_in) noexcept : refilled_at{started_at_in} {}
 
   /// \brief Counts one first attempt.
   void on_request(const retry_budget_settings& budget, time_point now) noexcept;
