Stop reading before the end of a stop, however short its limit

What callers saw: with a limit of a stop (graceS) under 3.3 s a node went on reading requests until its process ended, and cut off those that it had just read. With a limit under 5.4 s, requests at a server were given up with 504 earlier than the last sixth of it. Cause (class: a time limit that ends the process and not the work): the margins of a stop were constants (700, 200, 2,600 ms), fit for limits of 6 s and more. Change: stop_schedule, a class without I/O, derives all times of a stop from its limit. They are what they were at 6 and 10 s. Evidence: by reading and by the table of limits in stop_schedule_test (0.5 to 60 s); no deployment in force has a limit under 6 s.

--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -14,10 +14,12 @@
 #include <cstdlib>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "change_relay_server.hpp"
 #include "notice_exchange.hpp"
+#include "stop_schedule.hpp"
 #include "zinnia/gateway/forwarding_limits.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
@@ -41,13 +43,6 @@
 constexpr std::size_t max_internal_connections = 200;
 /// Connection limit of the directory listener.
 constexpr std::size_t max_directory_connections = 800;
-/// The process ends by itself this long before it would be killed.
-constexpr duration stop_margin{700};
-/// Time for the last responses to reach their callers before the process ends: the round trip of a long link.
-constexpr duration response_flush_time{200};
-/// A stop may end before its limit after this time, when callers no longer cache this node's address, if no
-/// connection is left.
-constexpr duration min_stop_time{2600};
 constexpr std::chrono::milliseconds stop_check_period{50};
 
 [[nodiscard]] boost::asio::ip::tcp::endpoint to_endpoint(const ip_endpoint& address) {
@@ -83,11 +78,9 @@
   [[nodiscard]] duration lookup_lifetime() const;
   void wait_for_signal();
   void begin_stop();
-  /// Returns the time by which a stopping node answers all requests.
-  [[nodiscard]] time_point answer_limit() const noexcept {
-    return this->stop_began + (this->settings.stop_limit - stop_margin - response_flush_time);
-  }
   void continue_stop();
+  /// Ends reading once it is time.
+  void limit_reading(time_point now);
 
   const deployment& adapter;
   node_settings settings;
@@ -109,10 +102,10 @@
   boost::asio::steady_timer stop_timer;
   live_members alive;
   std::vector<shift_progress> progress;
-  bool stopping{false};
-  time_point stop_began;
-  bool reading_stopped{false};
-  time_point reading_stopped_at;
+  // Set once the node is stopping.
+  std::optional<stop_schedule> stop;
+  // Set once no more requests are read.
+  std::optional<time_point> reading_stopped_at;
   std::unique_ptr<control_thread> control;
   // Reads the relayed changes of `control`, so it is destroyed first.
   std::unique_ptr<change_relay_server> relay_server;
@@ -292,7 +285,7 @@
 }
 
 void node::respond_to_readiness_check(const std::shared_ptr<caller_exchange>& exchange) {
-  const bool is_ready = !this->stopping && this->control != nullptr && this->control->is_ready();
+  const bool is_ready = !this->stop && this->control != nullptr && this->control->is_ready();
   exchange->respond(is_ready ? status_ok : status_unavailable, {}, "");
 }
 
@@ -327,7 +320,7 @@
     }
     if (signal == SIGHUP) {
       this->control->reload_settings();
-    } else if (!this->stopping) {
+    } else if (!this->stop) {
       this->begin_stop();
     }
     this->wait_for_signal();
@@ -335,36 +328,35 @@
 }
 
 void node::begin_stop() {
-  this->stopping = true;
-  this->stop_began = this->clock.now();
+  this->stop.emplace(this->clock.now(), this->settings.stop_limit);
   log_line{log_level::info, "stopping"}
       .field("requests_under_way", static_cast<std::int64_t>(this->traffic.requests_in_flight()))
       .field("connections", static_cast<std::int64_t>(this->callers.open_connections()));
   this->control->begin_leaving();
   this->callers.drain();
   this->forwarded.drain();
-  this->traffic.begin_stop(this->answer_limit());
+  this->traffic.begin_stop(this->stop->answer_by());
   this->continue_stop();
 }
 
-void node::continue_stop() {
-  const auto elapsed = this->clock.now() - this->stop_began;
-  const auto limit = this->settings.stop_limit - stop_margin;
-  const bool is_idle = elapsed > min_stop_time && this->callers.open_connections() == 0;
-  // Requests that are read until then end at their deadlines at the latest.
-  const auto read_until = this->answer_limit() - this->traffic.max_route_timeout();
-  const bool is_late = elapsed > min_stop_time && this->clock.now() > read_until;
-  if (!this->reading_stopped && (is_idle || is_late)) {
-    this->reading_stopped = true;
+void node::limit_reading(time_point now) {
+  const bool is_idle = now > this->stop->read_at_least_until() && this->callers.open_connections() == 0;
+  const bool is_late = now > this->stop->read_until(this->traffic.max_route_timeout());
+  if (!this->reading_stopped_at && (is_idle || is_late)) {
     this->callers.stop_reading();
     this->forwarded.stop_reading();
-    this->reading_stopped_at = this->clock.now();
+    this->reading_stopped_at = now;
   }
-  const bool is_finished = this->reading_stopped && this->traffic.requests_in_flight() == 0 &&
+}
+
+void node::continue_stop() {
+  const auto now = this->clock.now();
+  this->limit_reading(now);
+  const bool is_finished = this->reading_stopped_at && this->traffic.requests_in_flight() == 0 &&
                            !this->callers.has_requests_in_flight() &&
                            !this->forwarded.has_requests_in_flight() &&
-                           this->clock.now() - this->reading_stopped_at > response_flush_time;
-  if (elapsed > limit || is_finished) {
+                           now - *this->reading_stopped_at > stop_schedule::max_flush_time;
+  if (now > this->stop->end_by() || is_finished) {
     this->context.stop();
     return;
   }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -118,6 +118,10 @@
   's/this->rate_share.reset();//' "a server that starts again keeps its old limit"
 mutate test_routing packages/routing/src/backend_state.cpp \
   's/recent) + 1 <= rate/recent) <= rate + 5/' "a cold server gets more than its rate"
+mutate test_node packages/node/src/stop_schedule.hpp \
+  's/    return std::min(most, duration.*/    return most;/' "a short limit leaves a stopping node no time to answer"
+mutate test_node packages/node/src/stop_schedule.hpp \
+  's/this->answer_by() - longest_timeout/this->answer_by()/' "a stopping node reads what it has no time for"
 mutate test_gateway packages/gateway/src/gateway_stop.cpp \
   's/    flow->answer_before_stop(answer_by_in);//' "a stopping node cuts off the requests that wait in it"
 mutate test_gateway packages/gateway/src/gateway_stop.cpp \
