Serve or refuse requests that have half arrived when a node stops

What callers saw: around a planned stop, requests of which the node had read a part were cut off without an answer, submissions among them, though seconds of the grace were left. Cause (the class of: a time limit that ends the process and not the work): stop_reading dropped what a connection had read of an incomplete request, closed it, and the node counted only complete requests as work. Connections in the accept queue were reset when the listener closed. Change: a connection reads on what has begun to arrive, also behind a response that has begun, and takes nothing more. The node waits for it until all must be answered; what is incomplete then is refused with 503, and so is, as soon as its head is read, what would be refused in any case. The refusal reaches a caller that is still sending: its connection is not reset while it sends. The accept queue is emptied before the listener closes. Handed-over requests are treated the same way.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -139,6 +139,13 @@
   ///          time. A request that may run only once is not sent any more if its deadline is later. What is
   ///          at a server at that time is ended, unless its response has begun.
   void begin_stop(time_point answer_by_in);
+  /// \brief Returns true if the node is stopping and would not send a request with this head and first byte,
+  ///        whenever its body arrives.
+  [[nodiscard]] bool is_refused_by_head(const request_head& head, time_point started) const;
+  /// \brief Tells a caller that a request which is read no further has not run.
+  void refuse_partial(const std::shared_ptr<caller_exchange>& exchange);
+  /// \brief Tells the same to a node that was forwarding the request.
+  void refuse_partial_forwarded(const std::shared_ptr<caller_exchange>& exchange);
 
   [[nodiscard]] link_monitor& link_state() noexcept { return this->links; }
   [[nodiscard]] std::size_t requests_in_flight() const noexcept { return this->flows.size(); }
@@ -166,6 +173,12 @@
   /// Starts the flow of a request, or refuses it.
   /// \param forwarded What the node that forwarded the request tells; null if it comes from a caller.
   void admit(const std::shared_ptr<caller_exchange>& exchange, const forwarded_request* forwarded);
+  /// Returns the route that a request takes on arrival; null if there is none.
+  [[nodiscard]] const route* find_route(const request_head& head) const;
+  /// Returns the time by which a request must be answered that arrived at `arrived`: the caller's or the
+  /// route's, whichever is earlier.
+  [[nodiscard]] time_point deadline_of(const request_head& head, const route& wanted,
+                                       time_point arrived) const;
   /// Returns the account that a request has on arrival, by its key or by what its sender tells.
   [[nodiscard]] std::optional<account_identity> identify_account(const request_head& head,
                                                                  const forwarded_request* forwarded) const;
--- a/packages/gateway/src/gateway_admission.cpp
+++ b/packages/gateway/src/gateway_admission.cpp
@@ -1,6 +1,7 @@
 // Admission of requests: what is refused before a request is placed.
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
 #include <string>
 
 #include "hop_fields.hpp"
@@ -16,6 +17,19 @@
 /// requests in flight take too much memory.
 constexpr duration unplaced_retry_after{200};
 
+/// Returns how long a caller should wait before it sends a request again that was refused before placement.
+[[nodiscard]] duration retry_after_of(reason why) noexcept {
+  switch (why) {
+    case reason::configuration_unconfirmed:
+      return gateway::unconfirmed_retry_after;
+    case reason::node_stopping:
+      // Other nodes serve the caller at once.
+      return duration{0};
+    default:
+      return unplaced_retry_after;
+  }
+}
+
 constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
@@ -44,7 +58,7 @@
     refuse(impl::status_bad_request, reason::bad_request);
     return;
   }
-  const auto* const route = this->current_snapshot->routes->find(*host, head.path());
+  const auto* const route = this->find_route(head);
   if (route == nullptr) {
     refuse(impl::status_not_found, reason::no_route);
     return;
@@ -67,18 +81,32 @@
   flow->start();
 }
 
+const route* gateway::find_route(const request_head& head) const {
+  const auto host = find_field(head.fields, "Host");
+  const bool has_routes = this->current_snapshot != nullptr && this->current_snapshot->routes != nullptr;
+  return host && has_routes ? this->current_snapshot->routes->find(*host, head.path()) : nullptr;
+}
+
+time_point gateway::deadline_of(const request_head& head, const route& wanted, time_point arrived) const {
+  const auto deadline = arrived + wanted.timeout;
+  const auto text = find_field(head.fields, this->options.field_names.time_left_ms);
+  const auto left_ms = text ? parse_number(*text) : std::nullopt;
+  return left_ms ? std::min(deadline, arrived + duration{*left_ms}) : deadline;
+}
+
 void gateway::refuse_unplaced(caller_exchange& exchange, int status, reason why, bool is_forwarded,
                               const std::optional<account_identity>& identity) {
   const auto& head = exchange.head();
   const auto id = find_field(head.fields, this->options.field_names.request_id).value_or("");
   header_fields fields;
   if (status == impl::status_unavailable) {
-    const auto wait =
-        why == reason::configuration_unconfirmed ? unconfirmed_retry_after : impl::unplaced_retry_after;
     constexpr double ms_per_second = 1000;
-    fields.push_back({"Retry-After", absl::StrFormat("%.3f", static_cast<double>(wait.ms) / ms_per_second)});
+    const auto seconds = static_cast<double>(impl::retry_after_of(why).ms) / ms_per_second;
+    fields.push_back({"Retry-After", absl::StrFormat("%.3f", seconds)});
+  }
+  if (!id.empty()) {
+    fields.push_back({this->options.field_names.request_id, std::string{id}});
   }
-  fields.push_back({this->options.field_names.request_id, std::string{id}});
   if (is_forwarded) {
     this->counts.add(counter::forwarded_refused);
     for (auto& field : encode_hop_fields({verdict::did_not_run, why, 0})) {
--- a/packages/gateway/src/gateway_stop.cpp
+++ b/packages/gateway/src/gateway_stop.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
 
 }  // namespace
 }  // namespace impl
@@ -27,6 +28,22 @@
   }
 }
 
+bool gateway::is_refused_by_head(const request_head& head, time_point started) const {
+  const auto* const route = this->answer_by ? this->find_route(head) : nullptr;
+  return route != nullptr && !is_repeatable(route->kind, head.method) &&
+         this->deadline_of(head, *route, started) > *this->answer_by;
+}
+
+void gateway::refuse_partial(const std::shared_ptr<caller_exchange>& exchange) {
+  this->counts.add(counter::requests);
+  this->refuse_unplaced(*exchange, impl::status_unavailable, reason::node_stopping, false);
+}
+
+void gateway::refuse_partial_forwarded(const std::shared_ptr<caller_exchange>& exchange) {
+  this->counts.add(counter::forwarded_received);
+  this->refuse_unplaced(*exchange, impl::status_unavailable, reason::node_stopping, true);
+}
+
 void request_flow::answer_before_stop(time_point answer_by) {
   if (this->closed || this->committed || this->deadline <= answer_by) {
     return;
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -55,12 +55,7 @@
     this->tried_backends = this->forwarded->tried;
     ++this->owner.forwarded_in_flight;
   }
-  this->deadline = this->arrived_at + this->matched_route.timeout;
-  if (const auto left = find_field(fields, field_names.time_left_ms)) {
-    if (const auto ms = parse_number(*left)) {
-      this->deadline = std::min(this->deadline, this->arrived_at + duration{*ms});
-    }
-  }
+  this->deadline = this->owner.deadline_of(this->exchange->head(), this->matched_route, this->arrived_at);
   this->own_deadline = this->deadline;
   if (this->owner.answer_by) {
     this->deadline = std::min(this->deadline, *this->owner.answer_by);
--- a/packages/gateway/tests/stop_test.cpp
+++ b/packages/gateway/tests/stop_test.cpp
@@ -23,6 +23,13 @@
     return std::async(std::launch::async,
                       [this, method] { return this->send_request(method, request_time_ms); });
   }
+  void refuse_partial_requests() {
+    this->listener->set_partial_request_handler(
+        {[this](const request_head& head, time_point started) {
+           return this->traffic->is_refused_by_head(head, started);
+         },
+         [this](const auto& exchange) { this->traffic->refuse_partial(exchange); }});
+  }
   [[nodiscard]] std::size_t requests_in_flight() {
     std::promise<std::size_t> told;
     boost::asio::post(this->context, [&] { told.set_value(this->traffic->requests_in_flight()); });
@@ -93,6 +100,35 @@
   release.set_value();
 }
 
+TEST_F(stopping_node, refuses_a_half_sent_request_that_may_run_only_once_at_once) {
+  this->route_with(request_kind::unsafe, request_time_ms);
+  this->refuse_partial_requests();
+  this->start();
+  this->begin_stop(duration{10'000});
+  raw_tcp_client client{this->port};
+  client.send(
+      "POST /x/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nLeft: 20000\r\nContent-Length: 4\r\n\r\nda");
+  const auto refused = client.read_all(500);
+  EXPECT_TRUE(refused.starts_with("HTTP/1.1 503")) << refused;
+  EXPECT_NE(refused.find("Retry-After: 0.000"), std::string::npos) << refused;
+  EXPECT_NE(refused.find("Request-Id: r1"), std::string::npos) << refused;
+  EXPECT_EQ(this->counts.refusals_for(reason::node_stopping), 1U);
+}
+
+TEST_F(stopping_node, serves_half_sent_requests_that_fit) {
+  const scripted_tcp_server server{[](int) { return good_response; }};
+  this->route_with(request_kind::unsafe, request_time_ms);
+  this->add("a", server.port());
+  this->refuse_partial_requests();
+  this->start();
+  this->begin_stop(duration{10'000});
+  raw_tcp_client client{this->port};
+  client.send("POST /x/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nLeft: 5000\r\nContent-Length: 4\r\n\r\nda");
+  EXPECT_EQ(client.read_some(50), "");
+  client.send("ta");
+  EXPECT_TRUE(client.read_until("data").starts_with("HTTP/1.1 200"));
+}
+
 TEST_F(stopping_node, serves_repeatable_requests_that_fit) {
   const scripted_tcp_server server{[](int) { return good_response; }};
   this->route_with(request_kind::safe, request_time_ms);
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -28,26 +29,47 @@
 /// \brief Handles the requests of all connections of a listener.
 using request_handler = std::function<void(const std::shared_ptr<caller_exchange>&)>;
 
+/// \brief Refuses requests of which only a part has been read. Without it, they are read to their end.
+struct partial_request_handler {
+  /// Returns true if a request whose body is still to come is known to be refused, by its head and the time
+  /// at which its first byte was read.
+  std::function<bool(const request_head&, time_point)> is_refused;
+  /// Responds to a request that is read no further. It has no body, and a head only if that was complete.
+  request_handler refuse;
+};
+
 /// \brief   A connection from a caller. Pending socket operations and open exchanges keep it alive.
 /// \details All members must be called on the thread that runs the socket's context.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
  public:
   caller_connection(boost::asio::ip::tcp::socket accepted, const caller_limits& limits_in,
-                    const clock_source& clock_in, request_handler on_request_in);
+                    const clock_source& clock_in, request_handler on_request_in,
+                    const partial_request_handler& partial_requests_in);
 
   void start();
   /// \brief Enforces the time limits; called every few hundred milliseconds.
   void enforce_timeouts();
   /// \brief From now on, responses close the connection.
   void drain() noexcept { this->draining = true; }
-  /// \brief Accepts no more requests. Closes the connection after the responses to those in flight.
+  /// \brief   Accepts no more requests. Closes the connection after the responses to those in flight.
+  /// \details A request that has begun to arrive is read to its end.
   void stop_reading();
+  /// \brief Refuses a partly read request if its handler now refuses it.
+  void recheck_partial_request();
+  /// \brief Refuses a partly read request, unless an earlier response tells the caller that it is not read.
+  void refuse_partial_request();
   [[nodiscard]] bool is_closed() const noexcept { return this->phase == connection_phase::closed; }
   [[nodiscard]] bool is_idle() const noexcept {
     return this->pending.empty() && !this->has_partial_request();
   }
   /// \brief True while a response is written or the caller has not acknowledged all of the last one.
   [[nodiscard]] bool has_undelivered_output();
+  /// \brief True while a caller whose request was refused early may not have seen the response, as it is
+  /// still
+  ///        sending.
+  [[nodiscard]] bool awaits_rest_of_request() const noexcept {
+    return this->phase == connection_phase::lingering && this->refused_early;
+  }
 
  private:
   friend class caller_exchange;
@@ -66,9 +88,15 @@
   void wait_readable();
   void read_available();
   void parse_input();
-  [[nodiscard]] bool accept_head();
+  /// \param is_complete The body has been read too.
+  [[nodiscard]] bool accept_head(bool is_complete);
   void deliver_request();
   void reject(int status);
+  /// Reads no more input and drops what has been read.
+  void end_input();
+  /// True if the response to the latest request closes the connection, so that the caller knows that what it
+  /// sent behind that request has not been read.
+  [[nodiscard]] bool is_partial_request_disowned() const noexcept;
   void flush();
   void write_next_piece();
   void on_written();
@@ -81,11 +109,16 @@
   void close_socket();
   [[nodiscard]] bool decide_close(const caller_exchange& exchange);
 
+  /// Reading pauses when a connection has this much unparsed input.
+  static constexpr std::size_t max_input_bytes = 256 << 10;
+
   boost::asio::ip::tcp::socket socket;
   // The listener's limits, which change with the configuration.
   const caller_limits& limits;
   const clock_source& clock;
   request_handler on_request;
+  // The listener's.
+  const partial_request_handler& partial_requests;
   std::unique_ptr<request_parser> parser;
   std::string input;
   // In order of arrival; responses are sent in the same order.
@@ -97,6 +130,10 @@
   bool read_active{false};
   bool head_accepted{false};
   bool draining{false};
+  // Only a request that has begun to arrive is still read.
+  bool reading_stopped{false};
+  // A request was refused before it was read to its end.
+  bool refused_early{false};
   // No more requests are read: a response will close the connection, the input was rejected, or reading
   // was stopped.
   bool input_ended{false};
--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/result.hpp"
@@ -29,11 +31,20 @@
 
   /// \brief Sets the limits of open and future connections.
   void set_limits(const caller_limits& limits_in) noexcept { this->limits = limits_in; }
+  /// \brief Sets what refuses partly read requests of open and future connections.
+  void set_partial_request_handler(partial_request_handler handler) {
+    this->partial_requests = std::move(handler);
+  }
   /// \brief From now on, every response closes its connection. New connections are still accepted.
   void drain();
   /// \brief   Accepts no more connections and reads no more requests.
-  /// \details Requests that are already read get their responses.
+  /// \details Requests that have begun to arrive, also on connections that were not accepted yet, are read to
+  ///          their end and get their responses.
   void stop_reading();
+  /// \brief Refuses those partly read requests that their handler now refuses.
+  void recheck_partial_requests();
+  /// \brief Refuses all partly read requests.
+  void refuse_partial_requests();
   [[nodiscard]] std::size_t open_connections() const noexcept { return this->connections.size(); }
   /// \brief True if any connection has a request in flight or partly read, or output that its caller has not
   ///        received.
@@ -41,6 +52,10 @@
 
  private:
   void accept_next();
+  /// Accepts the connections in the backlog, which would be reset when the acceptor closes.
+  void accept_backlog();
+  void add_connection(boost::asio::ip::tcp::socket accepted);
+  [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> current_connections() const;
   void sweep();
 
   boost::asio::io_context& context;
@@ -48,6 +63,7 @@
   std::size_t max_connections;
   request_handler on_request;
   caller_limits limits;
+  partial_request_handler partial_requests;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep_timer;
   boost::asio::steady_timer accept_retry_timer;
--- a/packages/http/include/zinnia/http/message_parser.hpp
+++ b/packages/http/include/zinnia/http/message_parser.hpp
@@ -98,11 +98,11 @@
  public:
   using collecting_parser::collecting_parser;
 
-  /// \brief The head; valid once `is_header_done()`.
+  /// \brief The head; valid once `is_header_done()`, and until `take_head`.
+  [[nodiscard]] const request_head& head();
   [[nodiscard]] request_head take_head();
   [[nodiscard]] std::string take_body_text() { return std::move(this->body); }
   [[nodiscard]] std::size_t body_size() const noexcept { return this->body.size(); }
-  [[nodiscard]] const header_fields& fields() const noexcept { return this->collected_fields; }
 
  protected:
   void on_request_impl(boost::beast::http::verb verb, text_view method, text_view target, int version,
@@ -111,7 +111,7 @@
   void on_body_piece(std::string_view piece) override { this->body.append(piece); }
 
  private:
-  request_head head;
+  request_head parsed;
   std::string body;
 };
 
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -1,6 +1,7 @@
 // Reads requests, orders responses and writes them on one caller's connection.
 #include "zinnia/http/caller_connection.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <utility>
@@ -15,8 +16,6 @@
 
 /// Requests in flight per connection. Further requests stay unparsed.
 constexpr std::size_t max_pipelined_requests = 16;
-/// Reading pauses when a connection has this much unparsed input.
-constexpr std::size_t max_input_bytes = 256 << 10;
 /// The time to wait for the caller to close the connection after it has received the last response. An
 /// earlier close could send a reset and make the caller lose the response.
 constexpr duration linger_timeout{1000};
@@ -38,11 +37,13 @@
 }  // namespace impl
 
 caller_connection::caller_connection(boost::asio::ip::tcp::socket accepted, const caller_limits& limits_in,
-                                     const clock_source& clock_in, request_handler on_request_in)
+                                     const clock_source& clock_in, request_handler on_request_in,
+                                     const partial_request_handler& partial_requests_in)
     : socket{std::move(accepted)},
       limits{limits_in},
       clock{clock_in},
       on_request{std::move(on_request_in)},
+      partial_requests{partial_requests_in},
       last_activity{clock_in.now()} {}
 
 void caller_connection::start() {
@@ -53,8 +54,7 @@
 }
 
 void caller_connection::wait_readable() {
-  if (this->read_active || this->phase == connection_phase::closed ||
-      this->input.size() >= impl::max_input_bytes) {
+  if (this->read_active || this->phase == connection_phase::closed || this->input.size() >= max_input_bytes) {
     return;
   }
   this->read_active = true;
@@ -84,7 +84,7 @@
     this->close_socket();
     return;
   }
-  if (this->phase == connection_phase::open) {
+  if (this->phase == connection_phase::open || this->refused_early) {
     this->last_activity = this->clock.now();
   }
   if (!this->input_ended) {
@@ -112,7 +112,8 @@
       this->reject(head_too_large ? impl::status_fields_too_large : impl::status_bad_request);
       return;
     }
-    if (this->parser->is_header_done() && !this->head_accepted && !this->accept_head()) {
+    if (this->parser->is_header_done() && !this->head_accepted &&
+        !this->accept_head(progress == parse_progress::complete)) {
       return;
     }
     if (this->parser->body_size() > this->limits.max_body_bytes) {
@@ -126,14 +127,21 @@
   }
 }
 
-bool caller_connection::accept_head() {
+bool caller_connection::accept_head(bool is_complete) {
   this->head_accepted = true;
   const auto length = this->parser->content_length();
   if (length && *length > this->limits.max_body_bytes) {
     this->reject(impl::status_content_too_large);
     return false;
   }
-  const auto expectation = find_field(this->parser->fields(), "Expect");
+  if (is_complete) {
+    return true;
+  }
+  this->recheck_partial_request();
+  if (this->input_ended) {
+    return false;
+  }
+  const auto expectation = find_field(this->parser->head().fields, "Expect");
   if (expectation && equals_ignoring_case(*expectation, "100-continue") && this->pending.empty() &&
       !this->write_active) {
     this->outgoing += "HTTP/1.1 100 Continue\r\n\r\n";
@@ -146,9 +154,8 @@
   auto head = this->parser->take_head();
   auto body = this->parser->take_body_text();
   this->parser.reset();
-  if (!head.keep_alive) {
-    this->input_ended = true;
-    this->input.clear();
+  if (!head.keep_alive || this->reading_stopped) {
+    this->end_input();
   }
   const auto started = std::exchange(this->request_started, this->clock.now());
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head),
@@ -157,10 +164,14 @@
   this->on_request(exchange);
 }
 
-void caller_connection::reject(int status) {
+void caller_connection::end_input() {
   this->input_ended = true;
   this->input.clear();
   this->parser.reset();
+}
+
+void caller_connection::reject(int status) {
+  this->end_input();
   request_head placeholder;
   placeholder.keep_alive = false;
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(placeholder),
@@ -175,9 +186,7 @@
       is_last && (this->draining || this->input_ended || !exchange.request.keep_alive);
   if (closes_connection) {
     // Requests pipelined after this one count as unread; the caller sends them again.
-    this->input_ended = true;
-    this->input.clear();
-    this->parser.reset();
+    this->end_input();
   }
   return closes_connection;
 }
@@ -305,7 +314,10 @@
   }
   this->undelivered = undelivered_now;
   const bool is_delivered = !this->write_active && undelivered_now == 0;
-  if (is_delivered ? now - this->last_activity > impl::linger_timeout : this->is_stalled(now)) {
+  // A caller that is still sending reads the response after its next piece at the earliest.
+  const auto limit = this->refused_early ? std::max(this->limits.header_timeout, impl::linger_timeout)
+                                         : impl::linger_timeout;
+  if (is_delivered ? now - this->last_activity > limit : this->is_stalled(now)) {
     this->close_socket();
   }
 }
@@ -321,14 +333,6 @@
   return this->write_active || unacknowledged_bytes(this->socket.native_handle()) > 0;
 }
 
-void caller_connection::stop_reading() {
-  this->draining = true;
-  this->input_ended = true;
-  this->input.clear();
-  this->parser.reset();
-  this->close_if_idle();
-}
-
 void caller_connection::close_if_idle() {
   if (this->phase != connection_phase::open || !this->is_idle() || this->write_active) {
     return;
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// The backlog of connections not yet accepted. Linux's usual upper limit is higher.
-constexpr int accept_backlog = 1024;
+constexpr int backlog_length = 1024;
 /// The interval between checks of the time limits, which are in the range of seconds.
 constexpr std::chrono::milliseconds sweep_period{250};
 /// The delay after a failed accept. The usual cause is a lack of file descriptors.
@@ -42,7 +42,7 @@
   if (this->acceptor.bind(address, ec)) {
     return failed("bind");
   }
-  if (this->acceptor.listen(impl::accept_backlog, ec)) {
+  if (this->acceptor.listen(impl::backlog_length, ec)) {
     return failed("listen");
   }
   this->accept_next();
@@ -65,23 +65,42 @@
           });
           return;
         }
-        if (this->connections.size() < this->max_connections) {
-          auto connection = std::make_shared<caller_connection>(std::move(accepted), this->limits,
-                                                                this->clock, this->on_request);
-          if (this->draining) {
-            connection->drain();
-          }
-          this->connections.insert(connection);
-          connection->start();
-        }
+        this->add_connection(std::move(accepted));
         this->accept_next();
       });
 }
 
+void http_listener::accept_backlog() {
+  boost::system::error_code ec;
+  this->acceptor.non_blocking(true, ec);
+  while (!ec) {
+    boost::asio::ip::tcp::socket accepted{this->context};
+    this->acceptor.accept(accepted, ec);
+    if (!ec) {
+      this->add_connection(std::move(accepted));
+    }
+  }
+}
+
+void http_listener::add_connection(boost::asio::ip::tcp::socket accepted) {
+  if (this->connections.size() >= this->max_connections) {
+    return;
+  }
+  auto connection = std::make_shared<caller_connection>(std::move(accepted), this->limits, this->clock,
+                                                        this->on_request, this->partial_requests);
+  if (this->draining) {
+    connection->drain();
+  }
+  this->connections.insert(connection);
+  connection->start();
+}
+
+std::vector<std::shared_ptr<caller_connection>> http_listener::current_connections() const {
+  return {this->connections.begin(), this->connections.end()};
+}
+
 void http_listener::sweep() {
-  std::vector<std::shared_ptr<caller_connection>> connections_copy{this->connections.begin(),
-                                                                   this->connections.end()};
-  for (const auto& connection : connections_copy) {
+  for (const auto& connection : this->current_connections()) {
     connection->enforce_timeouts();
     if (connection->is_closed()) {
       this->connections.erase(connection);
@@ -103,18 +122,30 @@
 }
 
 void http_listener::stop_reading() {
+  this->accept_backlog();
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
-  const std::vector<std::shared_ptr<caller_connection>> connections_copy{this->connections.begin(),
-                                                                         this->connections.end()};
-  for (const auto& connection : connections_copy) {
+  for (const auto& connection : this->current_connections()) {
     connection->stop_reading();
   }
 }
 
+void http_listener::recheck_partial_requests() {
+  for (const auto& connection : this->current_connections()) {
+    connection->recheck_partial_request();
+  }
+}
+
+void http_listener::refuse_partial_requests() {
+  for (const auto& connection : this->current_connections()) {
+    connection->refuse_partial_request();
+  }
+}
+
 bool http_listener::has_requests_in_flight() const {
   return std::any_of(this->connections.begin(), this->connections.end(), [](const auto& connection) {
-    return !connection->is_closed() && (!connection->is_idle() || connection->has_undelivered_output());
+    return !connection->is_closed() && (!connection->is_idle() || connection->has_undelivered_output() ||
+                                        connection->awaits_rest_of_request());
   });
 }
 
--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -5,15 +5,23 @@
 
 void request_parser::on_request_impl(boost::beast::http::verb /*verb*/, text_view method, text_view target,
                                      int version, error_code& /*ec*/) {
-  this->head.method = std::string{method};
-  this->head.target = std::string{target};
-  this->head.version = version;
+  this->parsed.method = std::string{method};
+  this->parsed.target = std::string{target};
+  this->parsed.version = version;
+}
+
+const request_head& request_parser::head() {
+  if (!this->collected_fields.empty()) {
+    this->parsed.fields = std::move(this->collected_fields);
+    this->collected_fields.clear();
+  }
+  return this->parsed;
 }
 
 request_head request_parser::take_head() {
-  this->head.keep_alive = this->keep_alive();
-  this->head.fields = std::move(this->collected_fields);
-  return std::move(this->head);
+  static_cast<void>(this->head());
+  this->parsed.keep_alive = this->keep_alive();
+  return std::move(this->parsed);
 }
 
 void response_parser::on_response_impl(int status, text_view reason, int /*version*/, error_code& /*ec*/) {
--- a/packages/http/tests/caller_connection_test.cpp
+++ b/packages/http/tests/caller_connection_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <future>
 #include <thread>
 
@@ -42,6 +43,21 @@
     boost::asio::post(this->context, [&] { done.set_value(action()); });
     return done.get_future().get();
   }
+  void stop_reading() {
+    this->run_on_loop([this] {
+      this->listener->drain();
+      this->listener->stop_reading();
+      return 0;
+    });
+  }
+  void set_partial_request_handler(std::function<bool(const request_head&, time_point)> is_refused) {
+    this->run_on_loop([&] {
+      this->listener->set_partial_request_handler(
+          {is_refused,
+           [](const std::shared_ptr<caller_exchange>& exchange) { exchange->respond(503, {}, ""); }});
+      return 0;
+    });
+  }
   static exchange_handler respond_with_path() {
     return [](const std::shared_ptr<caller_exchange>& exchange) {
       exchange->respond(200, {}, exchange->head().target);
@@ -226,6 +242,113 @@
   EXPECT_TRUE(client.is_closed());
 }
 
+struct half_sent_request {
+  const char* name;
+  std::string first;
+  std::string rest;
+};
+
+const std::vector<half_sent_request> half_sent_requests{
+    {"head", "POST / HTTP/1.1\r\nContent-Le", "ngth: 4\r\n\r\ndata"},
+    {"body", "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nda", "ta"},
+    {"chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nda", "ta\r\n0\r\n\r\n"},
+    {"body after 100", "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n", "data"},
+};
+
+TEST_F(caller_connection_test, a_stop_does_not_cut_off_half_sent_requests) {
+  this->listen(
+      [](const std::shared_ptr<caller_exchange>& exchange) { exchange->respond(200, {}, exchange->body()); });
+  std::deque<raw_tcp_client> connected;
+  for (const auto& row : half_sent_requests) {
+    connected.emplace_back(this->port).send(row.first);
+  }
+  this->stop_reading();
+  for (std::size_t i = 0; i < half_sent_requests.size(); ++i) {
+    EXPECT_TRUE(this->run_on_loop([this] { return this->listener->has_requests_in_flight(); }));
+    connected[i].send(half_sent_requests[i].rest);
+    const auto received = connected[i].read_all();
+    EXPECT_NE(received.find("HTTP/1.1 200"), std::string::npos) << half_sent_requests[i].name << received;
+    EXPECT_NE(received.find("Connection: close"), std::string::npos) << half_sent_requests[i].name;
+    EXPECT_TRUE(received.ends_with("data")) << half_sent_requests[i].name;
+  }
+}
+
+TEST_F(caller_connection_test, a_stop_serves_what_was_sent_on_connections_in_the_backlog) {
+  this->listen(respond_with_path());
+  std::optional<raw_tcp_client> client;
+  this->run_on_loop([&] {
+    client.emplace(this->port);
+    client->send("GET /1 HTTP/1.1\r\n\r\n");
+    this->listener->stop_reading();
+    return 0;
+  });
+  EXPECT_TRUE(client->read_all().ends_with("/1"));
+}
+
+TEST_F(caller_connection_test, a_stop_serves_a_request_behind_a_response_that_has_begun) {
+  std::vector<std::shared_ptr<caller_exchange>> held;
+  this->listen([&](const std::shared_ptr<caller_exchange>& exchange) {
+    held.push_back(exchange);
+    response_head head;
+    head.status = 200;
+    head.content_length = 5;
+    exchange->begin(head);
+  });
+  raw_tcp_client client{this->port};
+  client.send("GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: 4\r\n\r\nda");
+  while (this->run_on_loop([&] { return held.empty(); })) {
+  }
+  this->stop_reading();
+  client.send("ta");
+  while (this->run_on_loop([&] { return held.size(); }) < 2) {
+  }
+  this->run_on_loop([&] {
+    for (const auto& exchange : held) {
+      exchange->write("reply");
+      exchange->finish();
+    }
+    return 0;
+  });
+  const auto received = client.read_all();
+  EXPECT_NE(received.find("Connection: close"), std::string::npos) << received;
+  EXPECT_LT(received.find("reply"), received.rfind("reply")) << received;
+}
+
+TEST_F(caller_connection_test, refuses_half_sent_requests_that_do_not_arrive_in_time) {
+  this->listen(respond_with_path());
+  this->set_partial_request_handler(nullptr);
+  std::deque<raw_tcp_client> connected;
+  for (const auto& row : half_sent_requests) {
+    connected.emplace_back(this->port).send(row.first);
+  }
+  this->stop_reading();
+  this->run_on_loop([this] {
+    this->listener->refuse_partial_requests();
+    return 0;
+  });
+  for (std::size_t i = 0; i < half_sent_requests.size(); ++i) {
+    EXPECT_TRUE(this->run_on_loop([this] { return this->listener->has_requests_in_flight(); }));
+    connected[i].send(half_sent_requests[i].rest);
+    const auto received = connected[i].read_all();
+    EXPECT_NE(received.find("HTTP/1.1 503"), std::string::npos) << half_sent_requests[i].name << received;
+    EXPECT_NE(received.find("Connection: close"), std::string::npos) << half_sent_requests[i].name;
+    EXPECT_EQ(received.find("HTTP/1.1 200"), std::string::npos) << half_sent_requests[i].name;
+  }
+}
+
+TEST_F(caller_connection_test, refuses_a_request_by_its_head_before_it_asks_for_the_body) {
+  this->listen(respond_with_path());
+  this->set_partial_request_handler(
+      [](const request_head& head, time_point /*started*/) { return head.target == "/refused"; });
+  raw_tcp_client refused{this->port};
+  refused.send("POST /refused HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  EXPECT_TRUE(refused.read_all(500).starts_with("HTTP/1.1 503"));
+  raw_tcp_client served{this->port};
+  served.send("POST /served HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  EXPECT_TRUE(served.read_until("100 Continue").starts_with("HTTP/1.1 100"));
+  served.close();
+}
+
 TEST_F(caller_connection_test, slow_reader_congests_a_large_response) {
   constexpr std::size_t size = 8 << 20;
   std::atomic<bool> congested{false};
--- a/packages/http/tests/caller_exchange_test.cpp
+++ b/packages/http/tests/caller_exchange_test.cpp
@@ -23,7 +23,8 @@
     this->caller.non_blocking(true);
     this->connection = std::make_shared<caller_connection>(
         acceptor.accept(), this->limits, this->clock,
-        [this](const std::shared_ptr<caller_exchange>& exchange) { this->exchanges.push_back(exchange); });
+        [this](const std::shared_ptr<caller_exchange>& exchange) { this->exchanges.push_back(exchange); },
+        this->partial_requests);
     this->connection->start();
   }
   /// Sends a request and returns its exchange once it has been read.
@@ -56,6 +57,7 @@
   boot_clock clock;
   caller_limits limits;
   tcp::socket caller{this->context};
+  partial_request_handler partial_requests;
   std::shared_ptr<caller_connection> connection;
   std::vector<std::shared_ptr<caller_exchange>> exchanges;
 };
--- a/packages/http/tests/slow_caller_test.cpp
+++ b/packages/http/tests/slow_caller_test.cpp
@@ -34,7 +34,7 @@
     this->caller.connect(acceptor.local_endpoint());
     this->caller.non_blocking(true);
     this->connection = std::make_shared<caller_connection>(acceptor.accept(), this->limits, this->clock,
-                                                           std::move(on_request));
+                                                           std::move(on_request), this->partial_requests);
     this->connection->start();
   }
   /// Sends the bytes and returns when the connection has read them. Without the wait they may still be on
@@ -82,6 +82,7 @@
   hand_set_clock clock;
   caller_limits limits;
   tcp::socket caller{this->context};
+  partial_request_handler partial_requests;
   std::shared_ptr<caller_connection> connection;
   std::size_t received{0};
   bool ended_cleanly{false};
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -79,7 +79,7 @@
   void wait_for_signal();
   void begin_stop();
   void continue_stop();
-  /// Ends reading once it is time.
+  /// Ends reading once it is time, and refuses what has not arrived whole when all must be answered.
   void limit_reading(time_point now);
 
   const deployment& adapter;
@@ -138,7 +138,15 @@
       forwarded{this->context, this->clock, max_forwarding_connections,
                 [this](const auto& exchange) { this->traffic.handle_forwarded(exchange); }},
       signals{this->context, SIGTERM, SIGINT, SIGHUP},
-      stop_timer{this->context} {}
+      stop_timer{this->context} {
+  const auto is_refused = [this](const request_head& head, time_point started) {
+    return this->traffic.is_refused_by_head(head, started);
+  };
+  this->callers.set_partial_request_handler(
+      {is_refused, [this](const auto& exchange) { this->traffic.refuse_partial(exchange); }});
+  this->forwarded.set_partial_request_handler(
+      {is_refused, [this](const auto& exchange) { this->traffic.refuse_partial_forwarded(exchange); }});
+}
 
 gateway_options node::options() {
   gateway_options chosen;
@@ -336,6 +344,8 @@
   this->callers.drain();
   this->forwarded.drain();
   this->traffic.begin_stop(this->stop->answer_by());
+  this->callers.recheck_partial_requests();
+  this->forwarded.recheck_partial_requests();
   this->continue_stop();
 }
 
@@ -347,6 +357,10 @@
     this->forwarded.stop_reading();
     this->reading_stopped_at = now;
   }
+  if (now > this->stop->answer_by()) {
+    this->callers.refuse_partial_requests();
+    this->forwarded.refuse_partial_requests();
+  }
 }
 
 void node::continue_stop() {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -169,7 +169,17 @@
 mutate test_http packages/http/src/caller_connection.cpp \
   's/ \&\& now > this->caller_deadline;/;/' "a caller that pauses reading is reset before its deadline"
 mutate test_http packages/http/src/caller_connection.cpp \
-  's/  if (this->phase == connection_phase::open) {/  if (true) {/' "a caller that sends keeps a finished connection open"
+  's/  if (this->phase == connection_phase::open || this->refused_early) {/  if (true) {/' "a caller that sends keeps a finished connection open"
+mutate test_http packages/http/src/caller_connection_stop.cpp \
+  's/  if (!this->has_partial_request() || .*/  if (true) {/' "a stop cuts off half-sent requests"
+mutate test_http packages/http/src/caller_connection_stop.cpp \
+  's/  return this->draining \&\& !this->pending.empty() .*/  return !this->pending.empty() \&\&/' "a stop cuts off a request behind a response that has begun"
+mutate test_http packages/http/src/caller_connection_stop.cpp \
+  's/  this->refused_early = true;//' "a stop resets callers that are still sending what was refused"
+mutate test_http packages/http/src/http_listener.cpp \
+  's/^  this->accept_backlog();//' "a stop resets connections that it has not accepted"
+mutate test_gateway packages/gateway/src/gateway_stop.cpp \
+  's/this->deadline_of(head, \*route, started) > \*this->answer_by/false/' "a stopping node lets callers send bodies that it refuses"
 mutate test_http packages/http/src/caller_connection.cpp \
   's/return this->write_active || unacknowledged_bytes.*/return false;/' "a stop does not wait for responses being read"
 mutate test_gateway packages/http/src/backend_connection.cpp \
