Let the soak stop nodes while callers are still sending

The soak's callers sent each request in one piece, and nearly always something else was disturbed when a node stopped, so it did not see requests that were cut off half sent.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <chrono>
+#include <utility>
 
 #include "zinnia/http/message_parser.hpp"
 
@@ -16,26 +17,38 @@
   if (!this->connection) {
     this->connection = std::make_unique<standins::raw_tcp_client>(this->port);
   }
-  const auto bytes = absl::StrCat(request.method, " ", request.path,
-                                  " HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: ", request.id,
-                                  "\r\nAffinity-Key: ", request.path, "\r\nDeadline-Ms: ", deadline_ms,
-                                  "\r\nContent-Length: ", request.body.size(), "\r\n\r\n", request.body);
-  this->connection->send(bytes);
-  result.connection_lost = this->connection->is_closed();
-  const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::milliseconds{timeout_ms};
+  const auto start_text = absl::StrCat(request.method, " ", request.path,
+                                       " HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: ", request.id,
+                                       "\r\nAffinity-Key: ", request.path, "\r\nDeadline-Ms: ", deadline_ms,
+                                       "\r\nContent-Length: ", request.body.size(), "\r\n\r\n");
+  const auto started = std::chrono::steady_clock::now();
+  const auto give_up_at = started + std::chrono::milliseconds{timeout_ms};
+  const auto sent_first = request.pause_ms > 0 ? request.body.size() / 2 : request.body.size();
+  this->connection->send(start_text + request.body.substr(0, sent_first));
+  std::string received;
+  if (request.pause_ms > 0) {
+    // A node may respond before it has read the body.
+    received = this->connection->read_some(request.pause_ms);
+    if (received.empty() && !this->connection->is_closed()) {
+      this->connection->send(request.body.substr(sent_first));
+    }
+  }
+  result.connection_lost = received.empty() && this->connection->is_closed();
   constexpr std::uint32_t max_header_bytes = 16 << 10;
   response_parser parser{max_header_bytes, [&result](std::string_view piece) { result.body += piece; }};
   std::string unparsed;
   bool is_complete = false;
   while (!result.connection_lost && !is_complete) {
-    const auto remaining =
-        std::chrono::duration_cast<std::chrono::milliseconds>(give_up_at - std::chrono::steady_clock::now());
-    const auto received = this->connection->read_some(static_cast<int>(remaining.count()));
+    if (received.empty()) {
+      const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+          give_up_at - std::chrono::steady_clock::now());
+      received = this->connection->read_some(static_cast<int>(remaining.count()));
+    }
     if (received.empty()) {
       result.connection_lost = this->connection->is_closed();
       break;
     }
-    unparsed += received;
+    unparsed += std::exchange(received, {});
     std::size_t parsed_bytes = 0;
     const auto progress = parser.feed(unparsed, parsed_bytes);
     unparsed.erase(0, parsed_bytes);
@@ -45,6 +58,9 @@
       result.connection_lost = true;
     }
   }
+  result.took_ms = static_cast<int>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - started)
+          .count());
   if (!is_complete) {
     this->connection.reset();
     return result;
--- a/soak/fault_soak.cpp
+++ b/soak/fault_soak.cpp
@@ -28,6 +28,9 @@
   add("restores", po::bool_switch(&parsed_options.restores_store),
       "the store comes back from copies, with edits and faults of nodes around it, instead of all other "
       "faults");
+  add("stops", po::bool_switch(&parsed_options.only_stops),
+      "nodes are stopped and told of changes, and the store fails, instead of all other faults: no request "
+      "may be cut off");
   add("logs", po::value(&parsed_options.log_directory)->default_value("soak-logs"),
       "directory for the logs of the nodes");
   po::variables_map values;
@@ -42,6 +45,10 @@
     std::cout << options;
     return 0;
   }
+  if (parsed_options.restores_store && parsed_options.only_stops) {
+    std::cerr << "soak: --restores and --stops exclude each other\n" << options;
+    return exit_usage_error;
+  }
   constexpr int max_count = 200;
   constexpr int max_seconds = 3600;
   if (parsed_options.seconds < 1 || parsed_options.seconds > max_seconds || parsed_options.nodes < 2 ||
--- a/soak/random_faults.cpp
+++ b/soak/random_faults.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t max_statements = 2;
 /// How long a server is down after the request that crashes servers.
 constexpr milliseconds crashed_time{1500};
+/// From the first signal to a stopping node to the next ones.
+constexpr milliseconds signal_interval{700};
 
 }  // namespace
 }  // namespace impl
@@ -87,6 +89,12 @@
     this->history.add_violation(node.process->options().name + " does not handle SIGTERM");
   }
   node.process->signal(signal);
+  if (this->options.only_stops) {
+    // Neither may change the stop that has begun.
+    std::this_thread::sleep_for(impl::signal_interval);
+    node.process->signal(SIGHUP);
+    node.process->signal(SIGTERM);
+  }
   const auto status = node.process->wait_for_exit(stop_timeout_ms + stop_margin_ms);
   if (!status) {
     this->history.add_violation(node.process->options().name + " did not stop in time");
@@ -227,4 +235,12 @@
      {"slow a backend server or drop its responses", &soak_run::degrade_backend},
      {"a backend server's statement", &soak_run::make_statement}}};
 
+const std::array<soak_run::fault, 6> soak_run::planned_changes{
+    {{"stop a node", &soak_run::stop_node},
+     {"stop all nodes", &soak_run::restart_all_nodes},
+     {"settings changed", &soak_run::reload_settings},
+     {"a node's link to the store", &soak_run::inject_store_link_fault},
+     {"the store", &soak_run::inject_store_fault},
+     {"configuration", &soak_run::change_configuration}}};
+
 }  // namespace zinnia::soak
--- a/soak/request_history.cpp
+++ b/soak/request_history.cpp
@@ -13,6 +13,8 @@
 constexpr int status_ok = 200;
 constexpr int status_too_many_requests = 429;
 constexpr int status_service_unavailable = 503;
+/// A connection that a node closes as idle is lost this soon after the request, which has crossed the close.
+constexpr int max_crossing_ms = 300;
 
 }  // namespace
 }  // namespace impl
@@ -71,6 +73,11 @@
     this->violations.push_back(
         absl::StrCat("request ", id, " ran and was cut off at ", result.node, " with nothing disturbed"));
   }
+  if (result.status == 0 && result.connection_lost && result.was_fault_free && entry.request.pause_ms > 0 &&
+      result.took_ms > impl::max_crossing_ms) {
+    this->violations.push_back(absl::StrCat("request ", id, " was half sent for ", result.took_ms,
+                                            " ms and cut off at ", result.node, " with nothing disturbed"));
+  }
 }
 
 void request_history::add_violation(const std::string& text) {
--- a/soak/request_history.hpp
+++ b/soak/request_history.hpp
@@ -19,6 +19,8 @@
   std::string body;
   /// The request may be executed more than once.
   bool is_repeatable{true};
+  /// The caller's pause in the middle of the body, in ms; 0 for none.
+  int pause_ms{0};
 };
 
 /// \brief How a request ended for its caller.
@@ -32,6 +34,8 @@
   double retry_after_s{0};
   /// The connection was lost; false if the caller gave up.
   bool connection_lost{false};
+  /// The time from the first byte sent until the connection was lost, or the request ended.
+  int took_ms{0};
   /// No fault affected the node or a backend server from shortly before the request was sent to its end.
   bool was_fault_free{false};
   std::string node;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -20,6 +20,9 @@
 constexpr const char* loopback = "127.0.0.1";
 constexpr int callers_per_node = 3;
 constexpr int route_count = 12;
+/// One body in so many is sent in two pieces.
+constexpr std::size_t slow_body_interval = 5;
+constexpr std::size_t max_body_pause_ms = 900;
 /// Longest pause of a caller between two requests that crash servers.
 constexpr std::size_t max_crashing_pause_ms = 400;
 /// A Retry-After in seconds that only quarantined requests get.
@@ -43,9 +46,12 @@
     }
     this->caller_threads.emplace_back([this, node] { this->probe_routes(node); });
   }
-  this->caller_threads.emplace_back([this] { this->send_crashing_requests(); });
+  if (!this->options.only_stops) {
+    this->caller_threads.emplace_back([this] { this->send_crashing_requests(); });
+  }
   const auto end = clock::now() + std::chrono::seconds{this->options.seconds};
   const auto schedule = this->options.restores_store ? std::span<const fault>{restore_faults}
+                        : this->options.only_stops   ? std::span<const fault>{planned_changes}
                                                      : std::span<const fault>{mixed_faults};
   while (clock::now() < end) {
     const auto& selected = schedule[this->random_below(schedule.size())];
@@ -165,6 +171,9 @@
     request.method = request.is_repeatable ? "GET" : "POST";
     request.path = absl::StrCat("/r", route, "/", generator() % 20);
     request.body = request.is_repeatable ? "" : "body of " + request.id;
+    if (!request.is_repeatable && generator() % impl::slow_body_interval == 0) {
+      request.pause_ms = static_cast<int>(generator() % impl::max_body_pause_ms);
+    }
     const auto sent_at = clock::now();
     // Some requests are abandoned early.
     const int timeout_ms = generator() % 20 == 0 ? static_cast<int>(generator() % 100) : caller_timeout_ms;
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -48,6 +48,8 @@
   int backends{8};
   /// The store comes back from copies, instead of all other kinds of faults.
   bool restores_store{false};
+  /// Nodes are stopped and told of changes, and the store fails: no request may be cut off for any of these.
+  bool only_stops{false};
   std::string log_directory;
 };
 
@@ -99,6 +101,7 @@
   };
   static const std::array<fault, 15> mixed_faults;
   static const std::array<fault, 1> restore_faults;
+  static const std::array<fault, 6> planned_changes;
 
   [[nodiscard]] std::size_t random_below(std::size_t bound) { return this->random() % bound; }
   [[nodiscard]] node_under_test& random_node() {
