Count a request's time from its first byte

Cause: the deadline was counted from the last byte of the body. Requests that other nodes forward were counted from the first already. Change: all are. The order of waiting requests and the measured times still start at the last byte.

--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -43,19 +43,19 @@
       identity{std::move(identity_in)},
       max_attempts{route_in.max_attempts},
       idempotent{is_repeatable(route_in.kind, this->exchange->head().method)},
-      arrived_at{this->exchange->received_at()},
+      arrived_at{forwarded_in == nullptr ? this->exchange->received_at() : this->exchange->started_at()},
       deadline_timer{owner_in.context} {
   const auto& fields = this->exchange->head().fields;
   const auto& field_names = this->owner.options.field_names;
   this->request_id = std::string{find_field(fields, field_names.request_id).value_or("")};
   if (this->forwarded) {
-    // The time left was that at the first byte.
-    this->arrived_at = this->exchange->started_at();
     this->max_attempts = std::min(this->max_attempts, this->forwarded->attempts_left);
     this->tried_backends = this->forwarded->tried;
     ++this->owner.forwarded_in_flight;
   }
-  this->deadline = this->owner.deadline_of(this->exchange->head(), this->matched_route, this->arrived_at);
+  // The caller's time runs from the first byte that it sends, however long the body takes.
+  this->deadline =
+      this->owner.deadline_of(this->exchange->head(), this->matched_route, this->exchange->started_at());
   this->own_deadline = this->deadline;
   if (this->owner.answer_by) {
     this->deadline = std::min(this->deadline, *this->owner.answer_by);
