Record that a request may have run when its caller left a server at work on it

Cause: on_caller_left cancelled the call and did not combine the verdict of the call that it cancelled, as on_deadline does. Change: it does, once the request was written to an open connection. Test: caller_time.the_record_says_may_have_run_if_the_caller_left_while_a_server_had_the_request, before: "verdict":"did-not-run".

--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -150,6 +150,9 @@
     return;
   }
   this->leave_queue();
+  if (this->has_active_call() && !this->connection->is_connecting()) {
+    this->run_verdict = combine(this->run_verdict, verdict::may_have_run);
+  }
   this->abandon_call();
   this->owner.counts.add(counter::caller_closed);
   this->close(0, reason::caller_left);
--- a/packages/gateway/tests/caller_time_test.cpp
+++ b/packages/gateway/tests/caller_time_test.cpp
@@ -67,4 +67,21 @@
   EXPECT_LE(std::stoi(received.substr(at + 6)), 4601);
 }
 
+TEST_F(caller_time, the_record_says_may_have_run_if_the_caller_left_while_a_server_had_the_request) {
+  one_request_server server{false};
+  this->route_with(request_kind::unsafe, 20'000);
+  this->add("a", server.port());
+  this->start();
+  raw_tcp_client client{this->port};
+  client.send("POST /x/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nLeft: 9000\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_NE(server.request().find("POST"), std::string::npos);
+  client.close();
+  server.wait_for_end();
+  std::promise<std::optional<std::string>> record;
+  boost::asio::post(this->context, [&] { record.set_value(this->traffic->find_record("r1")); });
+  const auto found = record.get_future().get();
+  ASSERT_TRUE(found);
+  EXPECT_NE(found->find(R"("verdict":"may-have-run")"), std::string::npos) << *found;
+}
+
 }  // namespace
