Reject messages whose transfer coding is not chunked alone

Cause: the parser of Boost.Beast takes only a last coding of chunked for framing and passes over all others. Change: both parsers reject a message with any transfer coding but one field that says chunked: 400 and the connection closed, or an unsound answer of the server. Tests: message_parser.rejects_a_message_whose_end_depends_on_an_unknown_transfer_coding, before: gzip, identity, xchunked, chunked with another coding, twice chunked, empty and gzip beside a length were accepted.

--- a/packages/http/include/zinnia/http/message.hpp
+++ b/packages/http/include/zinnia/http/message.hpp
@@ -24,6 +24,10 @@
 /// \brief True if two field names or tokens are equal, ignoring case.
 [[nodiscard]] bool equals_ignoring_case(std::string_view a, std::string_view b) noexcept;
 
+/// \brief   True if a message has a transfer coding other than a single `chunked`.
+/// \details Its end cannot be found then, and what follows could be taken for another message.
+[[nodiscard]] bool has_unknown_framing(const header_fields& fields) noexcept;
+
 /// \brief The request line and the header fields.
 struct request_head {
   std::string method;
--- a/packages/http/include/zinnia/http/message_parser.hpp
+++ b/packages/http/include/zinnia/http/message_parser.hpp
@@ -72,7 +72,12 @@
       this->collected_fields.push_back({std::string{name}, std::string{value}});
     }
   }
-  void on_header_impl(error_code& /*ec*/) override { this->header_complete = true; }
+  void on_header_impl(error_code& ec) override {
+    this->header_complete = true;
+    if (has_unknown_framing(this->collected_fields)) {
+      ec = boost::beast::http::error::bad_transfer_encoding;
+    }
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& /*ec*/) override {}
   std::size_t on_body_impl(text_view piece, error_code& /*ec*/) override {
     this->on_body_piece({piece.data(), piece.size()});
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -50,6 +50,18 @@
   return std::nullopt;
 }
 
+bool has_unknown_framing(const header_fields& fields) noexcept {
+  int codings = 0;
+  bool is_chunked = true;
+  for (const auto& field : fields) {
+    if (equals_ignoring_case(field.name, "Transfer-Encoding")) {
+      ++codings;
+      is_chunked = is_chunked && equals_ignoring_case(field.value, "chunked");
+    }
+  }
+  return codings > 1 || !is_chunked;
+}
+
 std::string_view request_head::path() const noexcept {
   return std::string_view{this->target}.substr(0, this->target.find('?'));
 }
--- a/packages/http/tests/message_parser_test.cpp
+++ b/packages/http/tests/message_parser_test.cpp
@@ -49,6 +49,46 @@
   }
 }
 
+TEST(message_parser, rejects_a_message_whose_end_depends_on_an_unknown_transfer_coding) {
+  const std::string smuggled = "GET /b/ HTTP/1.1\r\n\r\n";
+  for (const std::string coding :
+       {"gzip", "identity", "xchunked", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;q=1",
+        "", "chunked\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: identity",
+        "gzip\r\nContent-Length: 5"}) {
+    std::size_t consumed = 0;
+    request_parser request{16 << 10};
+    EXPECT_EQ(
+        request.feed("POST /a/ HTTP/1.1\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + smuggled, consumed),
+        parse_progress::malformed)
+        << coding;
+    response_parser response{16 << 10, [](std::string_view /*piece*/) {}};
+    EXPECT_EQ(
+        response.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + smuggled, consumed),
+        parse_progress::malformed)
+        << coding;
+  }
+  for (const std::string coding : {"chunked", "Chunked", "  chunked \t"}) {
+    std::size_t consumed = 0;
+    request_parser request{16 << 10};
+    EXPECT_EQ(
+        request.feed("POST /a/ HTTP/1.1\r\nTransfer-Encoding: " + coding + "\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                     consumed),
+        parse_progress::complete)
+        << coding;
+  }
+}
+
+TEST(request_parser, rejects_odd_lengths) {
+  for (const std::string length :
+       {"+5", "5 5", "5, 6", "0x5", "5.0", "", "99999999999999999999999", "5\r\nContent-Length: 6"}) {
+    std::size_t consumed = 0;
+    request_parser request{16 << 10};
+    EXPECT_EQ(request.feed("POST /a/ HTTP/1.1\r\nContent-Length: " + length + "\r\n\r\nhello", consumed),
+              parse_progress::malformed)
+        << length;
+  }
+}
+
 TEST(request_parser, parses_byte_by_byte_and_leaves_the_next_request) {
   const std::string bytes =
       "POST /a/?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b/ HTTP/1.1\r\n";
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -170,6 +170,12 @@
   's/ \&\& now > this->caller_deadline;/;/' "a caller that pauses reading is reset before its deadline"
 mutate test_http packages/http/src/caller_connection.cpp \
   's/  if (this->phase == connection_phase::open || this->refused_early) {/  if (true) {/' "a caller that sends keeps a finished connection open"
+mutate test_http packages/http/src/message.cpp \
+  's/  return codings > 1 || !is_chunked;/  return codings > 1;/' "a message with an unknown transfer coding hides another"
+mutate test_gateway packages/gateway/src/request_flow.cpp \
+  's/this->matched_route, this->exchange->started_at());/this->matched_route, this->arrived_at);/' "a slow body lengthens the deadline"
+mutate test_gateway packages/gateway/src/request_flow_end.cpp \
+  's/  if (this->has_active_call() \&\& !this->connection->is_connecting()) {/  if (false) {/' "a request whose caller left counts as not run"
 mutate test_http packages/http/src/caller_connection_stop.cpp \
   's/  if (!this->has_partial_request() || .*/  if (true) {/' "a stop cuts off half-sent requests"
 mutate test_http packages/http/src/caller_connection_stop.cpp \
