Pass no request on behind a download that may still break off

Cause: only requests that may run once waited for the earlier responses of their connection. Change: a request waits behind a response that may break off in the middle: one on a download route, or one that is already being forwarded piece by piece. If it breaks, the request has not been passed on, and its caller sends it again. Test: pipelined_download.that_breaks_off_cuts_off_no_request_at_a_server, before: the server got 2 requests. Open: a response of another route over 64 KiB behind which a request has been passed on before its first 64 KiB came.

--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -74,12 +74,16 @@
   const auto self = this->shared_from_this();
   this->exchange->on_disconnect = [self] { self->on_caller_left(); };
   this->start_deadline_timer(this->time_left());
-  if (this->idempotent) {
+  if (this->matched_route.kind == request_kind::download) {
+    this->exchange->set_may_break();
+  }
+  if (this->idempotent && !this->exchange->is_behind_breakable_response()) {
     this->admit_and_place();
     return;
   }
   // A non-idempotent request waits until the earlier responses on its connection are complete. If one of them
-  // closed the connection, the caller would send this request again although it may have run.
+  // closed the connection, the caller would send this request again although it may have run. Any request
+  // waits behind a response that may break off, which would close the connection without its own response.
   this->exchange->when_first_in_pipeline([self] {
     if (!self->closed) {
       self->admit_and_place();
@@ -252,6 +256,7 @@
       this->on_end({false, attempt.run_verdict, attempt.failure_reason, true});
       return;
     }
+    this->exchange->set_may_break();
     this->commit();
   }
   if (this->committed && this->connection != nullptr && this->exchange->is_congested()) {
--- a/packages/http/src/caller_exchange.cpp
+++ b/packages/http/src/caller_exchange.cpp
@@ -125,6 +125,17 @@
   }
 }
 
+bool caller_exchange::is_behind_breakable_response() const noexcept {
+  if (this->connection == nullptr) {
+    return false;
+  }
+  const auto& pending = this->connection->pending;
+  const auto self = std::find_if(pending.begin(), pending.end(),
+                                 [this](const auto& exchange) { return exchange.get() == this; });
+  return std::any_of(pending.begin(), self,
+                     [](const auto& earlier) { return earlier->may_break && !earlier->finished; });
+}
+
 void caller_exchange::when_first_in_pipeline(std::function<void()> callback) {
   if (this->connection == nullptr) {
     return;
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -170,6 +170,8 @@
   's/ \&\& now > this->caller_deadline;/;/' "a caller that pauses reading is reset before its deadline"
 mutate test_http packages/http/src/caller_connection.cpp \
   's/  if (this->phase == connection_phase::open || this->refused_early) {/  if (true) {/' "a caller that sends keeps a finished connection open"
+mutate test_gateway packages/http/src/caller_exchange.cpp \
+  's/earlier->may_break \&\& !earlier->finished/false/' "a request is passed on behind a download that may break off"
 mutate test_http packages/http/src/message.cpp \
   's/  return codings > 1 || !is_chunked;/  return codings > 1;/' "a message with an unknown transfer coding hides another"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
