--- a/packages/gateway/tests/pipelined_download_test.cpp
+++ b/packages/gateway/tests/pipelined_download_test.cpp
@@ -16,13 +16,14 @@
  protected:
   /// Starts a server whose first response has this many bytes of a body of `size`.
   void serve(std::size_t size, std::size_t sent) {
-    this->server.emplace([=](int request) {
+    const auto script = [=](int request) {
       auto response = make_response(200, "Stamp: s\r\n", std::string(size, 'x'));
       response.reply.resize(response.reply.size() - (size - sent));
       response.keep_open = sent == size;
       response.delay_ms = 100;
       return request == 0 ? response : good_response;
-    });
+    };
+    this->server.emplace(script, good_response);
     this->route_with(request_kind::download, 5000);
     this->add("a", this->server->port());
     this->start();
