--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -64,9 +64,8 @@
   }
   /// \brief True while a response is written or the caller has not acknowledged all of the last one.
   [[nodiscard]] bool has_undelivered_output();
-  /// \brief True while a caller whose request was refused early may not have seen the response, as it is
-  /// still
-  ///        sending.
+  /// \brief True while a caller whose request was refused early may still be sending it, and so may not have
+  ///        read the response.
   [[nodiscard]] bool awaits_rest_of_request() const noexcept {
     return this->phase == connection_phase::lingering && this->refused_early;
   }
