Listen on the fixed ports before the system chooses one

What an operator would see: a node outside the platform rarely fails to start, with "cannot bind: Address already in use" for one of its own ports. Cause: the port for forwarded requests, which the system chooses unless it is set, was bound first, and may be any free port, also one of the node's own fixed ones. A node on the platform has set ports and is not concerned. No test in the suite: it would have to take all 28,000 ports of an address. The chosen port for notices could meet the one for heartbeats in the same way; not changed.

--- a/packages/http/include/zinnia/http/caller_exchange.hpp
+++ b/packages/http/include/zinnia/http/caller_exchange.hpp
@@ -48,9 +48,8 @@
   /// \brief Sets the time until which the caller waits; a caller that pauses reading stays connected until
   /// then.
   void set_deadline(time_point deadline_in) noexcept;
-  /// \brief Tells that the response is sent as it arrives: if its source breaks off, the connection closes,
-  /// and
-  ///        the responses to later requests are lost with it.
+  /// \brief   Tells that the response is sent as it arrives.
+  /// \details If its source breaks off, the connection closes, and the responses to later requests are lost.
   void set_may_break() noexcept { this->may_break = true; }
   /// \brief True if an earlier response of the connection is unfinished and may break.
   [[nodiscard]] bool is_behind_breakable_response() const noexcept;
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -255,15 +255,17 @@
     }
     return started ? *started : std::uint16_t{0};
   };
-  if (this->settings.forward_port) {
-    // A node without this port only gets no forwarded requests.
+  const bool is_listening = start(this->callers, this->settings.caller_endpoint) != 0 &&
+                            start(this->readiness, this->settings.readiness_endpoint) != 0 &&
+                            start(this->directory, this->settings.directory_endpoint) != 0 &&
+                            start(this->operators, this->settings.operator_endpoint) != 0 &&
+                            start(this->peers, {this->settings.ip, this->settings.peer_port}) != 0;
+  if (is_listening && this->settings.forward_port) {
+    // After the fixed ports, as the system may choose any that is free. A node without it only gets no
+    // forwarded requests.
     this->forward_port = start(this->forwarded, {this->settings.ip, *this->settings.forward_port});
   }
-  return start(this->callers, this->settings.caller_endpoint) != 0 &&
-         start(this->readiness, this->settings.readiness_endpoint) != 0 &&
-         start(this->directory, this->settings.directory_endpoint) != 0 &&
-         start(this->operators, this->settings.operator_endpoint) != 0 &&
-         start(this->peers, {this->settings.ip, this->settings.peer_port}) != 0;
+  return is_listening;
 }
 
 int node::run() {
