Let the soak send SIGHUP only to nodes that handle it

The node's log ends with the stop before; the new process had logged nothing. Open: the platform could send SIGHUP that early as well.

--- a/soak/random_faults.cpp
+++ b/soak/random_faults.cpp
@@ -111,6 +111,14 @@
   }
 }
 
+void soak_run::reload_settings() {
+  auto& process = *this->random_node().process;
+  if (!process.wait_until_handled(SIGHUP, stop_timeout_ms)) {
+    this->history.add_violation(process.options().name + " does not handle SIGHUP");
+  }
+  process.signal(SIGHUP);
+}
+
 void soak_run::pause_node() {
   auto& node = this->random_node();
   node.unplanned_faults.begin();
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -133,7 +133,7 @@
   void restart(node_under_test& node, int signal);
   void stop_and_start(node_under_test& node, int signal);
   void pause_node();
-  void reload_settings() { this->random_node().process->signal(SIGHUP); }
+  void reload_settings();
   void inject_caller_link_fault() {
     auto& node = this->random_node();
     this->inject_link_fault(node.unplanned_faults, *node.caller_proxy);
