--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -53,7 +53,7 @@
 mutate test_gateway packages/gateway/src/request_flow.cpp \
   's/  if (!this->forwarded) {/  if (true) {/' "a forwarded request earns retries at both nodes"
 mutate test_gateway packages/gateway/src/request_flow.cpp \
-  's/this->arrived_at = this->exchange->started_at();//' "the time in which a forwarded body comes in does not count"
+  's/this->matched_route, this->exchange->started_at());/this->matched_route, this->exchange->received_at());/' "the time in which a forwarded body comes in does not count"
 mutate test_gateway packages/gateway/src/peer_result.cpp \
   's/result.can_try_other_peer = end.outcome == verdict::did_not_run;/result.can_try_other_peer = true;/' "a request is handed on after a peer broke the connection"
 mutate test_gateway packages/gateway/src/peer_result.cpp \
