Serve the first request of a connection that a stop has just accepted

What callers saw: a caller that connected just before a stopping node ended reading got its connection closed while its request was on its way. Connections in the accept queue were accepted and closed as idle if their request had not arrived yet. Change: a connection that has carried no request stays open for its first one, up to 1 s after it was accepted, and the node waits for it.

--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -52,7 +52,7 @@
   /// \brief From now on, responses close the connection.
   void drain() noexcept { this->draining = true; }
   /// \brief   Accepts no more requests. Closes the connection after the responses to those in flight.
-  /// \details A request that has begun to arrive is read to its end.
+  /// \details A request that has begun to arrive is read to its end; so is the first one of a new connection.
   void stop_reading();
   /// \brief Refuses a partly read request if its handler now refuses it.
   void recheck_partial_request();
@@ -69,6 +69,8 @@
   [[nodiscard]] bool awaits_rest_of_request() const noexcept {
     return this->phase == connection_phase::lingering && this->refused_early;
   }
+  /// \brief True while the first request of a new connection may be on its way.
+  [[nodiscard]] bool awaits_first_request() const noexcept;
 
  private:
   friend class caller_exchange;
@@ -93,9 +95,9 @@
   void reject(int status);
   /// Reads no more input and drops what has been read.
   void end_input();
-  /// True if the response to the latest request closes the connection, so that the caller knows that what it
-  /// sent behind that request has not been read.
-  [[nodiscard]] bool is_partial_request_disowned() const noexcept;
+  /// True if the response to the latest request closes the connection: what the caller has sent behind that
+  /// request counts as unread, and it knows so.
+  [[nodiscard]] bool is_partial_request_unread() const noexcept;
   void flush();
   void write_next_piece();
   void on_written();
@@ -131,6 +133,8 @@
   bool draining{false};
   // Only a request that has begun to arrive is still read.
   bool reading_stopped{false};
+  // A request has been read, or refused.
+  bool has_carried_request{false};
   // A request was refused before it was read to its end.
   bool refused_early{false};
   // No more requests are read: a response will close the connection, the input was rejected, or reading
@@ -140,6 +144,7 @@
   // When bytes were last read, or taken by the socket, or, while lingering, acknowledged by the caller.
   time_point last_activity;
   time_point request_started;
+  time_point accepted_at;
   // The latest deadline of all requests so far.
   time_point caller_deadline;
   // Unacknowledged bytes at the last check, while lingering.
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -44,7 +44,8 @@
       clock{clock_in},
       on_request{std::move(on_request_in)},
       partial_requests{partial_requests_in},
-      last_activity{clock_in.now()} {}
+      last_activity{clock_in.now()},
+      accepted_at{this->last_activity} {}
 
 void caller_connection::start() {
   impl::error_code ignored;
@@ -160,6 +161,7 @@
   const auto started = std::exchange(this->request_started, this->clock.now());
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head),
                                                     std::move(body), started, this->request_started);
+  this->has_carried_request = true;
   this->pending.push_back(exchange);
   this->on_request(exchange);
 }
@@ -301,7 +303,8 @@
     }
     return;
   }
-  if (since_activity > this->limits.idle_timeout) {
+  const bool is_leftover = this->reading_stopped && !this->awaits_first_request();
+  if (is_leftover || since_activity > this->limits.idle_timeout) {
     this->close_if_idle();
   }
 }
--- a/packages/http/src/caller_connection_stop.cpp
+++ b/packages/http/src/caller_connection_stop.cpp
@@ -4,6 +4,14 @@
 #include "zinnia/http/caller_connection.hpp"
 
 namespace zinnia {
+namespace impl {
+namespace {
+
+/// Callers allow a new connection as long; its first request comes soon after.
+constexpr duration first_request_time{1000};
+
+}  // namespace
+}  // namespace impl
 
 void caller_connection::stop_reading() {
   if (this->phase != connection_phase::open) {
@@ -15,13 +23,21 @@
     this->read_available();
   }
   this->reading_stopped = true;
-  if (!this->has_partial_request() || this->is_partial_request_disowned()) {
+  if (this->awaits_first_request()) {
+    return;
+  }
+  if (!this->has_partial_request() || this->is_partial_request_unread()) {
     this->end_input();
   }
   this->close_if_idle();
 }
 
-bool caller_connection::is_partial_request_disowned() const noexcept {
+bool caller_connection::awaits_first_request() const noexcept {
+  return this->phase == connection_phase::open && !this->has_carried_request && !this->input_ended &&
+         this->clock.now() - this->accepted_at <= impl::first_request_time;
+}
+
+bool caller_connection::is_partial_request_unread() const noexcept {
   return this->draining && !this->pending.empty() &&
          (!this->pending.back()->head_written || this->pending.back()->closes_connection);
 }
@@ -36,7 +52,7 @@
 
 void caller_connection::refuse_partial_request() {
   if (this->phase != connection_phase::open || this->input_ended || !this->has_partial_request() ||
-      this->is_partial_request_disowned() || !this->partial_requests.refuse) {
+      this->is_partial_request_unread() || !this->partial_requests.refuse) {
     return;
   }
   request_head head;
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -144,8 +144,9 @@
 
 bool http_listener::has_requests_in_flight() const {
   return std::any_of(this->connections.begin(), this->connections.end(), [](const auto& connection) {
-    return !connection->is_closed() && (!connection->is_idle() || connection->has_undelivered_output() ||
-                                        connection->awaits_rest_of_request());
+    return !connection->is_closed() &&
+           (!connection->is_idle() || connection->has_undelivered_output() ||
+            connection->awaits_rest_of_request() || connection->awaits_first_request());
   });
 }
 
