Tell nodes of every build that a stopping peer has not run a request

Cause: the peer named the reason node-stopping, which older builds cannot parse; they take the response for unsound. Change: between nodes a stop is told as peer-busy, which every build takes for a refusal on arrival. Callers and metrics of the peer still see node-stopping.

--- a/packages/gateway/src/hop_fields.cpp
+++ b/packages/gateway/src/hop_fields.cpp
@@ -38,6 +38,12 @@
   return account_identity{account_id{std::string{name}}, key_digest{digest}};
 }
 
+/// Returns the reason that another node is told. Builds from before `node_stopping` read an unknown reason as
+/// an unsound response; a peer that stops has no room for the request either.
+[[nodiscard]] reason reason_between_nodes(reason own) noexcept {
+  return own == reason::node_stopping ? reason::peer_busy : own;
+}
+
 /// Returns a number that fits an int, or nullopt.
 [[nodiscard]] std::optional<int> find_count(const header_fields& fields, std::string_view name) {
   const auto text = find_field(fields, name);
@@ -76,7 +82,8 @@
 
 header_fields encode_hop_fields(const hop_result& result) {
   return {{std::string{impl::verdict_field}, std::string{to_string(result.run_verdict)}},
-          {std::string{impl::reason_field}, std::string{to_string(result.own_reason)}},
+          {std::string{impl::reason_field},
+           std::string{to_string(impl::reason_between_nodes(result.own_reason))}},
           {std::string{impl::sent_field}, absl::StrCat(result.sent_count)}};
 }
 
