Hold signals back until a node handles them

Cause: until the handlers were set, after settings were read and all parts were made, the signals had their default action. Change: main blocks the three signals first and the node lets them come once it handles them. What remains is the time before main.

--- a/apps/zinniad/main.cpp
+++ b/apps/zinniad/main.cpp
@@ -27,6 +27,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  zinnia::hold_signals();
   const auto settings_file = zinnia::platform::settings_path();
   std::optional<zinnia::node_settings> base_settings;
   if (settings_file) {
--- a/packages/node/include/zinnia/node/entry_node.hpp
+++ b/packages/node/include/zinnia/node/entry_node.hpp
@@ -8,6 +8,10 @@
 
 namespace zinnia {
 
+/// \brief   Holds back the signals that a node handles until it does, instead of their ending the process.
+/// \details Called first thing in `main`, while the process has one thread.
+void hold_signals() noexcept;
+
 /// \brief   Runs a node until SIGTERM or SIGINT, then exits the process.
 /// \details The exit code is 0 after a stop and 1 if the node cannot listen on one of its addresses.
 /// \param   tree The settings tree in use until the store provides one.
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
@@ -44,6 +45,7 @@
 /// Connection limit of the directory listener.
 constexpr std::size_t max_directory_connections = 800;
 constexpr std::chrono::milliseconds stop_check_period{50};
+constexpr std::array<int, 3> handled_signals{SIGTERM, SIGINT, SIGHUP};
 
 [[nodiscard]] boost::asio::ip::tcp::endpoint to_endpoint(const ip_endpoint& address) {
   return {boost::asio::ip::make_address_v4(address.ip), address.port};
@@ -53,6 +55,16 @@
   return settings.max_descriptors - std::min(settings.max_descriptors / 2, reserved_descriptors);
 }
 
+/// Blocks the signals that a node handles, or lets them come.
+void mask_signals(int how) noexcept {
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (const int number : handled_signals) {
+    sigaddset(&handled, number);
+  }
+  pthread_sigmask(how, &handled, nullptr);
+}
+
 [[nodiscard]] incarnation_id make_incarnation() {
   std::random_device source;
   return incarnation_id{absl::StrCat(unix_time_ms(), "-", source())};
@@ -137,7 +149,7 @@
             [this](const auto& exchange) { this->relay_server->handle(exchange); }},
       forwarded{this->context, this->clock, max_forwarding_connections,
                 [this](const auto& exchange) { this->traffic.handle_forwarded(exchange); }},
-      signals{this->context, SIGTERM, SIGINT, SIGHUP},
+      signals{this->context, handled_signals[0], handled_signals[1], handled_signals[2]},
       stop_timer{this->context} {
   const auto is_refused = [this](const request_head& head, time_point started) {
     return this->traffic.is_refused_by_head(head, started);
@@ -274,6 +286,7 @@
     return exit_listen_failed;
   }
   this->wait_for_signal();
+  mask_signals(SIG_UNBLOCK);
   gateway_nodes unknown;
   unknown.is_list_complete = false;
   this->traffic.set_nodes(std::move(unknown));
@@ -387,6 +400,10 @@
 }  // namespace
 }  // namespace impl
 
+void hold_signals() noexcept {
+  impl::mask_signals(SIG_BLOCK);
+}
+
 int run_entry_node(const deployment& adapter, const node_settings& settings,
                    std::shared_ptr<const settings_tree> tree) {
   start_logging(parse_log_level(settings.log_level), settings.node.str());
