Log when a stopping node ends reading, and describe the stop

Cause: whether requests were still arriving when a stopping node ended reading could not be told from its log; the hypotheses on requests cut off half sent had to be told apart by reading.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -134,10 +134,9 @@
   void handle_forwarded(const std::shared_ptr<caller_exchange>& exchange);
 
   /// \brief   Answers all requests by this time, because the process ends soon after.
-  /// \details Requests that wait, and those that arrive later, are refused at once if they cannot be answered
-  /// in
-  ///          time. A request that may run only once is not sent any more if its deadline is later. What is
-  ///          at a server at that time is ended, unless its response has begun.
+  /// \details Requests that wait, and those that arrive later, are refused at once if that is too late.
+  ///          A request that may run only once is not sent any more if its deadline is later. What is at
+  ///          a server at that time is ended, unless its response has begun.
   void begin_stop(time_point answer_by_in);
   /// \brief Returns true if the node is stopping and would not send a request with this head and first byte,
   ///        whenever its body arrives.
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -59,6 +59,9 @@
   /// \brief Refuses a partly read request, unless an earlier response tells the caller that it is not read.
   void refuse_partial_request();
   [[nodiscard]] bool is_closed() const noexcept { return this->phase == connection_phase::closed; }
+  [[nodiscard]] bool has_partial_request() const noexcept {
+    return !this->input.empty() || (this->parser && this->parser->got_some());
+  }
   [[nodiscard]] bool is_idle() const noexcept {
     return this->pending.empty() && !this->has_partial_request();
   }
@@ -83,9 +86,6 @@
     closed,
   };
 
-  [[nodiscard]] bool has_partial_request() const noexcept {
-    return !this->input.empty() || (this->parser && this->parser->got_some());
-  }
   void wait_readable();
   void read_available();
   void parse_input();
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -142,6 +142,14 @@
   }
 }
 
+std::size_t http_listener::arriving_requests() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->connections.begin(), this->connections.end(), [](const auto& connection) {
+        return !connection->is_closed() &&
+               (connection->has_partial_request() || connection->awaits_first_request());
+      }));
+}
+
 bool http_listener::has_requests_in_flight() const {
   return std::any_of(this->connections.begin(), this->connections.end(), [](const auto& connection) {
     return !connection->is_closed() &&
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -371,6 +371,10 @@
     this->callers.stop_reading();
     this->forwarded.stop_reading();
     this->reading_stopped_at = now;
+    log_line{log_level::info, "reading_stopped"}
+        .field("requests_under_way", static_cast<std::int64_t>(this->traffic.requests_in_flight()))
+        .field("arriving", static_cast<std::int64_t>(this->callers.arriving_requests() +
+                                                     this->forwarded.arriving_requests()));
   }
   if (now > this->stop->answer_by()) {
     this->callers.refuse_partial_requests();
--- a/packages/node/src/stop_schedule.hpp
+++ b/packages/node/src/stop_schedule.hpp
@@ -8,9 +8,8 @@
 namespace zinnia {
 
 /// \brief   Divides the time from a stop signal until the process is killed.
-/// \details Invariant: reading ends at `answer_by` at the latest. `answer_by` lies within the last sixth of
-/// the
-///          time, so that no server at work is given up earlier, and before `end_by`.
+/// \details Invariant: reading ends at `answer_by` at the latest. `answer_by` is before `end_by`, and in the
+///          last sixth of the time: no server at work is given up earlier.
 class stop_schedule {
  public:
   /// \param began_in When the stop signal came.
