Let the soak stop nodes with short limits beside uploads, and give them no sockets of its own

Signals are sent as soon as a node holds them back. Cause: nodes inherited the sockets of the soak, 158 to 173 a node against 21 to 24 now, so a connection that the proxy had closed ended with the node that was being started then. The nodes get only their log now.

--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -39,15 +39,16 @@
          std::to_string(1 + process_id % octet_values) + '.' + std::to_string(1 + node_index);
 }
 
-/// Returns true if the process has a handler for the signal.
+/// Returns true if the process has a handler for the signal, or holds it back.
 [[nodiscard]] bool handles_signal(pid_t pid, int number) {
   std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
-  const std::string name = "SigCgt:";
   for (std::string line; std::getline(status, line);) {
-    if (line.starts_with(name)) {
+    for (const std::string name : {"SigCgt:", "SigBlk:"}) {
       constexpr int hexadecimal = 16;
-      const auto mask = std::strtoull(line.c_str() + name.size(), nullptr, hexadecimal);
-      return (mask >> (number - 1) & 1) != 0;
+      if (line.starts_with(name) &&
+          (std::strtoull(line.c_str() + name.size(), nullptr, hexadecimal) >> (number - 1) & 1) != 0) {
+        return true;
+      }
     }
   }
   return false;
@@ -100,6 +101,7 @@
            {"--listen-directory", impl::format_endpoint(ports.ip, ports.directory_port)},
            {"--listen-operators", impl::format_endpoint(ports.ip, ports.operator_port)},
            {"--peer-port", std::to_string(ports.peer_port)},
+           {"--stop-limit-ms", std::to_string(launch.stop_limit_ms)},
            {"--cpu-milli", is_large ? "1000" : "100"},
            {"--link-kbit", is_large ? "1000000" : "10000"}}) {
     argument_texts.insert(argument_texts.end(), {option, value});
@@ -115,6 +117,8 @@
   posix_spawn_file_actions_addopen(&file_actions, STDOUT_FILENO, this->launch_options.log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, impl::log_file_mode);
   posix_spawn_file_actions_adddup2(&file_actions, STDOUT_FILENO, STDERR_FILENO);
+  // Else the connections of callers and proxies stay open until the node ends.
+  posix_spawn_file_actions_addclosefrom_np(&file_actions, STDERR_FILENO + 1);
   const int spawn_error = posix_spawn(&this->pid, this->launch_options.program.c_str(), &file_actions,
                                       nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&file_actions);
--- a/soak/node_process.hpp
+++ b/soak/node_process.hpp
@@ -36,6 +36,8 @@
   bool is_large{true};
   node_ports ports;
   std::uint16_t store_port{0};
+  /// Time from SIGTERM until the platform would kill the process.
+  int stop_limit_ms{6000};
   std::string log_file;
 };
 
@@ -52,9 +54,9 @@
 
   void start();
   void signal(int number) const;
-  /// \brief   Waits until the process handles the signal, or has ended.
-  /// \details Until then a signal ends a process that has not begun to work; its status is that of the
-  /// signal. \returns False if it does not within `timeout_ms`.
+  /// \brief   Waits until the process handles the signal or holds it back, or has ended.
+  /// \details Until then, in its first instructions, a signal ends the process.
+  /// \returns False if it does not within `timeout_ms`.
   [[nodiscard]] bool wait_until_handled(int number, int timeout_ms) const;
   /// \brief   Waits for the process to end.
   /// \returns The status that `waitpid` reports (0 if no process is running), or nullopt if the process still
--- a/soak/random_faults.cpp
+++ b/soak/random_faults.cpp
@@ -95,7 +95,7 @@
     node.process->signal(SIGHUP);
     node.process->signal(SIGTERM);
   }
-  const auto status = node.process->wait_for_exit(stop_timeout_ms + stop_margin_ms);
+  const auto status = node.process->wait_for_exit(node.process->options().stop_limit_ms + stop_margin_ms);
   if (!status) {
     this->history.add_violation(node.process->options().name + " did not stop in time");
     node.process->signal(SIGKILL);
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -23,6 +23,8 @@
 /// One body in so many is sent in two pieces.
 constexpr std::size_t slow_body_interval = 5;
 constexpr std::size_t max_body_pause_ms = 900;
+/// Added to such a body while only stops are tried.
+constexpr std::size_t upload_bytes = 200'000;
 /// Longest pause of a caller between two requests that crash servers.
 constexpr std::size_t max_crashing_pause_ms = 400;
 /// A Retry-After in seconds that only quarantined requests get.
@@ -126,7 +128,9 @@
     // and in failure domain b.
     created->process = std::make_unique<node_process>(
         node_options{this->options.program, name, "r", i < 3 ? "a" : "b", i != 2, find_free_ports(i),
-                     created->store_proxy->port(), this->options.log_directory + "/" + name + ".log"});
+                     created->store_proxy->port(),
+                     this->options.only_stops && i % 2 == 1 ? short_stop_limit_ms : stop_timeout_ms,
+                     this->options.log_directory + "/" + name + ".log"});
     created->caller_proxy = std::make_unique<fault_proxy>(this->context, created->process->options().ports.ip,
                                                           created->process->options().ports.caller_port);
     created->process->start();
@@ -173,6 +177,7 @@
     request.body = request.is_repeatable ? "" : "body of " + request.id;
     if (!request.is_repeatable && generator() % impl::slow_body_interval == 0) {
       request.pause_ms = static_cast<int>(generator() % impl::max_body_pause_ms);
+      request.body.append(this->options.only_stops ? impl::upload_bytes : 0, 'u');
     }
     const auto sent_at = clock::now();
     // Some requests are abandoned early.
@@ -258,7 +263,7 @@
     node->process->signal(SIGTERM);
   }
   for (auto& node : this->nodes) {
-    if (!node->process->wait_for_exit(stop_timeout_ms + stop_margin_ms)) {
+    if (!node->process->wait_for_exit(node->process->options().stop_limit_ms + stop_margin_ms)) {
       this->history.add_violation(node->process->options().name + " did not stop at the end");
     }
   }
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -36,6 +36,7 @@
 
 /// The time a node has to stop, and the additional delay allowed for a loaded machine.
 inline constexpr int stop_timeout_ms = 6000;
+inline constexpr int short_stop_limit_ms = 3000;
 inline constexpr int stop_margin_ms = 4000;
 inline constexpr int caller_deadline_ms = 1200;
 inline constexpr int caller_timeout_ms = 3000;
