--- a/packages/http/tests/caller_connection_stop_test.cpp
+++ b/packages/http/tests/caller_connection_stop_test.cpp
@@ -172,10 +172,9 @@
   EXPECT_LT(parsed, sent);
   this->stop_reading();
   while (!this->run_on_loop([&] {
-    const auto unfinished = held;
-    for (const auto& exchange : unfinished) {
-      exchange->write("reply");
-      exchange->finish();
+    for (std::size_t at = 0; at < parsed; ++at) {
+      held[at]->write("reply");
+      held[at]->finish();
     }
     return held.size() > parsed;
   })) {
