Split the control thread's file by what it does

Reading and watching the store, applying changes, and the entry of this node move to files of their own; the wait times of watches to watch_timing.hpp. Functions are moved unchanged; three lines of scripts/mutations.sh follow them.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -162,7 +162,7 @@
   's/{alive.size(), registered_serving, 1}/{alive.size(), 0, 1}/' "each region takes the rest of a rate limit for itself"
 mutate test_membership packages/membership/src/member_table.cpp \
   's/now - entry.last_heartbeat_at < heartbeat_timeout;/true;/' "silent nodes are named to callers"
-mutate test_node packages/node/src/control_thread.cpp \
+mutate test_node packages/node/src/control_thread_watches.cpp \
   's/ || !this->watches.front().feed.is_failing()/ || true/' "every kind probes a lost store"
 mutate test_http packages/http/src/caller_connection.cpp \
   's/const bool is_delivered = .*/const bool is_delivered = true;/' "a closing response to a slow caller is cut"
@@ -210,7 +210,7 @@
   's/    this->pending_removals.erase(backend.id);//' "a server that the tree declares is removed"
 mutate test_routing packages/routing/src/shift_plan.cpp \
   's/  if (shift.kind == shift_kind::drain_domain) {/  if (false) {/' "a domain drain follows another place's ramp"
-mutate test_node packages/node/src/control_thread.cpp \
+mutate test_node packages/node/src/control_thread_registration.cpp \
   's/      this->removal_sent = false;//' "a failed removal of the own entry is not repeated"
 mutate test_gateway packages/gateway/src/request_flow_end.cpp \
   's/  if (left <= duration{0}) {/  if (true) {/' "a quarantined request is sent"
@@ -284,7 +284,7 @@
   's/    this->remove_backend(change.object, duration{0});/    ;/' "a server that left before the copy comes back at a node that starts"
 mutate test_node packages/node/src/control_thread_restore.cpp \
   's/impl::server_rewrite_time : impl::drain_time/impl::server_rewrite_time : impl::server_rewrite_time/' "a drain that the copy lacks ends after some seconds"
-mutate test_node packages/node/src/control_thread.cpp \
+mutate test_node packages/node/src/control_thread_changes.cpp \
   's/^    if (decoded) {$/    {/' "a server whose entry cannot be read is removed"
 mutate test_node packages/node/src/control_thread_state.cpp \
   's/^    this->release_rewritten_objects(.*//' "a node that notices a restore late undoes what was written since"
