Hold signals back again once a node has stopped

Work was not cut off, but a planned stop looked like a crash. Cause: the handlers are set by a member of the node; with it they go, and the signals have their default action until the process is gone. Change: the node blocks its signals when its loop has ended. Nothing unblocks them again. Test: the soak sends SIGTERM until the process is gone.

--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -301,6 +301,8 @@
   this->context.run();
   this->relay_server.reset();
   this->control.reset();
+  // The handlers go with this object; a signal that comes later must not end the process.
+  mask_signals(SIG_BLOCK);
   log_line{log_level::info, "stopped"}.field("requests_under_way",
                                              static_cast<std::int64_t>(this->traffic.requests_in_flight()));
   flush_log();
--- a/soak/random_faults.cpp
+++ b/soak/random_faults.cpp
@@ -2,6 +2,7 @@
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
+#include <optional>
 
 #include "soak_run.hpp"
 
@@ -93,9 +94,15 @@
     // Neither may change the stop that has begun.
     std::this_thread::sleep_for(impl::signal_interval);
     node.process->signal(SIGHUP);
-    node.process->signal(SIGTERM);
   }
-  const auto status = node.process->wait_for_exit(node.process->options().stop_limit_ms + stop_margin_ms);
+  std::optional<int> status;
+  const auto end = clock::now() + milliseconds{node.process->options().stop_limit_ms + stop_margin_ms};
+  while (!status && clock::now() < end) {
+    if (this->options.only_stops) {
+      node.process->signal(SIGTERM);
+    }
+    status = node.process->wait_for_exit(1);
+  }
   if (!status) {
     this->history.add_violation(node.process->options().name + " did not stop in time");
     node.process->signal(SIGKILL);
