Do not blame a node for requests that the soak's proxies had not passed on

Trace: in each case the logs of all five nodes have a gap of the same length (328, 382 and 888 ms) in which no request ended, while nodes logged their own events (reading_stopped): the thread of the soak's proxies did not run. The halves waited in a proxy whose node had closed its listener when the thread ran again. Change: stall_meter measures by how much that thread is late, and the time that a caller's request spent so is subtracted before it is compared with the same 300 ms as before. Tests: request_history.does_not_blame_a_node_for_what_a_stalled_proxy_held, and the violation itself, which the test of all kinds lacked.

--- a/soak/request_history.cpp
+++ b/soak/request_history.cpp
@@ -74,7 +74,7 @@
         absl::StrCat("request ", id, " ran and was cut off at ", result.node, " with nothing disturbed"));
   }
   if (result.status == 0 && result.connection_lost && result.was_fault_free && entry.request.pause_ms > 0 &&
-      result.took_ms > impl::max_crossing_ms) {
+      result.took_ms - result.stalled_ms > impl::max_crossing_ms) {
     this->violations.push_back(absl::StrCat("request ", id, " was half sent for ", result.took_ms,
                                             " ms and cut off at ", result.node, " with nothing disturbed"));
   }
--- a/soak/request_history.hpp
+++ b/soak/request_history.hpp
@@ -36,6 +36,8 @@
   bool connection_lost{false};
   /// The time from the first byte sent until the connection was lost, or the request ended.
   int took_ms{0};
+  /// The part of that time in which the proxy passed nothing on, as its thread did not run.
+  int stalled_ms{0};
   /// No fault affected the node or a backend server from shortly before the request was sent to its end.
   bool was_fault_free{false};
   std::string node;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -180,10 +180,12 @@
       request.body.append(this->options.only_stops ? impl::upload_bytes : 0, 'u');
     }
     const auto sent_at = clock::now();
+    const auto stalled_before = this->proxy_stalls.total();
     // Some requests are abandoned early.
     const int timeout_ms = generator() % 20 == 0 ? static_cast<int>(generator() % 100) : caller_timeout_ms;
     auto result = client.send_request(request, caller_deadline_ms, timeout_ms);
     result.node = node.process->options().name;
+    result.stalled_ms = static_cast<int>((this->proxy_stalls.total() - stalled_before).count());
     result.was_fault_free = node.unplanned_faults.was_fault_free_since(sent_at, impl::fault_effect_margin) &&
                             this->backend_faults.was_fault_free_since(sent_at, impl::fault_effect_margin);
     this->history.on_request_finished(request.id, result);
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -22,6 +22,7 @@
 #include "crashing_request.hpp"
 #include "edit_monitor.hpp"
 #include "node_process.hpp"
+#include "stall_meter.hpp"
 #include "standins/external_writer.hpp"
 #include "standins/fault_proxy.hpp"
 #include "standins/fault_window.hpp"
@@ -199,6 +200,7 @@
   boost::asio::io_context context{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> network_work_guard{
       this->context.get_executor()};
+  stall_meter proxy_stalls{this->context};
   std::thread network_thread;
   // Faults of backend servers and their connections, which can affect requests at every node.
   fault_window backend_faults;
--- a/soak/tests/request_history_test.cpp
+++ b/soak/tests/request_history_test.cpp
@@ -21,6 +21,19 @@
   return result;
 }
 
+/// Sends a request in two parts and loses the connection.
+void lose_half_sent_request(request_history& history, int took_ms, int stalled_ms) {
+  auto request = single_run_request;
+  request.pause_ms = took_ms;
+  history.on_request_sent(request);
+  request_result result;
+  result.connection_lost = true;
+  result.was_fault_free = true;
+  result.took_ms = took_ms;
+  result.stalled_ms = stalled_ms;
+  history.on_request_finished(request.id, result);
+}
+
 [[nodiscard]] request_result refused_result() {
   request_result result;
   result.status = 503;
@@ -77,6 +90,8 @@
          result.node = "n1";
          history.on_request_finished("q1", result);
        }},
+      {"was half sent for 400 ms",
+       [](request_history& history) { lose_half_sent_request(history, 400, 50); }},
   };
   for (const auto& violation : violation_cases) {
     request_history history;
@@ -87,6 +102,12 @@
   }
 }
 
+TEST(request_history, does_not_blame_a_node_for_what_a_stalled_proxy_held) {
+  request_history history;
+  lose_half_sent_request(history, 400, 150);
+  EXPECT_TRUE(history.check_at_end().empty());
+}
+
 TEST(request_history, reports_no_violation_when_all_guarantees_hold) {
   request_history history;
   history.on_request_sent(repeatable_request);
