--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -186,6 +186,12 @@
   's/  this->refused_early = true;//' "a stop resets callers that are still sending what was refused"
 mutate test_http packages/http/src/http_listener.cpp \
   's/^  this->accept_backlog();//' "a stop resets connections that it has not accepted"
+mutate test_http packages/http/src/caller_connection_stop.cpp \
+  's/  if (this->awaits_first_request()) {/  if (false) {/' "a stop closes a connection whose first request is on its way"
+mutate test_http packages/http/src/caller_connection.cpp \
+  's/  const bool is_leftover = .*/  const bool is_leftover = false;/' "a connection that brings no request holds up a stop"
+mutate test_gateway packages/gateway/src/hop_fields.cpp \
+  's/  return own == reason::node_stopping ? .*/  return own;/' "older nodes cannot parse why a stopping peer refuses"
 mutate test_gateway packages/gateway/src/gateway_stop.cpp \
   's/this->deadline_of(head, \*route, started) > \*this->answer_by/false/' "a stopping node lets callers send bodies that it refuses"
 mutate test_http packages/http/src/caller_connection.cpp \
