--- a/packages/routing/tests/link_monitor_test.cpp
+++ b/packages/routing/tests/link_monitor_test.cpp
@@ -286,6 +286,20 @@
   EXPECT_EQ(links.state(), link_condition::up);
 }
 
+TEST(link_monitor, checks_again_if_the_answered_check_began_before_the_round) {
+  constexpr std::uint64_t server = 1;
+  const time_point begin{1'000'000};
+  link_monitor links;
+  links.request_round(begin);
+  links.on_checks_started({server}, begin);
+  links.on_check_answered(server, begin - duration{5}, begin + duration{5});
+  EXPECT_EQ(links.state(), link_condition::suspected);
+  ASSERT_TRUE(links.wants_checks(begin + duration{5}));
+  links.on_checks_started({server}, begin + duration{5});
+  links.on_check_answered(server, begin + duration{5}, begin + duration{10});
+  EXPECT_EQ(links.state(), link_condition::up);
+}
+
 TEST(link_checks, go_to_servers_in_use_of_different_domains_and_services_in_turn) {
   std::vector<link_check_candidate> candidates;
   for (int i = 0; i < 12; ++i) {
