Let the soak wait until a node itself holds signals back

Trace: no process of n1 logged anything between the end of its first one and the start of the next, 3.5 s later, so one was ended before it logged started. Polled in 60 starts of zinniad, /proc/PID/status showed all signals blocked, and none blocked after that, before main blocks its three in 35: the log library does so while it starts its threads. The soak took that for the node's own mask and sent SIGTERM too early. Change: a process that blocks SIGUSR1 too does not count as holding signals back; the check of the status stays as it is.

--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -39,14 +39,18 @@
          std::to_string(1 + process_id % octet_values) + '.' + std::to_string(1 + node_index);
 }
 
-/// Returns true if the process has a handler for the signal, or holds it back.
+/// Returns true if the process has a handler for the signal, or holds it back. A process that blocks all
+/// signals does so for a moment before `main`, while the log library starts its threads.
 [[nodiscard]] bool handles_signal(pid_t pid, int number) {
   std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
+  const auto contains = [](const std::string& line, std::size_t name_size, int which) {
+    constexpr int hexadecimal = 16;
+    return (std::strtoull(line.c_str() + name_size, nullptr, hexadecimal) >> (which - 1) & 1) != 0;
+  };
   for (std::string line; std::getline(status, line);) {
     for (const std::string name : {"SigCgt:", "SigBlk:"}) {
-      constexpr int hexadecimal = 16;
-      if (line.starts_with(name) &&
-          (std::strtoull(line.c_str() + name.size(), nullptr, hexadecimal) >> (number - 1) & 1) != 0) {
+      if (line.starts_with(name) && contains(line, name.size(), number) &&
+          !contains(line, name.size(), SIGUSR1)) {
         return true;
       }
     }
