--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -46,9 +46,8 @@
   /// \brief Refuses all partly read requests.
   void refuse_partial_requests();
   [[nodiscard]] std::size_t open_connections() const noexcept { return this->connections.size(); }
-  /// \brief Returns the number of connections on which a request has begun to arrive, or the first may be on
-  /// its
-  ///        way.
+  /// \brief   Returns the number of connections on which a request is arriving.
+  /// \details New connections count until their first request has come or is given up.
   [[nodiscard]] std::size_t arriving_requests() const;
   /// \brief True if any connection has a request in flight or partly read, or output that its caller has not
   ///        received.
--- a/packages/node/include/zinnia/node/entry_node.hpp
+++ b/packages/node/include/zinnia/node/entry_node.hpp
@@ -8,8 +8,9 @@
 
 namespace zinnia {
 
-/// \brief   Holds back the signals that a node handles until it does, instead of their ending the process.
-/// \details Called first thing in `main`, while the process has one thread.
+/// \brief   Blocks the signals that a node handles until it handles them, so that they do not end the
+/// process. \details Called first in `main`, while the process has one thread. A node that has stopped blocks
+/// them again.
 void hold_signals() noexcept;
 
 /// \brief   Runs a node until SIGTERM or SIGINT, then exits the process.
--- a/soak/random_faults.cpp
+++ b/soak/random_faults.cpp
@@ -91,7 +91,7 @@
   }
   node.process->signal(signal);
   if (this->options.only_stops) {
-    // Neither may change the stop that has begun.
+    // Neither this nor further SIGTERMs may change the stop that has begun.
     std::this_thread::sleep_for(impl::signal_interval);
     node.process->signal(SIGHUP);
   }
--- a/soak/stall_meter.hpp
+++ b/soak/stall_meter.hpp
@@ -9,7 +9,7 @@
 namespace zinnia::soak {
 
 /// \brief   Adds up by how much the thread of an event loop was late.
-/// \details What a proxy has received then has not reached its node yet.
+/// \details Meanwhile the proxies pass nothing on, so what callers have sent has not reached the nodes.
 class stall_meter {
  public:
   using clock = std::chrono::steady_clock;
