--- a/packages/node/include/zinnia/node/entry_node.hpp
+++ b/packages/node/include/zinnia/node/entry_node.hpp
@@ -8,9 +8,8 @@
 
 namespace zinnia {
 
-/// \brief   Blocks the signals that a node handles until it handles them, so that they do not end the
-/// process. \details Called first in `main`, while the process has one thread. A node that has stopped blocks
-/// them again.
+/// \brief   Blocks the signals that a node handles, so that they do not end the process before it does.
+/// \details Called first in `main`, while the process has one thread. A stopped node blocks them again.
 void hold_signals() noexcept;
 
 /// \brief   Runs a node until SIGTERM or SIGINT, then exits the process.
