Review case 6: a machine sends requests to a server after passing on that it leaves

Cause: while a machine's links to the servers are lost, it takes nothing from the answers that peers return to it, so Server-Leaving is passed on and forgotten. Done: a script that cuts one of nine machines off from all servers while four servers begin to leave.

--- a/review/standins-2/http.hpp
+++ b/review/standins-2/http.hpp
@@ -234,9 +234,4 @@
   address bound;
 };
 
-/// \brief Returns a port that is free on this address now.
-[[nodiscard]] inline int free_port(const std::string& ip) {
-  return listener{{ip, 0}}.where().port;
-}
-
 }  // namespace review
--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.hpp
@@ -18,13 +18,20 @@
 
 namespace review {
 
-/// \brief The platform's store: lists, watches and conditional writes, as PROTOCOL.md says.
+/// \brief   The platform's store: lists, watches and conditional writes, as PROTOCOL.md says.
+/// \details On one host all machines reach a server by the same link. So that the links of one machine can be
+/// cut,
+///          each machine has a door of its own here, and reads the address of its own door at each server:
+///          `addresses` of a server's entry has one for each machine, in the order of the doors.
 class store {
  public:
-  store() : door{{"127.0.0.1", 0}} {
-    this->door.serve([this](stream& connection) { this->serve(connection); });
+  /// \brief Opens a door for the next machine.
+  [[nodiscard]] address add_door() {
+    const auto number = this->doors.size();
+    this->doors.push_back(std::make_unique<listener>(address{"127.0.0.1", 0}));
+    this->doors.back()->serve([this, number](stream& connection) { this->serve(connection, number); });
+    return this->doors.back()->where();
   }
-  [[nodiscard]] const address& where() const noexcept { return this->door.where(); }
 
   void put(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
     const std::lock_guard lock{this->mutex};
@@ -80,11 +87,29 @@
     this->changed.notify_all();
   }
 
-  void serve(stream& connection) {
+  /// Leaves in each entry of a server the address that this machine reaches.
+  static void show_address(nlohmann::json& object, std::size_t door) {
+    auto& spec = object["spec"];
+    if (spec.is_object() && spec.contains("addresses")) {
+      spec["address"] = spec["addresses"].at(door);
+      spec.erase("addresses");
+    }
+  }
+  void serve(stream& connection, std::size_t door) {
     constexpr std::chrono::hours idle{1};
     while (const auto request = connection.read(steady::now() + idle)) {
       int status = 404;
-      const auto body = this->answer(*request, status);
+      auto body = this->answer(*request, status);
+      auto shown = nlohmann::json::parse(body, nullptr, false);
+      if (shown.is_object() && request->word(0) == "GET") {
+        for (auto& item : shown["items"]) {
+          show_address(item, door);
+        }
+        for (auto& event : shown["events"]) {
+          show_address(event["object"], door);
+        }
+        body = shown.dump();
+      }
       std::ostringstream text;
       text << "HTTP/1.1 " << status
            << " X\r\nContent-Type: application/json\r\nContent-Length: " << body.size() << "\r\n\r\n"
@@ -185,7 +210,7 @@
   std::map<std::string, std::map<std::string, object>> kinds;
   std::vector<event> history;
   std::int64_t revision{100};
-  listener door;
+  std::vector<std::unique_ptr<listener>> doors;
 };
 
 /// \brief One machine of the system: its settings and its process.
@@ -197,6 +222,7 @@
   address ready;
   address directory;
   int first_internal_port{0};
+  address store_at;
   std::string settings_file;
   std::string log_file;
   pid_t process{0};
@@ -207,7 +233,7 @@
 /// \brief The machines of a small deployment: settings as in its site file, on loopback addresses.
 class fleet {
  public:
-  fleet(std::string folder_in, const address& store_in) : folder{std::move(folder_in)}, store_at{store_in} {}
+  fleet(std::string folder_in, store& registry_in) : folder{std::move(folder_in)}, registry{registry_in} {}
   fleet(const fleet&) = delete;
   fleet& operator=(const fleet&) = delete;
   fleet(fleet&&) = delete;
@@ -222,10 +248,12 @@
     // The project's port for metrics is fixed, so each machine has an address of its own.
     made->ip = "127." + std::to_string(getpid() / 250 % 250 + 1) + '.' + std::to_string(getpid() % 250 + 1) +
                '.' + std::to_string(number);
-    made->front = {made->ip, free_port(made->ip)};
-    made->ready = {made->ip, free_port(made->ip)};
-    made->directory = {made->ip, free_port(made->ip)};
-    made->first_internal_port = free_port(made->ip);
+    const int ports = first_free_ports(made->ip);
+    made->front = {made->ip, ports};
+    made->ready = {made->ip, ports + 1};
+    made->directory = {made->ip, ports + 2};
+    made->first_internal_port = ports + 3;
+    made->store_at = this->registry.add_door();
     made->settings_file = this->folder + '/' + made->name + ".toml";
     made->log_file = this->folder + '/' + made->name + ".log";
     this->machines.push_back(std::move(made));
@@ -312,6 +340,22 @@
   static constexpr std::int64_t memory_limit_mib = 260;
 
  private:
+  /// Returns the first of some free ports in a row.
+  [[nodiscard]] static int first_free_ports(const std::string& ip) {
+    constexpr int wanted = 20;
+    for (int first = 7000;; first += wanted) {
+      try {
+        for (int port = first; port < first + wanted; ++port) {
+          const listener free{{ip, port}};
+        }
+        return first;
+      } catch (const std::runtime_error&) {
+        // One of them is in use.
+        continue;
+      }
+    }
+  }
+
   void write_settings(const machine& of) const {
     std::ofstream file{of.settings_file, std::ios::trunc};
     const auto first_port = of.first_internal_port;
@@ -335,13 +379,13 @@
         << "maxSkewMs = 6000\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtra = 58\n"
         << "coldOverage = 1.5\ncoldSlack = 5\nevacuationMs = 5000\nrecoveryS = 15\nttl_max_s = 5\nmaxShift = "
            "0.15\n"
-        << "[platform]\naddress = \"" << this->store_at.text()
+        << "[platform]\naddress = \"" << of.store_at.text()
         << "\"\nform = \"objects\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\n"
         << "ttlMinMs = 1000\n";
   }
 
   std::string folder;
-  address store_at;
+  store& registry;
   std::vector<std::unique_ptr<machine>> machines;
 };
 
--- a/review/standins-2/servers.hpp
+++ b/review/standins-2/servers.hpp
@@ -9,24 +9,6 @@
 
 namespace review {
 
-/// \brief What became of requests at the servers, by the request's id.
-class run_log {
- public:
-  void begin(const std::string& id) {
-    const std::lock_guard lock{this->mutex};
-    ++this->runs[id];
-  }
-  [[nodiscard]] int runs_of(const std::string& id) {
-    const std::lock_guard lock{this->mutex};
-    const auto found = this->runs.find(id);
-    return found == this->runs.end() ? 0 : found->second;
-  }
-
- private:
-  std::mutex mutex;
-  std::map<std::string, int> runs;
-};
-
 struct server_options {
   std::string id;
   std::string service;
@@ -34,56 +16,95 @@
   int slots{3};
   int queue{9};
   int work_ms{240};
-  /// Factor on the work while the server is cold.
-  int cold_factor{2};
-  int cold_ms{0};
+};
+
+/// \brief A request that reached a server, and the door by which it came.
+struct arrival {
+  std::string request;
+  std::size_t door{0};
+  std::int64_t at_ms{0};
 };
 
 /// \brief A sound server: it names itself, runs `slots` requests at a time, queues some, and rejects the
 /// rest.
 class server {
  public:
-  server(server_options options_in, store& registry_in, run_log& log_in)
-      : options{std::move(options_in)},
-        registry{registry_in},
-        log{log_in},
-        cold_until{steady::now() + milliseconds{this->options.cold_ms}},
-        door{{"127.0.0.1", 0}} {
-    this->door.serve([this](stream& connection) { this->serve(connection); });
+  /// \param doors_in The number of machines.
+  server(server_options options_in, std::size_t doors_in, store& registry_in, record& notes_in)
+      : options{std::move(options_in)}, registry{registry_in}, notes{notes_in}, doors(doors_in) {
+    for (std::size_t number = 0; number < doors_in; ++number) {
+      this->open(number);
+    }
   }
   [[nodiscard]] const std::string& id() const noexcept { return this->options.id; }
-  [[nodiscard]] const address& where() const noexcept { return this->door.where(); }
 
   void enter() {
-    const auto left = std::chrono::duration_cast<milliseconds>(this->cold_until - steady::now()).count();
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const auto& each : this->doors) {
+      addresses.push_back(each.where.text());
+    }
     this->registry.put("servers", this->options.id,
                        {{"service", this->options.service},
-                        {"address", this->door.where().text()},
+                        {"addresses", addresses},
                         {"zone", this->options.zone},
                         {"version", "v1"},
                         {"slots", this->options.slots},
                         {"state", "ready"},
-                        {"coldRemainingMs", std::max<std::int64_t>(left, 0)},
+                        {"coldRemainingMs", 0},
                         {"sequence", 1}});
   }
-  /// \brief Times at which requests arrived, except those for another server, in ms after the first.
-  [[nodiscard]] std::vector<steady::time_point> arrivals() {
+  /// \brief From now on the server says in all its answers that it leaves.
+  void leave() { this->leaving = true; }
+
+  /// \brief Cuts the link of one machine: its connections are reset, and new ones refused.
+  void cut(std::size_t door) {
+    const std::lock_guard lock{this->mutex};
+    this->doors[door].open->stop();
+    for (const int each : this->doors[door].connections) {
+      const linger reset{1, 0};
+      setsockopt(each, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      shutdown(each, SHUT_RD);
+    }
+  }
+  /// \brief Ends the cut.
+  void heal(std::size_t door) { this->open(door); }
+
+  [[nodiscard]] std::vector<arrival> arrivals() {
     const std::lock_guard lock{this->mutex};
     return this->arrived;
   }
-  [[nodiscard]] steady::time_point cold_end() const noexcept { return this->cold_until; }
 
  private:
-  void serve(stream& connection) {
+  struct door_state {
+    address where{"127.0.0.1", 0};
+    std::unique_ptr<listener> open;
+    std::set<int> connections;
+  };
+
+  void open(std::size_t number) {
+    auto& door = this->doors[number];
+    door.open.reset();
+    door.open = std::make_unique<listener>(door.where);
+    door.where = door.open->where();
+    door.open->serve([this, number](stream& connection) { this->serve(connection, number); });
+  }
+
+  void serve(stream& connection, std::size_t door) {
+    {
+      const std::lock_guard lock{this->mutex};
+      this->doors[door].connections.insert(connection.native());
+    }
     constexpr std::chrono::seconds idle{10};
     while (const auto request = connection.read(steady::now() + idle)) {
-      if (!this->respond(connection, *request)) {
-        return;
+      if (!this->respond(connection, *request, door)) {
+        break;
       }
     }
+    const std::lock_guard lock{this->mutex};
+    this->doors[door].connections.erase(connection.native());
   }
 
-  [[nodiscard]] std::string load() {
+  [[nodiscard]] std::string load() const {
     const int held = this->admitted;
     return std::to_string(std::min(held, this->options.slots)) + ',' +
            std::to_string(std::max(held - this->options.slots, 0)) + ',' +
@@ -91,66 +112,61 @@
   }
 
   [[nodiscard]] bool reply(const stream& connection, const std::string& status, const std::string& id,
-                           const std::string& fields, const std::string& body) {
+                           const std::string& fields, const std::string& body) const {
     std::string text = "HTTP/1.1 " + status + "\r\nServer-Load: " + this->load() + "\r\n" + fields;
+    if (this->leaving) {
+      text += "Server-Leaving: 1\r\n";
+    }
     if (!id.empty()) {
       text += "Request-Id: " + id + "\r\n";
     }
     return connection.write(text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
-  [[nodiscard]] bool respond(const stream& connection, const http_message& request) {
+  [[nodiscard]] bool respond(const stream& connection, const http_message& request, std::size_t door) {
     const auto id = request.field("request-id");
+    const std::string own = "Instance-Id: " + this->options.id + "\r\n";
     if (request.word(1) == "/health") {
-      const auto left = std::chrono::duration_cast<milliseconds>(this->cold_until - steady::now()).count();
-      return this->reply(connection, "200 OK", id,
-                         "Instance-Id: " + this->options.id +
-                             "\r\nCold-Start-Ms: " + std::to_string(std::max<std::int64_t>(left, 0)) + "\r\n",
-                         "");
+      const auto* const status = this->leaving ? "503 Service Unavailable" : "200 OK";
+      return this->reply(connection, status, id, own + "Cold-Start-Ms: 0\r\n", "");
     }
     const auto expected = request.field("expect-instance");
     if (!expected.empty() && expected != this->options.id) {
-      return this->reply(connection, "421 Misdirected Request", id,
-                         "Instance-Id: " + this->options.id + "\r\n", "");
+      return this->reply(connection, "421 Misdirected Request", id, own, "");
     }
     if (id.empty()) {
       return this->reply(connection, "400 Bad Request", id, "Not-Executed: 1\r\n", "");
     }
+    bool has_room = false;
     {
       const std::lock_guard lock{this->mutex};
-      this->arrived.push_back(steady::now());
-      if (this->admitted >= this->options.slots + this->options.queue) {
-        return this->reply(connection, "503 Service Unavailable", id, "Not-Executed: 1\r\n", "");
-      }
-      ++this->admitted;
+      this->arrived.push_back({id, door, this->notes.elapsed_ms()});
+      has_room = this->admitted < this->options.slots + this->options.queue;
+      this->admitted += has_room ? 1 : 0;
     }
-    const bool finished = this->run(connection, id);
-    {
-      const std::lock_guard lock{this->mutex};
-      --this->admitted;
+    if (!has_room) {
+      return this->reply(connection, "503 Service Unavailable", id, "Not-Executed: 1\r\n", "");
     }
+    const bool finished = this->run(connection);
+    --this->admitted;
     return finished && this->reply(connection, "200 OK", id,
                                    "Server-Stamp: " + this->options.id + "\r\nKeep-Alive: timeout=10\r\n",
                                    "done " + id + '\n');
   }
 
   /// False if the caller has left before the work is done.
-  [[nodiscard]] bool run(const stream& connection, const std::string& id) {
+  [[nodiscard]] bool run(const stream& connection) {
     {
       std::unique_lock lock{this->mutex};
       this->freed.wait(lock, [this] { return this->running < this->options.slots; });
       ++this->running;
     }
+    const auto end = steady::now() + milliseconds{this->options.work_ms};
     bool finished = !connection.is_closed();
-    if (finished) {
-      this->log.begin(id);
-      const int factor = steady::now() < this->cold_until ? this->options.cold_factor : 1;
-      const auto end = steady::now() + milliseconds{this->options.work_ms * factor};
-      while (finished && steady::now() < end) {
-        constexpr milliseconds check_period{5};
-        std::this_thread::sleep_for(check_period);
-        finished = !connection.is_closed();
-      }
+    while (finished && steady::now() < end) {
+      constexpr milliseconds check_period{5};
+      std::this_thread::sleep_for(check_period);
+      finished = !connection.is_closed();
     }
     const std::lock_guard lock{this->mutex};
     --this->running;
@@ -160,25 +176,28 @@
 
   server_options options;
   store& registry;
-  run_log& log;
-  steady::time_point cold_until;
+  record& notes;
   std::mutex mutex;
   std::condition_variable freed;
+  std::vector<door_state> doors;
   std::atomic<int> admitted{0};
+  std::atomic<bool> leaving{false};
   int running{0};
-  std::vector<steady::time_point> arrived;
-  listener door;
+  std::vector<arrival> arrived;
 };
 
 /// \brief One request of a client and what it got.
 struct sent_request {
   std::string id;
-  int status{0};
-  /// The connection had carried a request before this one.
-  bool was_kept{false};
-  /// The node closed the connection without an answer.
-  bool was_cut{false};
+  /// The machine that it was sent to.
+  address to;
   std::int64_t sent_ms{0};
+  /// 0 without an answer.
+  int status{0};
+  std::int64_t answered_ms{0};
+  /// The server that signed the answer, and whether the answer says that this server leaves.
+  std::string signed_by;
+  bool says_leaving{false};
 };
 
 /// \brief A client as PROTOCOL.md has them: it asks the directory where to connect, keeps its connection, and
@@ -193,56 +212,57 @@
         notes{notes_in},
         random_state{std::hash<std::string>{}(this->name) | 1U} {}
 
+  /// \brief Some clients keep the directory's answer three times as long as it says.
+  void set_patience(int factor) noexcept { this->ttl_factor = factor; }
+
   /// \brief Sends one request and returns what became of it.
-  [[nodiscard]] sent_request send(const std::string& method, const std::string& path, const std::string& body,
-                                  int deadline_ms) {
+  [[nodiscard]] sent_request get(const std::string& path, int deadline_ms) {
     sent_request sent;
     sent.id = this->name + '-' + std::to_string(++this->count);
     sent.sent_ms = this->notes.elapsed_ms();
     const auto until = steady::now() + milliseconds{deadline_ms};
     constexpr milliseconds pause{100};
+    constexpr milliseconds connect_time{1000};
     if (steady::now() > this->resolved_until && !this->resolve()) {
       std::this_thread::sleep_for(pause);
       return sent;
     }
-    sent.was_kept = this->connection != nullptr;
     if (this->connection == nullptr) {
-      const auto chosen = this->fronts[this->random() % this->fronts.size()];
-      this->connection = connect_to(chosen, milliseconds{1000});
+      this->connected_to = this->fronts[this->random() % this->fronts.size()];
+      this->connection = connect_to(this->connected_to, connect_time);
       if (this->connection == nullptr) {
         this->resolved_until = {};
         std::this_thread::sleep_for(pause);
         return sent;
       }
     }
-    std::string text = method + ' ' + path + " HTTP/1.1\r\nHost: demo.example\r\nRequest-Id: " + sent.id +
-                       "\r\nAffinity-Key: " + std::to_string(this->random() % 57) +
-                       "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
-    if (method == "POST") {
-      text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    }
-    const bool is_written = this->connection->write(text + "\r\n") && this->write_paced(body);
-    const auto answer = this->connection->read(until);
-    if (answer) {
-      sent.status = answer->status();
-      if (answer->field("connection") == "close") {
-        this->connection.reset();
-      }
-      if (sent.status == 503 || sent.status == 429) {
-        const auto wait_ms = static_cast<int>(std::atof(answer->field("retry-after").c_str()) * 1000);
-        std::this_thread::sleep_for(milliseconds{std::min(wait_ms, deadline_ms / 3)});
-      }
+    sent.to = this->connected_to;
+    constexpr std::uint64_t things = 57;
+    const bool is_written =
+        this->connection->write("GET " + path + " HTTP/1.1\r\nHost: demo.example\r\nRequest-Id: " + sent.id +
+                                "\r\nAffinity-Key: " + std::to_string(this->random() % things) +
+                                "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n\r\n");
+    const auto answer = is_written ? this->connection->read(until) : std::nullopt;
+    sent.answered_ms = this->notes.elapsed_ms();
+    if (!answer) {
+      this->connection.reset();
+      this->resolved_until = {};
       return sent;
     }
-    sent.was_cut = !is_written || this->connection->is_closed();
-    this->connection.reset();
-    this->resolved_until = {};
+    sent.status = answer->status();
+    sent.signed_by = answer->field("server-stamp");
+    sent.says_leaving = answer->field("server-leaving") == "1";
+    if (answer->field("connection") == "close") {
+      this->connection.reset();
+    }
+    if (sent.status == 503 || sent.status == 429) {
+      constexpr double ms_per_s = 1000;
+      const auto wait_ms = static_cast<int>(std::atof(answer->field("retry-after").c_str()) * ms_per_s);
+      std::this_thread::sleep_for(milliseconds{std::min(wait_ms, deadline_ms / 3)});
+    }
     return sent;
   }
 
-  /// \brief Bytes of bodies that this client sends in a millisecond, at most: its part of the machine's link.
-  void set_pace(std::size_t bytes_per_ms_in) noexcept { this->bytes_per_ms = bytes_per_ms_in; }
-
   [[nodiscard]] std::uint64_t random() {
     this->random_state ^= this->random_state << 13U;
     this->random_state ^= this->random_state >> 7U;
@@ -251,20 +271,6 @@
   }
 
  private:
-  [[nodiscard]] bool write_paced(std::string_view body) const {
-    constexpr std::size_t piece_ms = 4;
-    const auto began = steady::now();
-    for (std::size_t piece = 0; !body.empty(); ++piece) {
-      std::this_thread::sleep_until(began + milliseconds{piece * piece_ms});
-      const auto part = body.substr(0, this->bytes_per_ms * piece_ms);
-      if (!this->connection->write(part)) {
-        return false;
-      }
-      body.remove_prefix(part.size());
-    }
-    return true;
-  }
-
   [[nodiscard]] bool resolve() {
     for (const auto& directory : this->directories) {
       const auto asked = connect_to(directory, milliseconds{1000});
@@ -278,11 +284,16 @@
       if (!answer || answer->status() != 200 || !told.is_object() || told["addresses"].empty()) {
         continue;
       }
-      const auto previous = std::exchange(this->fronts, {});
+      this->fronts.clear();
       for (const auto& each : told["addresses"]) {
         this->fronts.push_back(parse_address(each.get<std::string>()));
       }
-      this->resolved_until = steady::now() + std::chrono::seconds{std::max(told.value("ttlS", 1), 1)};
+      this->resolved_until =
+          steady::now() + std::chrono::seconds{std::max(told.value("ttlS", 1), 1) * this->ttl_factor};
+      if (std::none_of(this->fronts.begin(), this->fronts.end(),
+                       [this](const address& each) { return each.ip == this->connected_to.ip; })) {
+        this->connection.reset();
+      }
       return true;
     }
     return false;
@@ -293,8 +304,8 @@
   std::vector<address> directories;
   record& notes;
   std::uint64_t random_state;
-  // 1000 Mbit/s.
-  std::size_t bytes_per_ms{125'000};
+  int ttl_factor{1};
+  address connected_to;
   int count{0};
   std::vector<address> fronts;
   steady::time_point resolved_until;
