--- a/review/standins-2/servers.hpp
+++ b/review/standins-2/servers.hpp
@@ -38,20 +38,24 @@
   }
   [[nodiscard]] const std::string& id() const noexcept { return this->options.id; }
 
-  void enter() {
+  /// \param born The server's start; without it the entry has no such field.
+  void enter(std::optional<std::int64_t> born = std::nullopt) {
     nlohmann::json addresses = nlohmann::json::array();
     for (const auto& each : this->doors) {
       addresses.push_back(each.where.text());
     }
-    this->registry.put("servers", this->options.id,
-                       {{"service", this->options.service},
+    nlohmann::json spec{{"service", this->options.service},
                         {"addresses", addresses},
                         {"zone", this->options.zone},
                         {"version", "v1"},
                         {"slots", this->options.slots},
                         {"state", "ready"},
                         {"coldRemainingMs", 0},
-                        {"sequence", 1}});
+                        {"sequence", 1}};
+    if (born) {
+      spec["born"] = *born;
+    }
+    this->registry.put("servers", this->options.id, spec);
   }
   /// \brief From now on the server says in all its answers that it leaves.
   void leave() { this->leaving = true; }
