--- a/review/standins-2/servers.hpp
+++ b/review/standins-2/servers.hpp
@@ -85,10 +85,27 @@
     std::set<int> connections;
   };
 
+  /// Listens on a port that the kernel gives to no outgoing connection, so that it is still free after a cut.
+  [[nodiscard]] static std::unique_ptr<listener> listen_anywhere() {
+    constexpr int first_port = 10'000;
+    constexpr int last_port = 32'000;
+    static int next_port = first_port + getpid() % 50 * 400;
+    for (int tried = first_port; tried < last_port; ++tried) {
+      next_port = next_port < last_port ? next_port + 1 : first_port;
+      try {
+        return std::make_unique<listener>(address{"127.0.0.1", next_port});
+      } catch (const std::runtime_error&) {
+        // It is in use.
+        continue;
+      }
+    }
+    throw std::runtime_error{"no free port"};
+  }
+
   void open(std::size_t number) {
     auto& door = this->doors[number];
     door.open.reset();
-    door.open = std::make_unique<listener>(door.where);
+    door.open = door.where.port == 0 ? listen_anywhere() : std::make_unique<listener>(door.where);
     door.where = door.open->where();
     door.open->serve([this, number](stream& connection) { this->serve(connection, number); });
   }
