--- a/soak/node_process.cpp
+++ b/soak/node_process.cpp
@@ -39,6 +39,17 @@
          std::to_string(1 + process_id % octet_values) + '.' + std::to_string(1 + node_index);
 }
 
+/// Returns the texts as the system takes them: pointers, and a null pointer at the end.
+[[nodiscard]] std::vector<char*> as_pointers(std::vector<std::string>& texts) {
+  std::vector<char*> pointers;
+  pointers.reserve(texts.size() + 1);
+  for (auto& text : texts) {
+    pointers.push_back(text.data());
+  }
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
 /// Returns true if the process has a handler for the signal, or holds it back. A process that blocks all
 /// signals does so for a moment before `main`, while the log library starts its threads.
 [[nodiscard]] bool handles_signal(pid_t pid, int number) {
@@ -90,11 +101,14 @@
   static_cast<void>(this->wait_for_exit(kill_timeout_ms));
 }
 
-void node_process::start() {
-  const auto& ports = this->launch_options.ports;
+std::vector<std::string> node_process::arguments() const {
   const auto& launch = this->launch_options;
+  const auto& ports = launch.ports;
   const bool is_large = launch.is_large;
-  std::vector<std::string> argument_texts{launch.program};
+  std::vector<std::string> texts{launch.program};
+  if (!launch.settings_file.empty()) {
+    return texts;
+  }
   for (const auto& [option, value] : std::vector<std::pair<const char*, std::string>>{
            {"--node", launch.name},
            {"--region", launch.region},
@@ -108,13 +122,22 @@
            {"--stop-limit-ms", std::to_string(launch.stop_limit_ms)},
            {"--cpu-milli", is_large ? "1000" : "100"},
            {"--link-kbit", is_large ? "1000000" : "10000"}}) {
-    argument_texts.insert(argument_texts.end(), {option, value});
+    texts.insert(texts.end(), {option, value});
+  }
+  return texts;
+}
+
+void node_process::start() {
+  auto argument_texts = this->arguments();
+  const auto arguments = impl::as_pointers(argument_texts);
+  std::vector<std::string> variable_texts;
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    variable_texts.emplace_back(*variable);
   }
-  std::vector<char*> arguments;
-  for (auto& argument : argument_texts) {
-    arguments.push_back(argument.data());
+  if (!this->launch_options.settings_file.empty()) {
+    variable_texts.push_back("ZINNIAFIELD_CONFIG=" + this->launch_options.settings_file);
   }
-  arguments.push_back(nullptr);
+  const auto variables = impl::as_pointers(variable_texts);
   const absl::MutexLock lock{&this->mutex};
   posix_spawn_file_actions_t file_actions;
   posix_spawn_file_actions_init(&file_actions);
@@ -124,7 +147,7 @@
   // Else the connections of callers and proxies stay open until the node ends.
   posix_spawn_file_actions_addclosefrom_np(&file_actions, STDERR_FILENO + 1);
   const int spawn_error = posix_spawn(&this->pid, this->launch_options.program.c_str(), &file_actions,
-                                      nullptr, arguments.data(), environ);
+                                      nullptr, arguments.data(), variables.data());
   posix_spawn_file_actions_destroy(&file_actions);
   if (spawn_error != 0) {
     std::cerr << "soak: " << this->launch_options.program << ": " << std::strerror(spawn_error) << '\n';
--- a/soak/node_process.hpp
+++ b/soak/node_process.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace zinnia::soak {
 
@@ -39,6 +40,8 @@
   /// Time from SIGTERM until the platform would kill the process.
   int stop_limit_ms{6000};
   std::string log_file;
+  /// If set, the platform's settings file, which replaces all options above but the program's.
+  std::string settings_file;
 };
 
 /// \brief A zinniad process. All methods are thread-safe.
@@ -62,9 +65,16 @@
   /// \returns The status that `waitpid` reports (0 if no process is running), or nullopt if the process still
   ///          runs after `timeout_ms`.
   [[nodiscard]] std::optional<int> wait_for_exit(int timeout_ms);
+  /// \brief The id of the running process, or -1.
+  [[nodiscard]] pid_t process_id() const {
+    const absl::MutexLock lock{&this->mutex};
+    return this->pid;
+  }
   [[nodiscard]] const node_options& options() const noexcept { return this->launch_options; }
 
  private:
+  [[nodiscard]] std::vector<std::string> arguments() const;
+
   node_options launch_options;
   // Held while signalling and while reaping, so that no signal is sent to a process id that was reused.
   mutable absl::Mutex mutex;
