--- a/packages/observe/tests/observe_test.cpp
+++ b/packages/observe/tests/observe_test.cpp
@@ -34,6 +34,21 @@
   EXPECT_FALSE(none.find("a"));
 }
 
+TEST(recent_records, keeps_fewer_records_if_they_are_large) {
+  constexpr std::size_t max_records = 10;
+  recent_records records{max_records};
+  for (int i = 0; i < 100; ++i) {
+    records.add(std::string(15'000, 'i') + std::to_string(i), std::string(15'000, 'r'));
+    EXPECT_LE(records.size_in_bytes(), max_records * recent_records::bytes_per_record);
+  }
+  EXPECT_EQ(records.size(), 0U) << "45,000 bytes exceed the room of all ten";
+  for (int i = 0; i < 100; ++i) {
+    records.add(std::to_string(i), "short");
+  }
+  EXPECT_EQ(records.size(), max_records);
+  EXPECT_EQ(records.find("99"), "short");
+}
+
 TEST(metrics, escapes_label_values_that_come_from_outside) {
   EXPECT_EQ(label("backend", "b-1"), R"(backend="b-1")");
   EXPECT_EQ(label("backend", "a\"b\\c\nd"), R"(backend="a\"b\\c\nd")");
