--- a/apps/zinniad/daemon_options.cpp
+++ b/apps/zinniad/daemon_options.cpp
@@ -17,6 +17,7 @@
 constexpr const char* version_text = "zinniad 0.2.0\n";
 const std::string environment_prefix = "ZINNIA_";
 constexpr std::int64_t max_port = 65'535;
+constexpr std::size_t bytes_per_mb = 1'000'000;
 
 struct number_option {
   const char* name;
@@ -29,7 +30,7 @@
   void (*assign)(node_settings&, std::int64_t);
 };
 
-constexpr std::array<number_option, 10> number_options{{
+constexpr std::array<number_option, 11> number_options{{
     {"peer-port", "7100", 1, max_port, "UDP port for heartbeats between nodes", true,
      [](node_settings& s, std::int64_t v) { s.peer_port = static_cast<std::uint16_t>(v); }},
     {"notice-port", "0", 0, max_port, "UDP port for notices about objects; 0 for any free port", true,
@@ -45,6 +46,8 @@
      [](node_settings& s, std::int64_t v) { s.retry_budget.ratio = static_cast<double>(v) / 100; }},
     {"max-descriptors", "1024", 300, 1'000'000, "limit of file descriptors of the process", true,
      [](node_settings& s, std::int64_t v) { s.max_descriptors = static_cast<std::size_t>(v); }},
+    {"memory-mb", "256", 64, 1'000'000, "memory that the process may use, in MB of 1,000,000 bytes", true,
+     [](node_settings& s, std::int64_t v) { s.memory_limit = static_cast<std::size_t>(v) * bytes_per_mb; }},
     {"cpu-milli", "1000", 1, 1'000'000, "CPU capacity of this VM, in thousandths of a core", true,
      [](node_settings& s, std::int64_t v) { s.capacity.cpu_milli = static_cast<int>(v); }},
     {"link-kbit", "1000000", 1, 1'000'000'000, "link capacity of this VM in each direction, in kbit/s", true,
--- a/packages/core/include/zinnia/core/rendezvous.hpp
+++ b/packages/core/include/zinnia/core/rendezvous.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace zinnia {
 
@@ -14,4 +15,7 @@
 /// \brief Returns a 64-bit hash that is stable across machines and versions.
 [[nodiscard]] std::uint64_t stable_hash(std::string_view text) noexcept;
 
+/// \brief Returns the same hash of a text that is given in pieces.
+[[nodiscard]] std::uint64_t stable_hash(const std::vector<std::string_view>& pieces);
+
 }  // namespace zinnia
--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -47,8 +47,8 @@
   retry_budget_settings retry_budget;
   /// When the process started: how much it retried before is not known, and may count against the budget.
   time_point retries_counted_since;
-  /// Limit for the bodies of all requests in flight together, in bytes.
-  std::size_t max_buffered_body_bytes{64 << 20};
+  /// What the memory of requests and responses is charged to; null if it has no limit.
+  memory_budget* memory{nullptr};
   /// The number of finished requests whose records are kept.
   std::size_t fate_records{1000};
   /// Sends notices to other nodes; called several times a second, also with none. May be empty.
@@ -138,13 +138,13 @@
   ///          A request that may run only once is not sent any more if its deadline is later. What is at
   ///          a server at that time is ended, unless its response has begun.
   void begin_stop(time_point answer_by_in);
-  /// \brief Returns true if the node is stopping and would not send a request with this head and first byte,
-  ///        whenever its body arrives.
-  [[nodiscard]] bool is_refused_by_head(const request_head& head, time_point started) const;
+  /// \brief   Tells why a request with this head and first byte would not be sent, whenever its body arrives.
+  /// \details The node is stopping; nullopt if it may be sent.
+  [[nodiscard]] std::optional<reason> refusal_by_head(const request_head& head, time_point started) const;
   /// \brief Tells a caller that a request which is read no further has not run.
-  void refuse_partial(const std::shared_ptr<caller_exchange>& exchange);
+  void refuse_partial(const std::shared_ptr<caller_exchange>& exchange, reason why);
   /// \brief Tells the same to a node that was forwarding the request.
-  void refuse_partial_forwarded(const std::shared_ptr<caller_exchange>& exchange);
+  void refuse_partial_forwarded(const std::shared_ptr<caller_exchange>& exchange, reason why);
 
   [[nodiscard]] link_monitor& link_state() noexcept { return this->links; }
   [[nodiscard]] std::size_t requests_in_flight() const noexcept { return this->flows.size(); }
@@ -249,6 +249,8 @@
   /// Lets requests go on that wait for a token, or ends them, in the order of their arrival.
   void serve_waiting_for_tokens();
   void tick();
+  /// Logs it, once a second at most, if requests or responses had to give up memory.
+  void log_memory_shortage(time_point now);
   /// Acts on changes of the state of the links.
   void update_links();
   /// Starts a round of link checks if one is wanted.
@@ -287,8 +289,6 @@
   // Requests that wait to be repeated.
   std::vector<wait_ticket> held_retries;
   recent_records records;
-  // Bytes of the bodies of all requests in flight. Invariant: at most `max_buffered_body_bytes`.
-  std::size_t buffered_body_bytes{0};
   gateway_nodes nodes;
   config_version confirmed_version;
   time_point confirmed_until;
@@ -304,6 +304,8 @@
   std::optional<time_point> answer_by;
   boost::asio::steady_timer tick_timer;
   time_point pools_cleaned_at;
+  time_point shortage_logged_at;
+  std::uint64_t logged_shortages{0};
 };
 
 }  // namespace zinnia
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -285,6 +285,7 @@
   this->start_health_checks();
   this->serve_waiting_for_tokens();
   this->send_account_asks();
+  this->log_memory_shortage(now);
   auto notices = this->backends.take_notices();
   if (this->options.send_notices) {
     this->options.send_notices(std::move(notices));
@@ -377,6 +378,12 @@
       {"zinnia_links_half_open", "", this->links.state() == link_condition::half_open ? 1 : 0},
       {"zinnia_nodes_registered", "", static_cast<std::int64_t>(this->nodes.registered_count)},
       {"zinnia_nodes_serving", "", static_cast<std::int64_t>(this->nodes.serving.size())},
+      {"zinnia_memory_used_bytes", "",
+       this->options.memory ? static_cast<std::int64_t>(this->options.memory->used()) : 0},
+      {"zinnia_memory_limit_bytes", "",
+       this->options.memory ? static_cast<std::int64_t>(this->options.memory->max_used()) : 0},
+      {"zinnia_memory_shortages", "",
+       this->options.memory ? static_cast<std::int64_t>(this->options.memory->shortages()) : 0},
       {"zinnia_log_lines_dropped", "", static_cast<std::int64_t>(dropped_log_lines())},
       {"zinnia_config_version", "",
        this->current_snapshot ? static_cast<std::int64_t>(this->current_snapshot->version.count()) : 0}};
--- a/packages/gateway/src/gateway_admission.cpp
+++ b/packages/gateway/src/gateway_admission.cpp
@@ -13,9 +13,10 @@
 namespace impl {
 namespace {
 
-/// Retry-After, in ms, of requests refused before placement: there is no configuration yet, or the bodies of
-/// requests in flight take too much memory.
+/// Retry-After, in ms, of requests refused before placement: there is no configuration yet, or memory is
+/// short.
 constexpr duration unplaced_retry_after{200};
+constexpr duration shortage_log_period{1000};
 
 /// Returns how long a caller should wait before it sends a request again that was refused before placement.
 [[nodiscard]] duration retry_after_of(reason why) noexcept {
@@ -69,11 +70,6 @@
            access.refusal);
     return;
   }
-  if (this->buffered_body_bytes + exchange->body().size() > this->options.max_buffered_body_bytes) {
-    refuse(impl::status_unavailable, reason::memory_short);
-    return;
-  }
-  this->buffered_body_bytes += exchange->body().size();
   const auto ticket = this->next_ticket++;
   const auto flow = std::make_shared<request_flow>(*this, ticket, exchange, this->current_snapshot, *route,
                                                    forwarded, identity);
@@ -81,6 +77,20 @@
   flow->start();
 }
 
+void gateway::log_memory_shortage(time_point now) {
+  const auto* const memory = this->options.memory;
+  if (memory == nullptr || memory->shortages() == this->logged_shortages ||
+      now - this->shortage_logged_at < impl::shortage_log_period) {
+    return;
+  }
+  log_line{log_level::warn, "memory_short"}
+      .field("used_bytes", static_cast<std::int64_t>(memory->used()))
+      .field("limit_bytes", static_cast<std::int64_t>(memory->max_used()))
+      .field("shortages", static_cast<std::int64_t>(memory->shortages() - this->logged_shortages));
+  this->logged_shortages = memory->shortages();
+  this->shortage_logged_at = now;
+}
+
 const route* gateway::find_route(const request_head& head) const {
   const auto host = find_field(head.fields, "Host");
   const bool has_routes = this->current_snapshot != nullptr && this->current_snapshot->routes != nullptr;
--- a/packages/gateway/src/gateway_stop.cpp
+++ b/packages/gateway/src/gateway_stop.cpp
@@ -28,20 +28,26 @@
   }
 }
 
-bool gateway::is_refused_by_head(const request_head& head, time_point started) const {
-  const auto* const route = this->answer_by ? this->find_route(head) : nullptr;
-  return route != nullptr && !is_repeatable(route->kind, head.method) &&
-         this->deadline_of(head, *route, started) > *this->answer_by;
+std::optional<reason> gateway::refusal_by_head(const request_head& head, time_point started) const {
+  const auto* const route = this->find_route(head);
+  if (route == nullptr) {
+    return std::nullopt;
+  }
+  const auto deadline = this->deadline_of(head, *route, started);
+  if (this->answer_by && !is_repeatable(route->kind, head.method) && deadline > *this->answer_by) {
+    return reason::node_stopping;
+  }
+  return std::nullopt;
 }
 
-void gateway::refuse_partial(const std::shared_ptr<caller_exchange>& exchange) {
+void gateway::refuse_partial(const std::shared_ptr<caller_exchange>& exchange, reason why) {
   this->counts.add(counter::requests);
-  this->refuse_unplaced(*exchange, impl::status_unavailable, reason::node_stopping, false);
+  this->refuse_unplaced(*exchange, impl::status_unavailable, why, false);
 }
 
-void gateway::refuse_partial_forwarded(const std::shared_ptr<caller_exchange>& exchange) {
+void gateway::refuse_partial_forwarded(const std::shared_ptr<caller_exchange>& exchange, reason why) {
   this->counts.add(counter::forwarded_received);
-  this->refuse_unplaced(*exchange, impl::status_unavailable, reason::node_stopping, true);
+  this->refuse_unplaced(*exchange, impl::status_unavailable, why, true);
 }
 
 void request_flow::answer_before_stop(time_point answer_by) {
--- a/packages/gateway/src/request_fingerprint.hpp
+++ b/packages/gateway/src/request_fingerprint.hpp
@@ -13,7 +13,8 @@
 ///          another deadline or over another connection.
 /// \details Covers the method, the host, the target, the object and the body. Other header fields differ
 ///          between attempts of one caller and are left out, except the credentials in Authorization.
-[[nodiscard]] request_fingerprint fingerprint_of(const request_head& head, std::string_view body,
+[[nodiscard]] request_fingerprint fingerprint_of(const request_head& head,
+                                                 const std::vector<std::string_view>& body,
                                                  std::optional<std::string_view> object_key);
 
 }  // namespace zinnia
--- a/packages/gateway/src/request_flow.cpp
+++ b/packages/gateway/src/request_flow.cpp
@@ -9,6 +9,7 @@
 #include "request_fingerprint.hpp"
 #include "statement_decoding.hpp"
 #include "zinnia/core/rendezvous.hpp"
+#include "zinnia/http/free_memory.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -44,7 +45,8 @@
       max_attempts{route_in.max_attempts},
       idempotent{is_repeatable(route_in.kind, this->exchange->head().method)},
       arrived_at{forwarded_in == nullptr ? this->exchange->received_at() : this->exchange->started_at()},
-      deadline_timer{owner_in.context} {
+      deadline_timer{owner_in.context},
+      held_charge{owner_in.options.memory} {
   const auto& fields = this->exchange->head().fields;
   const auto& field_names = this->owner.options.field_names;
   this->request_id = std::string{find_field(fields, field_names.request_id).value_or("")};
@@ -62,7 +64,7 @@
   }
   this->exchange->set_deadline(this->own_deadline);
   const auto key = find_field(fields, field_names.object_key);
-  this->fingerprint = fingerprint_of(this->exchange->head(), this->exchange->body(), key);
+  this->fingerprint = fingerprint_of(this->exchange->head(), this->exchange->body().blocks(), key);
   if (this->matched_route.sticky && key) {
     this->object_hash =
         stable_hash(absl::StrCat(this->matched_route.prefix, absl::string_view{key->data(), key->size()}));
@@ -201,7 +203,7 @@
   this->owner.backends.record_send(this->decision, this->service, this->object_hash, this->sent_at);
   ++this->sent_count;
   this->response = {};
-  this->held_body.clear();
+  this->free_held_body();
   this->response_bytes = 0;
   const auto path =
       std::string_view{this->exchange->head().target}.substr(this->matched_route.stripped_prefix_length);
@@ -247,6 +249,7 @@
     this->exchange->write(piece);
   } else {
     this->held_body += piece;
+    this->held_charge.resize(this->held_body.capacity());
   }
   if (!this->committed && this->held_body.size() > impl::max_held_response_bytes) {
     const auto attempt = this->classify_head();
@@ -273,7 +276,12 @@
   this->committed = true;
   this->exchange->begin(this->make_forwarded_head());
   this->exchange->write(this->held_body);
-  this->held_body.clear();
+  this->free_held_body();
+}
+
+void request_flow::free_held_body() {
+  free_memory(this->held_body);
+  this->held_charge.resize(0);
 }
 
 void request_flow::forward_response() {
@@ -286,6 +294,7 @@
       this->committed = true;
       this->exchange->begin(head);
       this->exchange->write(this->held_body);
+      this->free_held_body();
     }
   }
   this->exchange->finish();
--- a/packages/gateway/src/request_flow.hpp
+++ b/packages/gateway/src/request_flow.hpp
@@ -116,6 +116,7 @@
   void retry();
   /// Starts forwarding the response; from then on it cannot be replaced by another.
   void commit();
+  void free_held_body();
   /// Forwards what is left of a complete response and ends it.
   void forward_response();
   /// Responds with 503 and Retry-After, which tells the caller that the request did not run.
@@ -209,6 +210,7 @@
   response_head response;
   // Body bytes that are not forwarded yet.
   std::string held_body;
+  memory_charge held_charge;
   std::size_t response_bytes{0};
   // The response's head is written to the caller.
   bool committed{false};
--- a/packages/gateway/src/request_flow_account.cpp
+++ b/packages/gateway/src/request_flow_account.cpp
@@ -102,7 +102,9 @@
     absl::StrAppend(&call.bytes, "Content-Length: ", this->exchange->body().size(), "\r\n");
   }
   call.bytes += "\r\n";
-  call.bytes += this->exchange->body();
+  if (!this->exchange->body().empty()) {
+    call.body = this->exchange->shared_body();
+  }
   return call;
 }
 
--- a/packages/gateway/src/request_flow_end.cpp
+++ b/packages/gateway/src/request_flow_end.cpp
@@ -204,7 +204,8 @@
   const bool served = is_success(status) && why == reason::none;
   log_line{served ? log_level::info : log_level::warn, "request_ended"}.merge(record);
   this->owner.records.add(this->request_id, record);
-  this->owner.buffered_body_bytes -= this->exchange->body().size();
+  // The exchange lives until its caller has taken the response.
+  this->exchange->release_body();
   this->owner.forwarded_in_flight -= this->forwarded ? 1 : 0;
   this->owner.flows.erase(this->ticket);
 }
--- a/packages/gateway/src/request_flow_forwarding.cpp
+++ b/packages/gateway/src/request_flow_forwarding.cpp
@@ -48,7 +48,7 @@
   this->owner.counts.add(counter::requests_forwarded, this->tried_peers.size() == 1 ? 1 : 0);
   this->sent_at = this->owner.clock.now();
   this->response = {};
-  this->held_body.clear();
+  this->free_held_body();
   this->response_bytes = 0;
   const auto fields = encode_hop_fields({this->owner.options.self, this->snapshot->version, this->service,
                                          attempts_left, this->reached_backends, this->identity});
--- a/packages/gateway/tests/forwarding_limits_test.cpp
+++ b/packages/gateway/tests/forwarding_limits_test.cpp
@@ -362,7 +362,7 @@
   this->run_there([&] {
     for (int level = 1; level <= crash_ledger::quarantine_level; ++level) {
       b.traffic->apply_crash_reports(
-          {{fingerprint_of(head, "", std::nullopt), static_cast<std::uint64_t>(level), level, level,
+          {{fingerprint_of(head, {}, std::nullopt), static_cast<std::uint64_t>(level), level, level,
             duration{0}, duration{0}}});
     }
   });
--- a/packages/gateway/tests/forwarding_stop_test.cpp
+++ b/packages/gateway/tests/forwarding_stop_test.cpp
@@ -12,8 +12,9 @@
 /// Builds that know no stop of a peer understand it too.
 TEST_F(forwarding_stop, a_stopping_peer_tells_that_a_half_forwarded_request_has_not_run) {
   auto& b = this->add_node("b");
-  b.forwarded->set_partial_request_handler(
-      {nullptr, [&b](const auto& exchange) { b.traffic->refuse_partial_forwarded(exchange); }});
+  b.forwarded->set_partial_request_handler({nullptr, [&b](const auto& exchange, reason why) {
+                                              b.traffic->refuse_partial_forwarded(exchange, why);
+                                            }});
   this->set_route(request_kind::unsafe, 20'000);
   this->start();
   std::string fields = "Expect: 100-continue\r\n";
@@ -26,7 +27,7 @@
   this->run_there([&] {
     b.forwarded->drain();
     b.forwarded->stop_reading();
-    b.forwarded->refuse_partial_requests();
+    b.forwarded->refuse_partial_requests(reason::node_stopping);
   });
   const auto received = client.read_until("Connection: close", patience_ms);
   EXPECT_NE(received.find("503"), std::string::npos) << received;
--- a/packages/gateway/tests/forwarding_test.cpp
+++ b/packages/gateway/tests/forwarding_test.cpp
@@ -46,7 +46,7 @@
     const auto& got = *server.requests.front();
     EXPECT_EQ(got.head().method, "POST");
     EXPECT_EQ(got.head().target, "/x/1?q=2");
-    EXPECT_EQ(got.body(), "body");
+    EXPECT_EQ(got.body().str(), "body");
     EXPECT_EQ(find_field(got.head().fields, "Custom"), "kept");
     EXPECT_EQ(find_field(got.head().fields, "Expected"), "s1");
     EXPECT_FALSE(has_hop_field(got.head().fields));
@@ -374,7 +374,9 @@
 TEST_F(forwarding, large_bodies_pass_both_ways) {
   constexpr std::size_t size = 12 << 20;
   auto& server = this->add_server("s1");
-  server.respond = [](const auto& exchange) { backend_server::answer(*exchange, 200, exchange->body()); };
+  server.respond = [](const auto& exchange) {
+    backend_server::answer(*exchange, 200, exchange->body().str());
+  };
   this->set_route(request_kind::unsafe, 20'000);
   auto& a = this->add_node("a");
   this->add_node("b");
--- a/packages/gateway/tests/stop_test.cpp
+++ b/packages/gateway/tests/stop_test.cpp
@@ -26,9 +26,9 @@
   void refuse_partial_requests() {
     this->listener->set_partial_request_handler(
         {[this](const request_head& head, time_point started) {
-           return this->traffic->is_refused_by_head(head, started);
+           return this->traffic->refusal_by_head(head, started);
          },
-         [this](const auto& exchange) { this->traffic->refuse_partial(exchange); }});
+         [this](const auto& exchange, reason why) { this->traffic->refuse_partial(exchange, why); }});
   }
   [[nodiscard]] std::size_t requests_in_flight() {
     std::promise<std::size_t> told;
--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -15,6 +15,7 @@
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/reason.hpp"
 #include "zinnia/core/verdict.hpp"
+#include "zinnia/http/body_buffer.hpp"
 #include "zinnia/http/message.hpp"
 #include "zinnia/http/message_parser.hpp"
 
@@ -51,8 +52,10 @@
 
 /// \brief A serialized request, and the field that identifies its response.
 struct backend_call {
-  /// Head and body as sent on the wire.
+  /// The head as sent on the wire.
   std::string bytes;
+  /// The body, which may be null.
+  std::shared_ptr<const body_buffer> body;
   /// True for a HEAD request: the response has no body even if its head states a length.
   bool is_head_request{false};
   /// Name of the response field that repeats the request's identifier. Empty: responses are not checked.
@@ -121,6 +124,8 @@
   void give_up_call();
   void close_socket();
   void finish(const backend_call_result& end);
+  /// Frees the request, which is not sent again on this connection.
+  void free_request() noexcept;
   void make_parser();
 
   boost::asio::ip::tcp::socket socket;
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -7,11 +7,15 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/core/reason.hpp"
 #include "zinnia/http/caller_exchange.hpp"
 #include "zinnia/http/fwd.hpp"
+#include "zinnia/http/memory_budget.hpp"
 #include "zinnia/http/message_parser.hpp"
 
 namespace zinnia {
@@ -24,18 +28,32 @@
   duration header_timeout{3000};
   /// The maximum time that a connection stays open without a request.
   duration idle_timeout{15'000};
+  /// False if the handler does not use bodies: they are read, up to their limit, and dropped.
+  bool keeps_bodies{true};
 };
 
 /// \brief Handles the requests of all connections of a listener.
 using request_handler = std::function<void(const std::shared_ptr<caller_exchange>&)>;
 
-/// \brief Refuses requests of which only a part has been read. Without it, they are read to their end.
+/// \brief Refuses requests of which only a part has been read. Without it, they are read to their end, and
+///        get 503 if there is no memory for them.
 struct partial_request_handler {
-  /// Returns true if a request whose body is still to come is known to be refused, by its head and the time
-  /// at which its first byte was read.
-  std::function<bool(const request_head&, time_point)> is_refused;
+  /// Tells why a request whose body is still to come is known to be refused, by its head and the time at
+  /// which its first byte was read. Returns nullopt if it may be served.
+  std::function<std::optional<reason>(const request_head&, time_point)> refusal;
   /// Responds to a request that is read no further. It has no body, and a head only if that was complete.
-  request_handler refuse;
+  std::function<void(const std::shared_ptr<caller_exchange>&, reason)> refuse;
+};
+
+/// \brief What the connections of a listener share.
+struct connection_resources {
+  /// What memory is charged to; null if it has no limit.
+  memory_budget* memory{nullptr};
+  /// The bytes that may arrive on a connection and not be read yet.
+  std::size_t receive_window{max_receive_window};
+
+  /// The window of a connection whose request is large.
+  static constexpr std::size_t max_receive_window = 65'535;
 };
 
 /// \brief   A connection from a caller. Pending socket operations and open exchanges keep it alive.
@@ -44,7 +62,8 @@
  public:
   caller_connection(boost::asio::ip::tcp::socket accepted, const caller_limits& limits_in,
                     const clock_source& clock_in, request_handler on_request_in,
-                    const partial_request_handler& partial_requests_in);
+                    const partial_request_handler& partial_requests_in,
+                    const connection_resources& resources = {});
 
   void start();
   /// \brief Enforces the time limits; called every few hundred milliseconds.
@@ -57,7 +76,7 @@
   /// \brief Refuses a partly read request if its handler now refuses it.
   void recheck_partial_request();
   /// \brief Refuses a partly read request, unless an earlier response tells the caller that it is not read.
-  void refuse_partial_request();
+  void refuse_partial_request(reason why);
   [[nodiscard]] bool is_closed() const noexcept { return this->phase == connection_phase::closed; }
   [[nodiscard]] bool has_partial_request() const noexcept {
     return !this->input.empty() || (this->parser && this->parser->got_some());
@@ -88,11 +107,20 @@
 
   void wait_readable();
   void read_available();
+  /// Parses what has been read and kept.
   void parse_input();
+  /// Parses requests from `data` and removes from it what has been used.
+  void parse(std::string_view& data);
+  /// Keeps the part of the input that could not be parsed yet.
+  void keep_input(std::string_view rest);
   /// \param is_complete The body has been read too.
   [[nodiscard]] bool accept_head(bool is_complete);
   void deliver_request();
   void reject(int status);
+  /// Ends a partly read request. Returns the exchange for its refusal; null if the caller knows from an
+  /// earlier response that it is not read.
+  [[nodiscard]] std::shared_ptr<caller_exchange> end_partial_request();
+  void respond_refused(const std::shared_ptr<caller_exchange>& exchange, reason why);
   /// Reads no more input and drops what has been read.
   void end_input();
   /// True if the response to the latest request closes the connection: what the caller has sent behind that
@@ -110,6 +138,22 @@
   void close_socket();
   [[nodiscard]] bool decide_close(const caller_exchange& exchange);
 
+  // Memory.
+  /// Charges the input and a partly read head. Refuses the request if there is no memory for them.
+  void charge_input();
+  /// Lets more bytes of a large request arrive at a time, if there is memory for them.
+  void widen_receive_window();
+  /// Frees the memory of a partly read request and refuses it.
+  void free_partial_request();
+  /// Frees the memory of responses that the caller does not take, and closes the connection.
+  void free_responses();
+  void note_output_progress(std::size_t bytes);
+  /// Bytes of all responses that the socket has not taken.
+  [[nodiscard]] std::size_t unsent_bytes() const noexcept;
+  [[nodiscard]] bool is_memory_short() const noexcept {
+    return this->memory != nullptr && this->memory->is_short();
+  }
+
   /// Reading pauses when a connection has this much unparsed input.
   static constexpr std::size_t max_input_bytes = 256 << 10;
 
@@ -120,6 +164,15 @@
   request_handler on_request;
   // The listener's.
   const partial_request_handler& partial_requests;
+  memory_budget* memory;
+  std::size_t receive_window;
+  memory_holder partial_request{false, [this] { this->free_partial_request(); }};
+  // Invariant: linked only while a write is active.
+  memory_holder unread_response{true, [this] { this->free_responses(); }};
+  // For this object and its socket.
+  memory_charge own_charge{memory};
+  memory_charge input_charge{memory, &partial_request};
+  memory_charge output_charge{memory, &unread_response};
   std::unique_ptr<request_parser> parser;
   std::string input;
   // In order of arrival; responses are sent in the same order.
@@ -127,9 +180,14 @@
   // The bytes being written and how many of them the socket has taken.
   std::string outgoing;
   std::size_t outgoing_written{0};
+  // Bytes that the socket has taken since the caller's last progress was noted.
+  std::size_t taken_since_progress{0};
+  // Bytes read and dropped since a request was refused early.
+  std::uint64_t discarded_bytes{0};
   bool write_active{false};
   bool read_active{false};
   bool head_accepted{false};
+  bool has_wide_window{false};
   bool draining{false};
   // Only a request that has begun to arrive is still read.
   bool reading_stopped{false};
--- a/packages/http/include/zinnia/http/caller_exchange.hpp
+++ b/packages/http/include/zinnia/http/caller_exchange.hpp
@@ -7,7 +7,9 @@
 #include <string_view>
 
 #include "zinnia/core/clock.hpp"
+#include "zinnia/http/body_buffer.hpp"
 #include "zinnia/http/fwd.hpp"
+#include "zinnia/http/memory_budget.hpp"
 #include "zinnia/http/message.hpp"
 
 namespace zinnia {
@@ -18,11 +20,17 @@
 ///          After the caller disconnects, all calls do nothing.
 class caller_exchange : public std::enable_shared_from_this<caller_exchange> {
  public:
-  caller_exchange(std::shared_ptr<caller_connection> owner, request_head head, std::string body,
+  caller_exchange(std::shared_ptr<caller_connection> owner, request_head head, body_buffer body,
                   time_point started, time_point received);
 
   [[nodiscard]] const request_head& head() const noexcept { return this->request; }
-  [[nodiscard]] const std::string& body() const noexcept { return this->request_body; }
+  [[nodiscard]] const body_buffer& body() const noexcept { return *this->request_body; }
+  /// \brief The body, for those that may use it longer than this object lives.
+  [[nodiscard]] const std::shared_ptr<const body_buffer>& shared_body() const noexcept {
+    return this->request_body;
+  }
+  /// \brief Frees the body as soon as nobody else uses it; the request is not sent again.
+  void release_body() { this->request_body = std::make_shared<const body_buffer>(); }
   /// \brief The time at which the request's first byte was read.
   [[nodiscard]] time_point started_at() const noexcept { return this->started; }
   /// \brief The time at which the request's last byte was read.
@@ -69,14 +77,21 @@
   friend class caller_connection;
 
   void release();
+  /// Charges what the output has allocated, and hands it on if it is this exchange's turn.
+  void pass_output_on();
+  /// Moves the output to the end of `sent`.
+  void move_output_to(std::string& sent);
 
   // Null after the caller disconnects or the response is sent.
   std::shared_ptr<caller_connection> connection;
   request_head request;
-  std::string request_body;
+  std::shared_ptr<const body_buffer> request_body;
+  // For the head and for what the request needs while it is served.
+  memory_charge request_charge;
   time_point started;
   time_point received;
   std::string output;
+  memory_charge output_charge;
   std::function<void()> first_in_pipeline_callback;
   bool may_break{false};
   bool head_written{false};
--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -29,6 +30,8 @@
   /// \return The bound port (chosen by the system if port 0 was given), or the error.
   [[nodiscard]] result<std::uint16_t> listen(const boost::asio::ip::tcp::endpoint& address);
 
+  /// \brief Sets what connections and their requests may use; called before `listen`.
+  void set_resources(const connection_resources& resources_in) noexcept { this->resources = resources_in; }
   /// \brief Sets the limits of open and future connections.
   void set_limits(const caller_limits& limits_in) noexcept { this->limits = limits_in; }
   /// \brief Sets what refuses partly read requests of open and future connections.
@@ -44,7 +47,7 @@
   /// \brief Refuses those partly read requests that their handler now refuses.
   void recheck_partial_requests();
   /// \brief Refuses all partly read requests.
-  void refuse_partial_requests();
+  void refuse_partial_requests(reason why);
   [[nodiscard]] std::size_t open_connections() const noexcept { return this->connections.size(); }
   /// \brief   Returns the number of connections on which a request is arriving.
   /// \details New connections count until their first request has come or is given up.
@@ -70,6 +73,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep_timer;
   boost::asio::steady_timer accept_retry_timer;
+  connection_resources resources;
   absl::flat_hash_set<std::shared_ptr<caller_connection>> connections;
   bool draining{false};
 };
--- a/packages/http/include/zinnia/http/message.hpp
+++ b/packages/http/include/zinnia/http/message.hpp
@@ -1,6 +1,7 @@
 // Heads of HTTP/1.1 messages and the rules for forwarding their fields.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -58,6 +59,9 @@
 [[nodiscard]] header_fields end_to_end_fields(const header_fields& fields,
                                               const std::vector<std::string_view>& replaced);
 
+/// \brief Returns the memory that fields take, in bytes.
+[[nodiscard]] std::size_t memory_of(const header_fields& fields) noexcept;
+
 /// \brief Appends fields to a serialized message head.
 void append_fields(std::string& out, const header_fields& fields);
 
--- a/packages/http/include/zinnia/http/message_parser.hpp
+++ b/packages/http/include/zinnia/http/message_parser.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "zinnia/http/body_buffer.hpp"
 #include "zinnia/http/message.hpp"
 
 namespace zinnia {
@@ -102,22 +103,39 @@
 class request_parser final : public impl::collecting_parser<true> {
  public:
   using collecting_parser::collecting_parser;
+  /// \param body_in    The empty buffer that takes the body.
+  /// \param keeps_body False to count the body's bytes and drop them.
+  request_parser(std::uint32_t header_limit, body_buffer body_in, bool keeps_body)
+      : collecting_parser{header_limit}, body{std::move(body_in)}, drops_body{!keeps_body} {}
 
   /// \brief The head; valid once `is_header_done()`, and until `take_head`.
   [[nodiscard]] const request_head& head();
   [[nodiscard]] request_head take_head();
-  [[nodiscard]] std::string take_body_text() { return std::move(this->body); }
-  [[nodiscard]] std::size_t body_size() const noexcept { return this->body.size(); }
+  [[nodiscard]] body_buffer take_body() { return std::move(this->body); }
+  /// \brief The number of body bytes received so far.
+  [[nodiscard]] std::size_t body_size() const noexcept { return this->received_bytes; }
+  /// \brief True if there was no memory for a part of the body, which is lost.
+  [[nodiscard]] bool is_body_lost() const noexcept { return this->body_lost; }
+  /// \brief The memory that the head takes, in bytes.
+  [[nodiscard]] std::size_t head_memory() const noexcept {
+    return memory_of(this->collected_fields) + memory_of(this->parsed.fields);
+  }
 
  protected:
   void on_request_impl(boost::beast::http::verb verb, text_view method, text_view target, int version,
                        error_code& ec) override;
   void on_response_impl(int /*status*/, text_view /*reason*/, int /*version*/, error_code& /*ec*/) override {}
-  void on_body_piece(std::string_view piece) override { this->body.append(piece); }
+  void on_body_piece(std::string_view piece) override {
+    this->received_bytes += piece.size();
+    this->body_lost = this->body_lost || (!this->drops_body && !this->body.try_append(piece));
+  }
 
  private:
   request_head parsed;
-  std::string body;
+  body_buffer body;
+  std::size_t received_bytes{0};
+  bool drops_body{false};
+  bool body_lost{false};
 };
 
 /// \brief Parses one response and passes its body to a sink piece by piece.
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -9,8 +9,10 @@
 #include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <vector>
 
 #include "zinnia/core/rendezvous.hpp"
+#include "zinnia/http/free_memory.hpp"
 #include "zinnia/http/socket_options.hpp"
 
 namespace zinnia {
@@ -122,7 +124,13 @@
 
 void backend_connection::send_request() {
   this->phase = connection_phase::busy;
-  boost::asio::async_write(this->socket, boost::asio::buffer(this->current.bytes),
+  std::vector<boost::asio::const_buffer> parts{boost::asio::buffer(this->current.bytes)};
+  if (this->current.body != nullptr) {
+    for (const auto block : this->current.body->blocks()) {
+      parts.emplace_back(block.data(), block.size());
+    }
+  }
+  boost::asio::async_write(this->socket, parts,
                            [self = this->shared_from_this()](const impl::error_code& ec, std::size_t bytes) {
                              if (self->phase != connection_phase::busy) {
                                return;
@@ -297,7 +305,7 @@
   if (reusable) {
     this->phase = connection_phase::idle;
     this->idle_until = this->clock.now() + impl::keep_alive_timeout(this->parser->head());
-    this->current.bytes.clear();
+    this->free_request();
     this->wait_readable();
   } else if (this->request_written) {
     this->close_socket();
@@ -307,6 +315,11 @@
   this->finish(end);
 }
 
+void backend_connection::free_request() noexcept {
+  free_memory(this->current.bytes);
+  this->current.body.reset();
+}
+
 void backend_connection::fail(verdict outcome, reason failure_reason, bool is_refused) {
   const bool was_idle = this->phase == connection_phase::idle;
   this->give_up_call();
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -5,7 +5,9 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <utility>
+#include <vector>
 
+#include "zinnia/http/free_memory.hpp"
 #include "zinnia/http/socket_options.hpp"
 
 namespace zinnia {
@@ -16,14 +18,15 @@
 
 /// Requests in flight per connection. Further requests stay unparsed.
 constexpr std::size_t max_pipelined_requests = 16;
-/// The time to wait for the caller to close the connection after it has received the last response. An
-/// earlier close could send a reset and make the caller lose the response.
-constexpr duration linger_timeout{1000};
-/// The maximum time that a write may make no progress.
-constexpr duration write_timeout{10'000};
+
+/// What a connection and its socket take, about.
+constexpr std::size_t connection_memory = 2 << 10;
+/// What a request takes while it is served, about, beside its head and body.
+constexpr std::size_t request_memory = 4 << 10;
+/// A buffer keeps this much memory when it is empty.
+constexpr std::size_t kept_capacity = 16 << 10;
 
 constexpr int status_bad_request = 400;
-constexpr int status_request_timeout = 408;
 constexpr int status_content_too_large = 413;
 constexpr int status_fields_too_large = 431;
 
@@ -38,14 +41,19 @@
 
 caller_connection::caller_connection(boost::asio::ip::tcp::socket accepted, const caller_limits& limits_in,
                                      const clock_source& clock_in, request_handler on_request_in,
-                                     const partial_request_handler& partial_requests_in)
+                                     const partial_request_handler& partial_requests_in,
+                                     const connection_resources& resources)
     : socket{std::move(accepted)},
       limits{limits_in},
       clock{clock_in},
       on_request{std::move(on_request_in)},
       partial_requests{partial_requests_in},
+      memory{resources.memory},
+      receive_window{resources.receive_window},
       last_activity{clock_in.now()},
-      accepted_at{this->last_activity} {}
+      accepted_at{this->last_activity} {
+  this->own_charge.resize(impl::connection_memory);
+}
 
 void caller_connection::start() {
   impl::error_code ignored;
@@ -88,26 +96,47 @@
   if (this->phase == connection_phase::open || this->refused_early) {
     this->last_activity = this->clock.now();
   }
-  if (!this->input_ended) {
+  if (this->input_ended) {
+    this->discarded_bytes += bytes;
+    if (this->discarded_bytes > this->limits.max_body_bytes + impl::read_buffer().size()) {
+      // More than any request that was refused can have left.
+      this->close_socket();
+      return;
+    }
+  } else {
     if (!this->has_partial_request()) {
       this->request_started = this->last_activity;
     }
-    this->input.append(buffer.data(), bytes);
-    this->parse_input();
+    if (this->input.empty()) {
+      std::string_view data{buffer.data(), bytes};
+      this->parse(data);
+      this->keep_input(data);
+    } else {
+      this->input.append(buffer.data(), bytes);
+      this->parse_input();
+    }
   }
   this->wait_readable();
 }
 
 void caller_connection::parse_input() {
-  while (this->phase == connection_phase::open && !this->input_ended && !this->input.empty() &&
+  std::string_view data{this->input};
+  this->parse(data);
+  this->keep_input(data);
+}
+
+void caller_connection::parse(std::string_view& data) {
+  while (this->phase == connection_phase::open && !this->input_ended && !data.empty() &&
          this->pending.size() < impl::max_pipelined_requests) {
     if (!this->parser) {
-      this->parser = std::make_unique<request_parser>(this->limits.max_header_bytes);
+      this->parser = std::make_unique<request_parser>(
+          this->limits.max_header_bytes, body_buffer{memory_charge{this->memory, &this->partial_request}},
+          this->limits.keeps_bodies);
       this->head_accepted = false;
     }
     std::size_t consumed = 0;
-    const auto progress = this->parser->feed(this->input, consumed);
-    this->input.erase(0, consumed);
+    const auto progress = this->parser->feed(data, consumed);
+    data.remove_prefix(consumed);
     if (progress == parse_progress::malformed) {
       const bool head_too_large = this->parser->parse_error() == boost::beast::http::error::header_limit;
       this->reject(head_too_large ? impl::status_fields_too_large : impl::status_bad_request);
@@ -121,6 +150,10 @@
       this->reject(impl::status_content_too_large);
       return;
     }
+    if (this->parser->is_body_lost()) {
+      this->refuse_partial_request(reason::memory_short);
+      return;
+    }
     if (progress == parse_progress::needs_more) {
       return;
     }
@@ -152,15 +185,26 @@
 }
 
 void caller_connection::deliver_request() {
+  // The call to a backend server has a copy of the head.
+  const auto needed = impl::request_memory + 2 * this->parser->head_memory();
+  memory_charge charge{this->memory, &this->partial_request};
+  if (!charge.try_resize(needed, this->pending.empty() ? memory_share::all : memory_share::common)) {
+    this->refuse_partial_request(reason::memory_short);
+    return;
+  }
   auto head = this->parser->take_head();
-  auto body = this->parser->take_body_text();
+  auto body = this->parser->take_body();
+  body.detach_from_holder();
+  charge.detach_from_holder();
   this->parser.reset();
+  this->partial_request.unlink();
   if (!head.keep_alive || this->reading_stopped) {
     this->end_input();
   }
   const auto started = std::exchange(this->request_started, this->clock.now());
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head),
                                                     std::move(body), started, this->request_started);
+  exchange->request_charge = std::move(charge);
   this->has_carried_request = true;
   this->pending.push_back(exchange);
   this->on_request(exchange);
@@ -168,8 +212,10 @@
 
 void caller_connection::end_input() {
   this->input_ended = true;
-  this->input.clear();
+  free_memory(this->input);
   this->parser.reset();
+  this->input_charge.resize(0);
+  this->partial_request.unlink();
 }
 
 void caller_connection::reject(int status) {
@@ -177,7 +223,7 @@
   request_head placeholder;
   placeholder.keep_alive = false;
   auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(placeholder),
-                                                    std::string{}, this->request_started, this->clock.now());
+                                                    body_buffer{}, this->request_started, this->clock.now());
   this->pending.push_back(exchange);
   exchange->respond(status, {}, "");
 }
@@ -199,8 +245,8 @@
   }
   while (!this->pending.empty()) {
     const auto first = this->pending.front();
-    this->outgoing += first->output;
-    first->output.clear();
+    first->move_output_to(this->outgoing);
+    this->output_charge.resize(this->outgoing.capacity());
     if (!first->finished) {
       break;
     }
@@ -227,6 +273,9 @@
     return;
   }
   this->write_active = true;
+  if (this->memory != nullptr) {
+    this->memory->note_progress(this->unread_response);
+  }
   this->write_next_piece();
 }
 
@@ -244,13 +293,19 @@
           return;
         }
         self->last_activity = self->clock.now();
+        self->note_output_progress(bytes);
         self->outgoing_written += bytes;
         if (self->outgoing_written < self->outgoing.size()) {
           self->write_next_piece();
           return;
         }
         self->write_active = false;
+        self->unread_response.unlink();
         self->outgoing.clear();
+        if (self->outgoing.capacity() > impl::kept_capacity) {
+          free_memory(self->outgoing);
+        }
+        self->output_charge.resize(self->outgoing.capacity());
         self->outgoing_written = 0;
         self->on_written();
       });
@@ -262,9 +317,14 @@
     return;
   }
   this->flush();
-  if (!this->write_active && !this->pending.empty() && this->pending.front()->on_writable) {
-    const auto callback = this->pending.front()->on_writable;
-    callback();
+  if (!this->write_active) {
+    // A later response may have paused because of this one.
+    const std::vector<std::shared_ptr<caller_exchange>> waiting(this->pending.begin(), this->pending.end());
+    for (const auto& exchange : waiting) {
+      if (const auto callback = exchange->on_writable) {
+        callback();
+      }
+    }
   }
   this->parse_input();
   if (this->input_ended && !this->write_active && this->pending.empty()) {
@@ -278,64 +338,6 @@
   this->last_activity = this->clock.now();
 }
 
-void caller_connection::enforce_timeouts() {
-  const auto now = this->clock.now();
-  const auto since_activity = now - this->last_activity;
-  if (this->phase == connection_phase::lingering) {
-    this->enforce_linger_timeout();
-    return;
-  }
-  if (this->phase != connection_phase::open) {
-    return;
-  }
-  if (this->write_active && this->is_stalled(now)) {
-    this->close_socket();
-    return;
-  }
-  if (!this->pending.empty()) {
-    return;
-  }
-  if (this->has_partial_request()) {
-    const bool in_body = this->parser && this->parser->is_header_done();
-    const auto elapsed = in_body ? since_activity : now - this->request_started;
-    if (elapsed > this->limits.header_timeout) {
-      this->reject(impl::status_request_timeout);
-    }
-    return;
-  }
-  const bool is_leftover = this->reading_stopped && !this->awaits_first_request();
-  if (is_leftover || since_activity > this->limits.idle_timeout) {
-    this->close_if_idle();
-  }
-}
-
-void caller_connection::enforce_linger_timeout() {
-  const auto now = this->clock.now();
-  const auto undelivered_now = unacknowledged_bytes(this->socket.native_handle());
-  if (undelivered_now < this->undelivered) {
-    this->last_activity = now;
-  }
-  this->undelivered = undelivered_now;
-  const bool is_delivered = !this->write_active && undelivered_now == 0;
-  // A caller that is still sending reads the response after its next piece at the earliest.
-  const auto limit = this->refused_early ? std::max(this->limits.header_timeout, impl::linger_timeout)
-                                         : impl::linger_timeout;
-  if (is_delivered ? now - this->last_activity > limit : this->is_stalled(now)) {
-    this->close_socket();
-  }
-}
-
-bool caller_connection::is_stalled(time_point now) const noexcept {
-  return now - this->last_activity > impl::write_timeout && now > this->caller_deadline;
-}
-
-bool caller_connection::has_undelivered_output() {
-  if (this->phase == connection_phase::closed) {
-    return false;
-  }
-  return this->write_active || unacknowledged_bytes(this->socket.native_handle()) > 0;
-}
-
 void caller_connection::close_if_idle() {
   if (this->phase != connection_phase::open || !this->is_idle() || this->write_active) {
     return;
@@ -358,6 +360,8 @@
   this->phase = connection_phase::closed;
   impl::error_code ignored;
   this->socket.close(ignored);
+  this->end_input();
+  this->unread_response.unlink();
   const auto abandoned = std::move(this->pending);
   this->pending.clear();
   for (const auto& exchange : abandoned) {
--- a/packages/http/src/caller_connection_stop.cpp
+++ b/packages/http/src/caller_connection_stop.cpp
@@ -9,6 +9,7 @@
 
 /// Callers allow a new connection as long; its first request comes soon after.
 constexpr duration first_request_time{1000};
+constexpr int status_unavailable = 503;
 
 }  // namespace
 }  // namespace impl
@@ -44,17 +45,28 @@
 
 void caller_connection::recheck_partial_request() {
   const bool is_head_read = this->parser && this->parser->is_header_done();
-  if (is_head_read && this->partial_requests.is_refused &&
-      this->partial_requests.is_refused(this->parser->head(), this->request_started)) {
-    this->refuse_partial_request();
+  if (!is_head_read || !this->partial_requests.refusal) {
+    return;
+  }
+  if (const auto why = this->partial_requests.refusal(this->parser->head(), this->request_started)) {
+    this->refuse_partial_request(*why);
   }
 }
 
-void caller_connection::refuse_partial_request() {
-  if (this->phase != connection_phase::open || this->input_ended || !this->has_partial_request() ||
-      this->is_partial_request_unread() || !this->partial_requests.refuse) {
+void caller_connection::refuse_partial_request(reason why) {
+  if (this->phase != connection_phase::open || this->input_ended) {
     return;
   }
+  if (const auto exchange = this->end_partial_request()) {
+    this->respond_refused(exchange, why);
+  }
+}
+
+std::shared_ptr<caller_exchange> caller_connection::end_partial_request() {
+  if (this->is_partial_request_unread()) {
+    this->end_input();
+    return nullptr;
+  }
   request_head head;
   if (this->parser && this->parser->is_header_done()) {
     head = this->parser->take_head();
@@ -62,10 +74,18 @@
   head.keep_alive = false;
   this->end_input();
   this->refused_early = true;
-  auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head), std::string{},
+  auto exchange = std::make_shared<caller_exchange>(this->shared_from_this(), std::move(head), body_buffer{},
                                                     this->request_started, this->clock.now());
   this->pending.push_back(exchange);
-  this->partial_requests.refuse(exchange);
+  return exchange;
+}
+
+void caller_connection::respond_refused(const std::shared_ptr<caller_exchange>& exchange, reason why) {
+  if (this->partial_requests.refuse) {
+    this->partial_requests.refuse(exchange, why);
+  } else {
+    exchange->respond(impl::status_unavailable, {{"Retry-After", "1"}}, "");
+  }
 }
 
 }  // namespace zinnia
--- a/packages/http/src/caller_exchange.cpp
+++ b/packages/http/src/caller_exchange.cpp
@@ -7,13 +7,16 @@
 #include <algorithm>
 
 #include "zinnia/http/caller_connection.hpp"
+#include "zinnia/http/free_memory.hpp"
 
 namespace zinnia {
 namespace impl {
 namespace {
 
-/// The source of a response body should pause when more output than this is unsent.
+/// The source of a response body should pause when more output of its connection than this is unsent.
 constexpr std::size_t max_output_bytes = 128 << 10;
+/// The same while memory is short.
+constexpr std::size_t max_output_bytes_if_short = 16 << 10;
 
 [[nodiscard]] bool has_no_body(const request_head& request, int status) noexcept {
   constexpr int status_no_content = 204;
@@ -25,12 +28,14 @@
 }  // namespace impl
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_connection> owner, request_head head_in,
-                                 std::string body_in, time_point started_in, time_point received_in)
+                                 body_buffer body_in, time_point started_in, time_point received_in)
     : connection{std::move(owner)},
       request{std::move(head_in)},
-      request_body{std::move(body_in)},
+      request_body{std::make_shared<const body_buffer>(std::move(body_in))},
+      request_charge{this->connection->memory},
       started{started_in},
-      received{received_in} {}
+      received{received_in},
+      output_charge{this->connection->memory, &this->connection->unread_response} {}
 
 void caller_exchange::respond(int status, const header_fields& fields, std::string_view text) {
   response_head head;
@@ -69,9 +74,24 @@
     this->output += "Connection: close\r\n";
   }
   this->output += "\r\n";
+  this->pass_output_on();
+}
+
+void caller_exchange::pass_output_on() {
+  this->output_charge.resize(this->output.capacity());
   this->connection->flush();
 }
 
+void caller_exchange::move_output_to(std::string& sent) {
+  if (sent.empty()) {
+    sent.swap(this->output);
+  } else {
+    sent += this->output;
+  }
+  free_memory(this->output);
+  this->output_charge.resize(0);
+}
+
 void caller_exchange::write(std::string_view piece) {
   if (!this->is_open() || piece.empty() || this->omits_body) {
     return;
@@ -83,7 +103,7 @@
   if (this->chunked) {
     this->output += "\r\n";
   }
-  this->connection->flush();
+  this->pass_output_on();
 }
 
 void caller_exchange::finish() {
@@ -98,7 +118,7 @@
   this->on_writable = nullptr;
   // flush() may release the connection's reference to this exchange.
   const auto self = this->shared_from_this();
-  this->connection->flush();
+  this->pass_output_on();
 }
 
 void caller_exchange::abort() {
@@ -111,8 +131,8 @@
 
 bool caller_exchange::is_congested() const noexcept {
   return this->connection != nullptr &&
-         this->output.size() + this->connection->outgoing.size() - this->connection->outgoing_written >
-             impl::max_output_bytes;
+         this->connection->unsent_bytes() >
+             (this->connection->is_memory_short() ? impl::max_output_bytes_if_short : impl::max_output_bytes);
 }
 
 bool caller_exchange::has_unsent_output() const noexcept {
@@ -149,6 +169,8 @@
 
 void caller_exchange::release() {
   this->connection = nullptr;
+  free_memory(this->output);
+  this->output_charge = {};
   this->on_disconnect = nullptr;
   this->on_writable = nullptr;
   this->first_in_pipeline_callback = nullptr;
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <vector>
 
+#include "zinnia/http/socket_options.hpp"
+
 namespace zinnia {
 namespace impl {
 namespace {
@@ -39,6 +41,9 @@
     return failed("open a socket");
   }
   this->acceptor.set_option(boost::asio::socket_base::reuse_address{true}, ec);
+  if (this->resources.memory != nullptr) {
+    set_receive_window(this->acceptor.native_handle(), this->resources.receive_window);
+  }
   if (this->acceptor.bind(address, ec)) {
     return failed("bind");
   }
@@ -86,8 +91,9 @@
   if (this->connections.size() >= this->max_connections) {
     return;
   }
-  auto connection = std::make_shared<caller_connection>(std::move(accepted), this->limits, this->clock,
-                                                        this->on_request, this->partial_requests);
+  auto connection =
+      std::make_shared<caller_connection>(std::move(accepted), this->limits, this->clock, this->on_request,
+                                          this->partial_requests, this->resources);
   if (this->draining) {
     connection->drain();
   }
@@ -136,9 +142,11 @@
   }
 }
 
-void http_listener::refuse_partial_requests() {
+void http_listener::refuse_partial_requests(reason why) {
   for (const auto& connection : this->current_connections()) {
-    connection->refuse_partial_request();
+    if (connection->has_partial_request()) {
+      connection->refuse_partial_request(why);
+    }
   }
 }
 
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -105,6 +105,19 @@
   return forwarded;
 }
 
+std::size_t memory_of(const header_fields& fields) noexcept {
+  // Texts up to the capacity of an empty string are stored inside it.
+  const auto inline_capacity = std::string{}.capacity();
+  const auto allocated = [inline_capacity](const std::string& text) {
+    return text.capacity() > inline_capacity ? text.capacity() + 1 : 0;
+  };
+  std::size_t bytes = fields.capacity() * sizeof(header_field);
+  for (const auto& field : fields) {
+    bytes += allocated(field.name) + allocated(field.value);
+  }
+  return bytes;
+}
+
 void append_fields(std::string& out, const header_fields& fields) {
   for (const auto& field : fields) {
     absl::StrAppend(&out, field.name, ": ", field.value, "\r\n");
--- a/packages/http/src/socket_options.cpp
+++ b/packages/http/src/socket_options.cpp
@@ -39,4 +39,10 @@
   return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
+void set_receive_window(int descriptor, std::size_t bytes) noexcept {
+  // The system doubles the value for its own overhead. TCP_WINDOW_CLAMP would not do: automatic tuning of the
+  // buffer raises it.
+  impl::set_option(descriptor, SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+}
+
 }  // namespace zinnia
--- a/packages/http/tests/caller_connection_fixture.hpp
+++ b/packages/http/tests/caller_connection_fixture.hpp
@@ -52,11 +52,16 @@
       return 0;
     });
   }
-  void set_partial_request_handler(std::function<bool(const request_head&, time_point)> is_refused) {
+  void set_partial_request_handler(const std::function<bool(const request_head&, time_point)>& is_refused) {
     this->run_on_loop([&] {
       this->listener->set_partial_request_handler(
-          {is_refused,
-           [](const std::shared_ptr<caller_exchange>& exchange) { exchange->respond(503, {}, ""); }});
+          {[is_refused](const request_head& head, time_point started) {
+             return is_refused && is_refused(head, started) ? std::optional{reason::node_stopping}
+                                                            : std::nullopt;
+           },
+           [](const std::shared_ptr<caller_exchange>& exchange, reason /*why*/) {
+             exchange->respond(503, {}, "");
+           }});
       return 0;
     });
   }
--- a/packages/http/tests/caller_connection_stop_test.cpp
+++ b/packages/http/tests/caller_connection_stop_test.cpp
@@ -41,8 +41,9 @@
 }
 
 TEST_F(caller_connection_stop, a_stop_does_not_cut_off_half_sent_requests) {
-  this->listen(
-      [](const std::shared_ptr<caller_exchange>& exchange) { exchange->respond(200, {}, exchange->body()); });
+  this->listen([](const std::shared_ptr<caller_exchange>& exchange) {
+    exchange->respond(200, {}, exchange->body().str());
+  });
   std::deque<raw_tcp_client> clients;
   send_first_parts(clients, this->port);
   this->stop_reading();
@@ -62,7 +63,7 @@
   send_first_parts(clients, this->port);
   this->stop_reading();
   this->run_on_loop([this] {
-    this->listener->refuse_partial_requests();
+    this->listener->refuse_partial_requests(reason::node_stopping);
     return 0;
   });
   for (std::size_t i = 0; i < half_sent_requests.size(); ++i) {
--- a/packages/http/tests/caller_connection_test.cpp
+++ b/packages/http/tests/caller_connection_test.cpp
@@ -138,8 +138,9 @@
 }
 
 TEST_F(caller_connection_test, sends_100_continue_before_the_body) {
-  this->listen(
-      [](const std::shared_ptr<caller_exchange>& exchange) { exchange->respond(200, {}, exchange->body()); });
+  this->listen([](const std::shared_ptr<caller_exchange>& exchange) {
+    exchange->respond(200, {}, exchange->body().str());
+  });
   raw_tcp_client client{this->port};
   client.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
   EXPECT_TRUE(client.read_until("100 Continue").starts_with("HTTP/1.1 100"));
--- a/packages/http/tests/message_parser_test.cpp
+++ b/packages/http/tests/message_parser_test.cpp
@@ -44,7 +44,7 @@
     std::size_t consumed = 0;
     EXPECT_EQ(parser.feed(row.bytes, consumed), row.expected) << row.name;
     if (row.expected != parse_progress::malformed) {
-      EXPECT_EQ(parser.take_body_text(), row.body) << row.name;
+      EXPECT_EQ(parser.take_body().str(), row.body) << row.name;
     }
   }
 }
@@ -107,7 +107,7 @@
   EXPECT_EQ(head.target, "/a/?x=1");
   EXPECT_EQ(head.path(), "/a/");
   EXPECT_EQ(head.query_parameter("x"), "1");
-  EXPECT_EQ(parser.take_body_text(), "abc");
+  EXPECT_EQ(parser.take_body().str(), "abc");
   EXPECT_EQ(bytes.substr(fed), "GET /b/ HTTP/1.1\r\n");
 }
 
--- a/packages/http/tests/random_input_test.cpp
+++ b/packages/http/tests/random_input_test.cpp
@@ -66,8 +66,8 @@
     EXPECT_EQ(at_once.consumed, in_pieces.consumed) << i;
     const auto head = whole.take_head();
     EXPECT_EQ(head.target, pieces.take_head().target) << i;
-    const auto body = whole.take_body_text();
-    EXPECT_EQ(body, pieces.take_body_text()) << i;
+    const auto body = whole.take_body().str();
+    EXPECT_EQ(body, pieces.take_body().str()) << i;
     EXPECT_LE(head.target.size() + body.size(), bytes.size()) << i;
     static_cast<void>(head.query_parameter("known"));
     EXPECT_LE(end_to_end_fields(head.fields, {"Host"}).size(), head.fields.size());
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -17,6 +17,9 @@
 
 namespace zinnia {
 
+/// \brief The memory limit of a node that is not told one, in bytes.
+inline constexpr std::size_t default_memory_limit = 256'000'000;
+
 /// \brief The validated settings of one node.
 struct node_settings {
   node_id node;
@@ -42,6 +45,8 @@
   std::optional<std::uint16_t> forward_port;
 
   std::size_t max_descriptors{1024};
+  /// The memory that the process may use, in bytes.
+  std::size_t memory_limit{default_memory_limit};
   node_capacity capacity;
   retry_budget_settings retry_budget;
   /// Time from the stop signal until the process is killed.
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -19,6 +19,7 @@
 #include <random>
 
 #include "change_relay_server.hpp"
+#include "listener_limits.hpp"
 #include "notice_exchange.hpp"
 #include "stop_schedule.hpp"
 #include "zinnia/gateway/forwarding_limits.hpp"
@@ -38,12 +39,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
-/// File descriptors reserved for files and for connections to backend servers and to the store.
-constexpr std::size_t reserved_descriptors = 1200;
-/// Connection limit of the readiness, operator and peer listeners, each.
-constexpr std::size_t max_internal_connections = 200;
-/// Connection limit of the directory listener.
-constexpr std::size_t max_directory_connections = 800;
 constexpr std::chrono::milliseconds stop_check_period{50};
 constexpr std::array<int, 3> handled_signals{SIGTERM, SIGINT, SIGHUP};
 
@@ -51,10 +46,6 @@
   return {boost::asio::ip::make_address_v4(address.ip), address.port};
 }
 
-[[nodiscard]] std::size_t max_caller_connections(const node_settings& settings) {
-  return settings.max_descriptors - std::min(settings.max_descriptors / 2, reserved_descriptors);
-}
-
 /// Blocks the signals that a node handles, or lets them come.
 void mask_signals(int how) noexcept {
   sigset_t handled;
@@ -99,6 +90,8 @@
   std::shared_ptr<const settings_tree> tree;
   boot_clock clock;
   metrics counts;
+  // Outlives what the context keeps.
+  memory_budget memory;
   boost::asio::io_context context{1};
   notice_exchange notices;
   gateway traffic;
@@ -128,6 +121,7 @@
     : adapter{adapter_in},
       settings{settings_in},
       tree{std::move(tree_in)},
+      memory{request_memory_limit(settings_in), this->clock},
       notices{this->context, ip_endpoint{settings_in.ip, settings_in.notice_port}, this->counts,
               [this](const auto& received) {
                 this->traffic.apply_notices(received.holders);
@@ -135,7 +129,7 @@
                 this->traffic.apply_account_messages(received.accounts, received.sender);
               }},
       traffic{this->context, this->clock, this->counts, this->options()},
-      callers{this->context, this->clock, impl::max_caller_connections(settings_in),
+      callers{this->context, this->clock, max_accepted_connections(settings_in),
               [this](const auto& exchange) { this->traffic.handle(exchange); }},
       readiness{this->context, this->clock, max_internal_connections,
                 [this](const auto& exchange) { this->respond_to_readiness_check(exchange); }},
@@ -151,13 +145,17 @@
                 [this](const auto& exchange) { this->traffic.handle_forwarded(exchange); }},
       signals{this->context, handled_signals[0], handled_signals[1], handled_signals[2]},
       stop_timer{this->context} {
-  const auto is_refused = [this](const request_head& head, time_point started) {
-    return this->traffic.is_refused_by_head(head, started);
+  share_limits(
+      {this->callers, this->readiness, this->directory, this->operators, this->peers, this->forwarded},
+      this->settings, this->memory);
+  const auto refusal = [this](const request_head& head, time_point started) {
+    return this->traffic.refusal_by_head(head, started);
   };
   this->callers.set_partial_request_handler(
-      {is_refused, [this](const auto& exchange) { this->traffic.refuse_partial(exchange); }});
-  this->forwarded.set_partial_request_handler(
-      {is_refused, [this](const auto& exchange) { this->traffic.refuse_partial_forwarded(exchange); }});
+      {refusal, [this](const auto& exchange, reason why) { this->traffic.refuse_partial(exchange, why); }});
+  this->forwarded.set_partial_request_handler({refusal, [this](const auto& exchange, reason why) {
+                                                 this->traffic.refuse_partial_forwarded(exchange, why);
+                                               }});
 }
 
 gateway_options node::options() {
@@ -168,6 +166,7 @@
   chosen.field_names = this->adapter.field_names();
   chosen.retry_budget = this->settings.retry_budget;
   chosen.retries_counted_since = this->clock.now();
+  chosen.memory = &this->memory;
   chosen.fate_records = this->settings.fate_records;
   chosen.send_notices = [this](std::vector<holder_notice> sent) {
     this->notices.offer(std::move(sent), this->clock.now());
@@ -379,8 +378,8 @@
                                                      this->forwarded.arriving_requests()));
   }
   if (now > this->stop->answer_by()) {
-    this->callers.refuse_partial_requests();
-    this->forwarded.refuse_partial_requests();
+    this->callers.refuse_partial_requests(reason::node_stopping);
+    this->forwarded.refuse_partial_requests(reason::node_stopping);
   }
 }
 
