Refuse a half-sent request once its deadline has passed

What callers saw: a request whose body came a byte a second kept its memory and its connection for as long as its sender liked.

Cause: the time limit on a body runs between its pieces. The deadline, which counts from the first byte, was looked at only once the body was whole, when the request could only be refused.

Change: the deadline of a request whose head has been read is checked with the other time limits. After it the request gets 503 deadline-passed with Retry-After 0, as it would at its end. It has not been passed on.

--- a/packages/gateway/include/zinnia/gateway/gateway.hpp
+++ b/packages/gateway/include/zinnia/gateway/gateway.hpp
@@ -139,7 +139,7 @@
   ///          a server at that time is ended, unless its response has begun.
   void begin_stop(time_point answer_by_in);
   /// \brief   Tells why a request with this head and first byte would not be sent, whenever its body arrives.
-  /// \details The node is stopping; nullopt if it may be sent.
+  /// \details Its deadline has passed, or the node is stopping; nullopt if it may be sent.
   [[nodiscard]] std::optional<reason> refusal_by_head(const request_head& head, time_point started) const;
   /// \brief Tells a caller that a request which is read no further has not run.
   void refuse_partial(const std::shared_ptr<caller_exchange>& exchange, reason why);
--- a/packages/gateway/src/gateway_admission.cpp
+++ b/packages/gateway/src/gateway_admission.cpp
@@ -26,6 +26,8 @@
     case reason::node_stopping:
       // Other nodes serve the caller at once.
       return duration{0};
+    case reason::deadline_passed:
+      return duration{0};
     default:
       return unplaced_retry_after;
   }
--- a/packages/gateway/src/gateway_stop.cpp
+++ b/packages/gateway/src/gateway_stop.cpp
@@ -34,6 +34,9 @@
     return std::nullopt;
   }
   const auto deadline = this->deadline_of(head, *route, started);
+  if (deadline <= this->clock.now()) {
+    return reason::deadline_passed;
+  }
   if (this->answer_by && !is_repeatable(route->kind, head.method) && deadline > *this->answer_by) {
     return reason::node_stopping;
   }
--- a/packages/gateway/tests/stop_test.cpp
+++ b/packages/gateway/tests/stop_test.cpp
@@ -115,6 +115,19 @@
   EXPECT_EQ(this->counts.refusals_for(reason::node_stopping), 1U);
 }
 
+TEST_F(stopping_node, refuses_a_half_sent_request_at_its_deadline_also_without_a_stop) {
+  this->route_with(request_kind::unsafe, request_time_ms);
+  this->refuse_partial_requests();
+  this->start();
+  raw_tcp_client client{this->port};
+  client.send("POST /x/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nLeft: 100\r\nContent-Length: 4\r\n\r\nda");
+  const auto refused = client.read_until("\r\n\r\n");
+  EXPECT_TRUE(refused.starts_with("HTTP/1.1 503")) << refused;
+  EXPECT_NE(refused.find("Retry-After: 0.000"), std::string::npos) << refused;
+  EXPECT_NE(refused.find("Request-Id: r1"), std::string::npos) << refused;
+  EXPECT_EQ(this->counts.refusals_for(reason::deadline_passed), 1U);
+}
+
 TEST_F(stopping_node, serves_half_sent_requests_that_fit) {
   const scripted_tcp_server server{[](int) { return good_response; }};
   this->route_with(request_kind::unsafe, request_time_ms);
--- a/packages/http/src/caller_connection_timeouts.cpp
+++ b/packages/http/src/caller_connection_timeouts.cpp
@@ -36,6 +36,10 @@
     return;
   }
   if (this->has_partial_request()) {
+    this->recheck_partial_request();
+    if (this->input_ended) {
+      return;
+    }
     const bool in_body = this->parser && this->parser->is_header_done();
     const auto elapsed = in_body ? since_activity : now - this->request_started;
     if (elapsed > this->limits.header_timeout) {
