Give up the connection that deserves it least for a new one

What callers saw: beside 900 connections that sent a byte a second, or nothing, an ordinary caller got no answer: its connections were closed unread. A crowd at all ports opened 2,338 descriptors where the machine has 1,024; a node without descriptors cannot reach its servers or the store.

Cause: a listener at its limit closed the newest connection, whoever held the old ones. Each listener had a limit of its own, and their sum was more than the process may open.

Change: a listener at its limit closes one of its own connections: answered ones first, then requests that make no progress for 1 s, idle ones, arriving requests, responses that are not read. A request that is being served is never cut off for a new connection. All listeners share one number of connections, of which each has a reserved part, so that one port's callers cannot take the descriptors of another's.

Why it works: clients that hold connections without using them are always candidates, so a new connection is accepted as long as not all are in service.

Tests for the choice and the shares are in connection_limit_test.cpp.

--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -56,6 +56,20 @@
   static constexpr std::size_t max_receive_window = 65'535;
 };
 
+/// \brief How little a connection deserves to be kept when there are too many, the least first.
+enum class connection_standing : unsigned char {
+  /// The last response is written; only the caller's close is missing.
+  answered,
+  /// A request has begun to arrive and makes no progress.
+  stalled_request,
+  idle,
+  arriving_request,
+  /// The caller does not read its response.
+  stalled_response,
+  /// A request is being served; the connection is kept.
+  in_service,
+};
+
 /// \brief   A connection from a caller. Pending socket operations and open exchanges keep it alive.
 /// \details All members must be called on the thread that runs the socket's context.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
@@ -77,6 +91,11 @@
   void recheck_partial_request();
   /// \brief Refuses a partly read request, unless an earlier response tells the caller that it is not read.
   void refuse_partial_request(reason why);
+  [[nodiscard]] connection_standing standing() const;
+  /// \brief The time since which the connection has had its standing.
+  [[nodiscard]] time_point standing_since() const noexcept;
+  /// \brief Closes the connection at once. Requests in service are given up.
+  void close() { this->close_socket(); }
   [[nodiscard]] bool is_closed() const noexcept { return this->phase == connection_phase::closed; }
   [[nodiscard]] bool has_partial_request() const noexcept {
     return !this->input.empty() || (this->parser && this->parser->got_some());
--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -15,6 +15,7 @@
 #include "zinnia/core/clock.hpp"
 #include "zinnia/core/result.hpp"
 #include "zinnia/http/caller_connection.hpp"
+#include "zinnia/http/connection_quota.hpp"
 
 namespace zinnia {
 
@@ -22,7 +23,8 @@
 /// \details Must not be destroyed before the context has stopped.
 class http_listener {
  public:
-  /// \param max_connections_in Connections beyond this number are closed before any byte is read.
+  /// \param max_connections_in If there are as many connections, the one that deserves it least is closed for
+  ///                           a new one. If all are in service, the new one is closed.
   http_listener(boost::asio::io_context& context_in, const clock_source& clock_in,
                 std::size_t max_connections_in, request_handler on_request_in);
 
@@ -32,6 +34,12 @@
 
   /// \brief Sets what connections and their requests may use; called before `listen`.
   void set_resources(const connection_resources& resources_in) noexcept { this->resources = resources_in; }
+  /// \brief Shares the process's connections with other listeners; called before `listen`.
+  /// \param reserved The number of connections that this listener can always have.
+  void set_connection_quota(connection_quota& quota_in, std::size_t reserved) {
+    this->quota = &quota_in;
+    this->quota_share = quota_in.add_listener(reserved);
+  }
   /// \brief Sets the limits of open and future connections.
   void set_limits(const caller_limits& limits_in) noexcept { this->limits = limits_in; }
   /// \brief Sets what refuses partly read requests of open and future connections.
@@ -49,6 +57,8 @@
   /// \brief Refuses all partly read requests.
   void refuse_partial_requests(reason why);
   [[nodiscard]] std::size_t open_connections() const noexcept { return this->connections.size(); }
+  /// \brief The number of connections that were closed, or not accepted, because there were too many.
+  [[nodiscard]] std::uint64_t evicted_connections() const noexcept { return this->evicted_count; }
   /// \brief   Returns the number of connections on which a request is arriving.
   /// \details New connections count until their first request has come or is given up.
   [[nodiscard]] std::size_t arriving_requests() const;
@@ -61,6 +71,12 @@
   /// Accepts the connections in the backlog, which would be reset when the acceptor closes.
   void accept_backlog();
   void add_connection(boost::asio::ip::tcp::socket accepted);
+  [[nodiscard]] bool has_room() const noexcept;
+  /// Closes the connection that deserves it least. Returns false if all are in service.
+  [[nodiscard]] bool evict_one();
+  /// Collects the connections that deserve it least.
+  void find_evictable();
+  void remove(const std::shared_ptr<caller_connection>& removed);
   [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> current_connections() const;
   void sweep();
 
@@ -74,7 +90,14 @@
   boost::asio::steady_timer sweep_timer;
   boost::asio::steady_timer accept_retry_timer;
   connection_resources resources;
+  // Null if the listener has all descriptors that it may use for itself.
+  connection_quota* quota{nullptr};
+  std::size_t quota_share{0};
   absl::flat_hash_set<std::shared_ptr<caller_connection>> connections;
+  // Connections that may be closed for new ones, the best candidate last. Some may be closed already, or have
+  // a better standing by now.
+  std::vector<std::weak_ptr<caller_connection>> evictable;
+  std::uint64_t evicted_count{0};
   bool draining{false};
 };
 
--- a/packages/http/src/caller_connection_memory.cpp
+++ b/packages/http/src/caller_connection_memory.cpp
@@ -1,4 +1,6 @@
-// What a connection holds in memory, and what it frees when memory is short.
+// What a connection holds in memory, what it frees when memory is short, and which connections are kept when
+// there are too many.
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <numeric>
 #include <utility>
@@ -15,6 +17,8 @@
 constexpr std::size_t max_spare_input = 4 << 10;
 /// A caller that takes fewer bytes of its response makes no progress.
 constexpr std::size_t min_output_progress = 4 << 10;
+/// A request or a response is stalled once it has made no progress for that long.
+constexpr duration stall_time{1000};
 
 }  // namespace
 }  // namespace impl
@@ -110,4 +114,31 @@
                          [](std::size_t sum, const auto& exchange) { return sum + exchange->output.size(); });
 }
 
+connection_standing caller_connection::standing() const {
+  if (this->phase != connection_phase::open) {
+    return connection_standing::answered;
+  }
+  const auto now = this->clock.now();
+  if (this->write_active && now - this->standing_since() > impl::stall_time) {
+    return connection_standing::stalled_response;
+  }
+  if (!this->pending.empty() || this->write_active) {
+    return connection_standing::in_service;
+  }
+  if (!this->has_partial_request()) {
+    return connection_standing::idle;
+  }
+  return now - this->standing_since() > impl::stall_time ? connection_standing::stalled_request
+                                                         : connection_standing::arriving_request;
+}
+
+time_point caller_connection::standing_since() const noexcept {
+  if (this->write_active) {
+    return this->memory == nullptr ? this->last_activity : this->unread_response.last_progress();
+  }
+  return this->has_partial_request() && this->pending.empty()
+             ? std::max(this->request_started, this->partial_request.last_progress())
+             : this->last_activity;
+}
+
 }  // namespace zinnia
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -88,8 +88,11 @@
 }
 
 void http_listener::add_connection(boost::asio::ip::tcp::socket accepted) {
-  if (this->connections.size() >= this->max_connections) {
-    return;
+  if (!this->has_room()) {
+    ++this->evicted_count;
+    if (!this->evict_one()) {
+      return;
+    }
   }
   auto connection =
       std::make_shared<caller_connection>(std::move(accepted), this->limits, this->clock, this->on_request,
@@ -98,6 +101,9 @@
     connection->drain();
   }
   this->connections.insert(connection);
+  if (this->quota != nullptr) {
+    this->quota->set_open(this->quota_share, this->connections.size());
+  }
   connection->start();
 }
 
@@ -109,7 +115,7 @@
   for (const auto& connection : this->current_connections()) {
     connection->enforce_timeouts();
     if (connection->is_closed()) {
-      this->connections.erase(connection);
+      this->remove(connection);
     }
   }
   this->sweep_timer.expires_after(impl::sweep_period);
--- a/packages/http/tests/connection_limit_test.cpp
+++ b/packages/http/tests/connection_limit_test.cpp
@@ -1,7 +1,8 @@
-// Requests for which there is no memory.
+// Which connections go when there are too many, and requests for which there is no memory.
 #include <boost/asio/post.hpp>
 
 #include "caller_connection_fixture.hpp"
+#include "zinnia/http/connection_quota.hpp"
 
 using namespace zinnia;
 using namespace zinnia::testing_support;
@@ -12,20 +13,66 @@
 
 class connection_limit : public caller_connection_test {
  protected:
-  /// Listens with memory for a few requests.
+  /// Listens with room for two connections, and memory for a few requests.
   void listen_with_limits(exchange_handler handler, std::size_t memory_bytes = 10 << 20) {
     this->memory.emplace(memory_bytes, this->clock);
     this->on_request = std::move(handler);
     this->listener.emplace(this->context, this->clock, 100,
                            [this](const auto& exchange) { this->on_request(exchange); });
     this->listener->set_resources({&*this->memory, 65'535});
+    this->listener->set_connection_quota(this->quota, 0);
     this->port = *this->listener->listen({boost::asio::ip::address_v4::loopback(), 0});
     this->thread = std::thread{[this] { this->context.run(); }};
   }
+  [[nodiscard]] std::uint64_t evicted() {
+    return this->run_on_loop([this] { return this->listener->evicted_connections(); });
+  }
 
   std::optional<memory_budget> memory;
+  connection_quota quota{2};
 };
 
+TEST_F(connection_limit, an_idle_connection_goes_for_a_new_one) {
+  this->listen_with_limits(respond_with_path());
+  raw_tcp_client first{this->port};
+  raw_tcp_client second{this->port};
+  for (auto* const client : {&first, &second}) {
+    client->send(whole_request);
+    EXPECT_NE(client->read_until("/a").find("200"), std::string::npos);
+  }
+  raw_tcp_client third{this->port};
+  third.send(whole_request);
+  EXPECT_NE(third.read_until("/a").find("200"), std::string::npos);
+  EXPECT_EQ(this->evicted(), 1U);
+  constexpr int long_enough_ms = 1000;
+  static_cast<void>(first.read_some(long_enough_ms));
+  static_cast<void>(second.read_some(long_enough_ms));
+  EXPECT_NE(first.is_closed(), second.is_closed());
+}
+
+TEST_F(connection_limit, requests_in_service_are_kept) {
+  std::vector<std::shared_ptr<caller_exchange>> served;
+  this->listen_with_limits([&served](const auto& exchange) { served.push_back(exchange); });
+  raw_tcp_client first{this->port};
+  raw_tcp_client second{this->port};
+  first.send(whole_request);
+  second.send(whole_request);
+  while (this->run_on_loop([&served] { return served.size(); }) < 2) {
+  }
+  raw_tcp_client third{this->port};
+  third.send(whole_request);
+  EXPECT_EQ(third.read_all(), "");
+  EXPECT_TRUE(third.is_closed());
+  this->run_on_loop([&served] {
+    for (const auto& exchange : served) {
+      exchange->respond(200, {}, "done");
+    }
+    return 0;
+  });
+  EXPECT_NE(first.read_until("done").find("done"), std::string::npos);
+  EXPECT_NE(second.read_until("done").find("done"), std::string::npos);
+}
+
 TEST_F(connection_limit, a_request_without_memory_gets_503_and_does_not_reach_the_handler) {
   int handled = 0;
   this->listen_with_limits(
@@ -105,4 +152,19 @@
   EXPECT_NE(client.read_until("413").find("413"), std::string::npos);
 }
 
+TEST(connection_quota, keeps_what_is_reserved_for_others) {
+  connection_quota shared{10};
+  const auto callers = shared.add_listener(4);
+  const auto others = shared.add_listener(3);
+  shared.set_open(callers, 6);
+  EXPECT_TRUE(shared.has_room(callers));
+  shared.set_open(callers, 7);
+  EXPECT_FALSE(shared.has_room(callers));
+  EXPECT_TRUE(shared.has_room(others));
+  shared.set_open(others, 3);
+  EXPECT_FALSE(shared.has_room(others));
+  shared.set_open(callers, 5);
+  EXPECT_TRUE(shared.has_room(others));
+}
+
 }  // namespace
--- a/packages/node/include/zinnia/node/operator_interface.hpp
+++ b/packages/node/include/zinnia/node/operator_interface.hpp
@@ -1,6 +1,8 @@
 // The HTTP interface of a node for operators and support engineers: metrics, status and the fate of requests.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "zinnia/gateway/gateway.hpp"
@@ -11,12 +13,20 @@
 
 namespace zinnia {
 
+/// \brief Connections at all listeners of a node together.
+struct connection_counts {
+  std::size_t open{0};
+  /// Closed, or not accepted, because there were too many.
+  std::uint64_t evicted{0};
+};
+
 /// \brief The data that responses are built from. The references need to be valid during one call only.
 struct operator_view {
   const gateway& traffic;
   metrics& counts;
   const live_members& alive;
   const std::vector<shift_progress>& progress;
+  connection_counts connections{};
 };
 
 /// \brief   Responds to `/metrics`, `/v1/status`, `/v1/servers` (restricted backend servers),
--- a/packages/node/src/entry_node.cpp
+++ b/packages/node/src/entry_node.cpp
@@ -73,6 +73,7 @@
   [[nodiscard]] control_events events();
   [[nodiscard]] member self() const;
   [[nodiscard]] bool listen();
+  [[nodiscard]] connection_counts connections() const;
   /// Returns the nodes that serve requests of this one while it cannot reach the backend servers.
   [[nodiscard]] std::vector<forwarding_peer> forwarding_peers() const;
   void respond_to_directory_query(const std::shared_ptr<caller_exchange>& exchange);
@@ -92,6 +93,7 @@
   metrics counts;
   // Outlives what the context keeps.
   memory_budget memory;
+  connection_quota quota;
   boost::asio::io_context context{1};
   notice_exchange notices;
   gateway traffic;
@@ -122,6 +124,7 @@
       settings{settings_in},
       tree{std::move(tree_in)},
       memory{request_memory_limit(settings_in), this->clock},
+      quota{max_accepted_connections(settings_in)},
       notices{this->context, ip_endpoint{settings_in.ip, settings_in.notice_port}, this->counts,
               [this](const auto& received) {
                 this->traffic.apply_notices(received.holders);
@@ -137,7 +140,8 @@
                 [this](const auto& exchange) { this->respond_to_directory_query(exchange); }},
       operators{this->context, this->clock, max_internal_connections,
                 [this](const auto& exchange) {
-                  respond_to_operator(*exchange, {this->traffic, this->counts, this->alive, this->progress});
+                  respond_to_operator(*exchange, {this->traffic, this->counts, this->alive, this->progress,
+                                                  this->connections()});
                 }},
       peers{this->context, this->clock, max_internal_connections,
             [this](const auto& exchange) { this->relay_server->handle(exchange); }},
@@ -147,7 +151,7 @@
       stop_timer{this->context} {
   share_limits(
       {this->callers, this->readiness, this->directory, this->operators, this->peers, this->forwarded},
-      this->settings, this->memory);
+      this->settings, this->memory, this->quota);
   const auto refusal = [this](const request_head& head, time_point started) {
     return this->traffic.refusal_by_head(head, started);
   };
@@ -279,6 +283,16 @@
   return is_listening;
 }
 
+connection_counts node::connections() const {
+  connection_counts sum;
+  for (const auto* const listener : {&this->callers, &this->readiness, &this->directory, &this->operators,
+                                     &this->peers, &this->forwarded}) {
+    sum.open += listener->open_connections();
+    sum.evicted += listener->evicted_connections();
+  }
+  return sum;
+}
+
 int node::run() {
   std::signal(SIGPIPE, SIG_IGN);
   if (!this->listen()) {
--- a/packages/node/src/listener_limits.cpp
+++ b/packages/node/src/listener_limits.cpp
@@ -17,9 +17,10 @@
 /// With less, ordinary requests would wait for several round trips.
 constexpr std::size_t min_receive_window = 8 << 10;
 
-/// A listener, and whether its handler uses bodies.
-struct listener_use {
+/// A listener and the fraction of all connections that is reserved for it: one over this number.
+struct listener_share {
   http_listener& listener;
+  std::size_t divisor;
   bool keeps_bodies;
 };
 
@@ -54,18 +55,21 @@
                     impl::min_receive_window, connection_resources::max_receive_window);
 }
 
-void share_limits(const node_listeners& listeners, const node_settings& settings, memory_budget& memory) {
-  const std::array<impl::listener_use, 6> uses{{{listeners.callers, true},
-                                                {listeners.readiness, false},
-                                                {listeners.directory, false},
-                                                {listeners.operators, false},
-                                                {listeners.peers, false},
-                                                {listeners.forwarded, true}}};
-  for (const auto& use : uses) {
+void share_limits(const node_listeners& listeners, const node_settings& settings, memory_budget& memory,
+                  connection_quota& quota) {
+  const std::array<impl::listener_share, 6> shares{{{listeners.callers, 2, true},
+                                                    {listeners.readiness, 64, false},
+                                                    {listeners.directory, 8, false},
+                                                    {listeners.operators, 64, false},
+                                                    {listeners.peers, 16, false},
+                                                    {listeners.forwarded, 8, true}}};
+  const auto all = max_accepted_connections(settings);
+  for (const auto& share : shares) {
     caller_limits limits;
-    limits.keeps_bodies = use.keeps_bodies;
-    use.listener.set_limits(limits);
-    use.listener.set_resources({&memory, receive_window(settings)});
+    limits.keeps_bodies = share.keeps_bodies;
+    share.listener.set_limits(limits);
+    share.listener.set_resources({&memory, receive_window(settings)});
+    share.listener.set_connection_quota(quota, all / share.divisor);
   }
 }
 
--- a/packages/node/src/listener_limits.hpp
+++ b/packages/node/src/listener_limits.hpp
@@ -1,8 +1,9 @@
-// How a node's listeners share its memory.
+// How a node's listeners share its memory and its file descriptors.
 #pragma once
 
 #include <cstddef>
 
+#include "zinnia/http/connection_quota.hpp"
 #include "zinnia/http/http_listener.hpp"
 #include "zinnia/http/memory_budget.hpp"
 #include "zinnia/node/node_settings.hpp"
@@ -24,7 +25,7 @@
 /// \brief Connection limit of the directory listener.
 inline constexpr std::size_t max_directory_connections = 800;
 
-/// \brief The number of callers' connections that a node may have.
+/// \brief The number of connections that all listeners of a node may have together.
 [[nodiscard]] std::size_t max_accepted_connections(const node_settings& settings) noexcept;
 
 /// \brief   The bytes that may arrive on a connection and not be read yet.
@@ -39,6 +40,7 @@
 [[nodiscard]] std::size_t request_memory_limit(const node_settings& settings) noexcept;
 
 /// \brief Sets the limits that all listeners share. Those that use no bodies keep none.
-void share_limits(const node_listeners& listeners, const node_settings& settings, memory_budget& memory);
+void share_limits(const node_listeners& listeners, const node_settings& settings, memory_budget& memory,
+                  connection_quota& quota);
 
 }  // namespace zinnia
--- a/packages/node/src/operator_interface.cpp
+++ b/packages/node/src/operator_interface.cpp
@@ -30,6 +30,8 @@
   auto gauges = view.traffic.gauges();
   gauges.push_back({"zinnia_configuration_confirmed", "",
                     view.traffic.is_configuration_confirmed(boot_clock{}.now()) ? 1 : 0});
+  gauges.push_back({"zinnia_connections_open", "", static_cast<std::int64_t>(view.connections.open)});
+  gauges.push_back({"zinnia_connections_evicted", "", static_cast<std::int64_t>(view.connections.evicted)});
   append_gauges(view.traffic.backend_restrictions(), gauges);
   append_gauges(view.traffic.account_usages(), gauges);
   exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, view.counts.render(gauges));
