Keep connections whose last response is still being read

What callers saw: at the limit of connections, a caller whose closing response was on its way could lose it to a new connection.

Cause: a connection that only lingers counted as answered, also while its last response was being written or was not acknowledged. Found by reading.

--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -58,7 +58,7 @@
 
 /// \brief How little a connection deserves to be kept when there are too many, the least first.
 enum class connection_standing : unsigned char {
-  /// The last response is written; only the caller's close is missing.
+  /// The caller has received the last response; only its close is missing.
   answered,
   /// A request has begun to arrive and makes no progress.
   stalled_request,
@@ -66,7 +66,7 @@
   arriving_request,
   /// The caller does not read its response.
   stalled_response,
-  /// A request is being served; the connection is kept.
+  /// A request is being served, or its response is being read; the connection is kept.
   in_service,
 };
 
@@ -91,7 +91,7 @@
   void recheck_partial_request();
   /// \brief Refuses a partly read request, unless an earlier response tells the caller that it is not read.
   void refuse_partial_request(reason why);
-  [[nodiscard]] connection_standing standing() const;
+  [[nodiscard]] connection_standing standing();
   /// \brief The time since which the connection has had its standing.
   [[nodiscard]] time_point standing_since() const noexcept;
   /// \brief Closes the connection at once. Requests in service are given up.
--- a/packages/http/src/caller_connection_memory.cpp
+++ b/packages/http/src/caller_connection_memory.cpp
@@ -114,15 +114,18 @@
                          [](std::size_t sum, const auto& exchange) { return sum + exchange->output.size(); });
 }
 
-connection_standing caller_connection::standing() const {
-  if (this->phase != connection_phase::open) {
+connection_standing caller_connection::standing() {
+  const auto now = this->clock.now();
+  const bool is_lingering = this->phase == connection_phase::lingering;
+  const bool is_responding =
+      this->write_active || (is_lingering && unacknowledged_bytes(this->socket.native_handle()) > 0);
+  if (this->phase == connection_phase::closed || (is_lingering && !is_responding)) {
     return connection_standing::answered;
   }
-  const auto now = this->clock.now();
-  if (this->write_active && now - this->standing_since() > impl::stall_time) {
+  if (is_responding && now - this->standing_since() > impl::stall_time) {
     return connection_standing::stalled_response;
   }
-  if (!this->pending.empty() || this->write_active) {
+  if (!this->pending.empty() || is_responding) {
     return connection_standing::in_service;
   }
   if (!this->has_partial_request()) {
