--- a/apps/zinniad/tests/client_crowd.cpp
+++ b/apps/zinniad/tests/client_crowd.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <string_view>
+#include <utility>
 
 namespace zinnia::testing_support {
 namespace impl {
@@ -22,8 +23,8 @@
 }  // namespace
 }  // namespace impl
 
-client_crowd::client_crowd(std::string ip_in, const std::vector<crowd_plan>& plans_in)
-    : ip{std::move(ip_in)}, plans{plans_in} {
+client_crowd::client_crowd(std::string ip_in, std::vector<crowd_plan> plans_in)
+    : ip{std::move(ip_in)}, plans{std::move(plans_in)} {
   for (const auto& plan : this->plans) {
     for (int i = 0; i < plan.clients; ++i) {
       this->clients.emplace_back().plan = &plan;
--- a/apps/zinniad/tests/client_crowd.hpp
+++ b/apps/zinniad/tests/client_crowd.hpp
@@ -34,7 +34,7 @@
 /// \brief Runs the clients until destroyed. A client whose script has ended keeps its connection open.
 class client_crowd {
  public:
-  client_crowd(std::string ip_in, const std::vector<crowd_plan>& plans);
+  client_crowd(std::string ip_in, std::vector<crowd_plan> plans_in);
   client_crowd(const client_crowd&) = delete;
   client_crowd& operator=(const client_crowd&) = delete;
   client_crowd(client_crowd&&) = delete;
--- a/packages/gateway/src/gateway_admission.cpp
+++ b/packages/gateway/src/gateway_admission.cpp
@@ -25,7 +25,6 @@
       return gateway::unconfirmed_retry_after;
     case reason::node_stopping:
       // Other nodes serve the caller at once.
-      return duration{0};
     case reason::deadline_passed:
       return duration{0};
     default:
