--- a/apps/zinniad/tests/client_crowd.hpp
+++ b/apps/zinniad/tests/client_crowd.hpp
@@ -6,7 +6,6 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <thread>
 #include <vector>
--- a/standins/raw_tcp_client.cpp
+++ b/standins/raw_tcp_client.cpp
@@ -12,12 +12,12 @@
 
 namespace zinnia::standins {
 
-raw_tcp_client::raw_tcp_client(std::uint16_t port)
+raw_tcp_client::raw_tcp_client(const std::string& ip, std::uint16_t port)
     : descriptor{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)} {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
   this->closed =
       ::connect(this->descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0;
 }
--- a/standins/raw_tcp_client.hpp
+++ b/standins/raw_tcp_client.hpp
@@ -6,10 +6,12 @@
 
 namespace zinnia::standins {
 
-/// \brief One blocking connection to a loopback port; closed on destruction.
+/// \brief One blocking connection to a loopback address; closed on destruction.
 class raw_tcp_client {
  public:
-  explicit raw_tcp_client(std::uint16_t port);
+  /// \brief Connects to 127.0.0.1.
+  explicit raw_tcp_client(std::uint16_t port) : raw_tcp_client{"127.0.0.1", port} {}
+  raw_tcp_client(const std::string& ip, std::uint16_t port);
   raw_tcp_client(const raw_tcp_client&) = delete;
   raw_tcp_client& operator=(const raw_tcp_client&) = delete;
   raw_tcp_client(raw_tcp_client&&) = delete;
