Remove repeated work and copies from the memory account

No behaviour changes but one: the memory gauges are left out of a gateway without a budget, which only tests have.

- The memory of a head is summed once it is complete, not at each read of its body.
- Hashing a body of at most one block needs no allocated state, and releasing a body allocates nothing: both are on the path of each request.
- parse_input parses and keeps input in one place; standing() asks has_undelivered_output(); one function tells the quota what is open.
- The range of the memory setting stands once, in node_settings.hpp.

--- a/apps/zinniad/daemon_options.cpp
+++ b/apps/zinniad/daemon_options.cpp
@@ -17,7 +17,6 @@
 constexpr const char* version_text = "zinniad 0.2.0\n";
 const std::string environment_prefix = "ZINNIA_";
 constexpr std::int64_t max_port = 65'535;
-constexpr std::size_t bytes_per_mb = 1'000'000;
 
 struct number_option {
   const char* name;
@@ -46,7 +45,8 @@
      [](node_settings& s, std::int64_t v) { s.retry_budget.ratio = static_cast<double>(v) / 100; }},
     {"max-descriptors", "1024", 300, 1'000'000, "limit of file descriptors of the process", true,
      [](node_settings& s, std::int64_t v) { s.max_descriptors = static_cast<std::size_t>(v); }},
-    {"memory-mb", "256", 64, 1'000'000, "memory that the process may use, in MB of 1,000,000 bytes", true,
+    {"memory-mb", "256", min_memory_mb, max_memory_mb,
+     "memory that the process may use, in MB of 1,000,000 bytes", true,
      [](node_settings& s, std::int64_t v) { s.memory_limit = static_cast<std::size_t>(v) * bytes_per_mb; }},
     {"cpu-milli", "1000", 1, 1'000'000, "CPU capacity of this VM, in thousandths of a core", true,
      [](node_settings& s, std::int64_t v) { s.capacity.cpu_milli = static_cast<int>(v); }},
--- a/packages/core/src/rendezvous.cpp
+++ b/packages/core/src/rendezvous.cpp
@@ -12,6 +12,9 @@
 }
 
 std::uint64_t stable_hash(const std::vector<std::string_view>& pieces) {
+  if (pieces.size() <= 1) {
+    return stable_hash(pieces.empty() ? std::string_view{} : pieces.front());
+  }
   const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> state{XXH64_createState(),
                                                                          &XXH64_freeState};
   XXH64_reset(state.get(), 0);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -378,15 +378,14 @@
       {"zinnia_links_half_open", "", this->links.state() == link_condition::half_open ? 1 : 0},
       {"zinnia_nodes_registered", "", static_cast<std::int64_t>(this->nodes.registered_count)},
       {"zinnia_nodes_serving", "", static_cast<std::int64_t>(this->nodes.serving.size())},
-      {"zinnia_memory_used_bytes", "",
-       this->options.memory ? static_cast<std::int64_t>(this->options.memory->used()) : 0},
-      {"zinnia_memory_limit_bytes", "",
-       this->options.memory ? static_cast<std::int64_t>(this->options.memory->max_used()) : 0},
-      {"zinnia_memory_shortages", "",
-       this->options.memory ? static_cast<std::int64_t>(this->options.memory->shortages()) : 0},
       {"zinnia_log_lines_dropped", "", static_cast<std::int64_t>(dropped_log_lines())},
       {"zinnia_config_version", "",
        this->current_snapshot ? static_cast<std::int64_t>(this->current_snapshot->version.count()) : 0}};
+  if (const auto* const memory = this->options.memory) {
+    values.push_back({"zinnia_memory_used_bytes", "", static_cast<std::int64_t>(memory->used())});
+    values.push_back({"zinnia_memory_limit_bytes", "", static_cast<std::int64_t>(memory->max_used())});
+    values.push_back({"zinnia_memory_shortages", "", static_cast<std::int64_t>(memory->shortages())});
+  }
   for (const auto& [service, limiter] : this->retry_limiters) {
     const auto used = limiter.usage(this->options.retry_budget, this->nodes.retry_sharers(), now);
     const auto labels = label("service", service.str());
--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -126,8 +126,9 @@
 
   void wait_readable();
   void read_available();
-  /// Parses what has been read and kept.
-  void parse_input();
+  /// Parses requests and keeps the rest.
+  /// \param data The kept input, or bytes that were read while there was none.
+  void parse_input(std::string_view data);
   /// Parses requests from `data` and removes from it what has been used.
   void parse(std::string_view& data);
   /// Keeps the part of the input that could not be parsed yet.
--- a/packages/http/include/zinnia/http/caller_exchange.hpp
+++ b/packages/http/include/zinnia/http/caller_exchange.hpp
@@ -30,7 +30,7 @@
     return this->request_body;
   }
   /// \brief Frees the body as soon as nobody else uses it; the request is not sent again.
-  void release_body() { this->request_body = std::make_shared<const body_buffer>(); }
+  void release_body();
   /// \brief The time at which the request's first byte was read.
   [[nodiscard]] time_point started_at() const noexcept { return this->started; }
   /// \brief The time at which the request's last byte was read.
--- a/packages/http/include/zinnia/http/http_listener.hpp
+++ b/packages/http/include/zinnia/http/http_listener.hpp
@@ -77,6 +77,8 @@
   /// Collects the connections that deserve it least.
   void find_evictable();
   void remove(const std::shared_ptr<caller_connection>& removed);
+  /// Tells the quota how many connections are open.
+  void report_open() noexcept;
   [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> current_connections() const;
   void sweep();
 
--- a/packages/http/include/zinnia/http/memory_budget.hpp
+++ b/packages/http/include/zinnia/http/memory_budget.hpp
@@ -58,11 +58,10 @@
 };
 
 /// \brief   A limit on memory, in bytes. Not thread-safe.
-/// \details Memory is charged when it is allocated. A part of the limit is closed to large requests and to
-/// all
-///          but the first request of a connection, so that ordinary callers are served beside them. When
-///          memory is short, the holder that has made no progress for the longest time frees its memory, if
-///          it has made none for `max_stall`.
+/// \details Memory is charged when it is allocated. A part of the limit is closed to large requests, and to
+///          all but the first request of a connection, so that ordinary callers are served beside them. When
+///          memory is short, the holder that has been without progress for the longest time frees its
+///          memory, if that time is long enough.
 class memory_budget {
  public:
   /// \brief A request that holds up to this many bytes is a small one.
--- a/packages/http/include/zinnia/http/message_parser.hpp
+++ b/packages/http/include/zinnia/http/message_parser.hpp
@@ -116,10 +116,8 @@
   [[nodiscard]] std::size_t body_size() const noexcept { return this->received_bytes; }
   /// \brief True if there was no memory for a part of the body, which is lost.
   [[nodiscard]] bool is_body_lost() const noexcept { return this->body_lost; }
-  /// \brief The memory that the head takes, in bytes.
-  [[nodiscard]] std::size_t head_memory() const noexcept {
-    return memory_of(this->collected_fields) + memory_of(this->parsed.fields);
-  }
+  /// \brief The memory that the head takes, in bytes, also while it is incomplete.
+  [[nodiscard]] std::size_t head_memory();
 
  protected:
   void on_request_impl(boost::beast::http::verb verb, text_view method, text_view target, int version,
@@ -133,6 +131,8 @@
  private:
   request_head parsed;
   body_buffer body;
+  // Of all fields of the head; 0 until they are complete.
+  std::size_t field_memory{0};
   std::size_t received_bytes{0};
   bool drops_body{false};
   bool body_lost{false};
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -1,7 +1,6 @@
 // Reads requests, orders responses and writes them on one caller's connection.
 #include "zinnia/http/caller_connection.hpp"
 
-#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <utility>
@@ -108,19 +107,16 @@
       this->request_started = this->last_activity;
     }
     if (this->input.empty()) {
-      std::string_view data{buffer.data(), bytes};
-      this->parse(data);
-      this->keep_input(data);
+      this->parse_input({buffer.data(), bytes});
     } else {
       this->input.append(buffer.data(), bytes);
-      this->parse_input();
+      this->parse_input(this->input);
     }
   }
   this->wait_readable();
 }
 
-void caller_connection::parse_input() {
-  std::string_view data{this->input};
+void caller_connection::parse_input(std::string_view data) {
   this->parse(data);
   this->keep_input(data);
 }
@@ -326,7 +322,7 @@
       }
     }
   }
-  this->parse_input();
+  this->parse_input(this->input);
   if (this->input_ended && !this->write_active && this->pending.empty()) {
     this->close_if_idle();
   }
--- a/packages/http/src/caller_connection_memory.cpp
+++ b/packages/http/src/caller_connection_memory.cpp
@@ -117,8 +117,7 @@
 connection_standing caller_connection::standing() {
   const auto now = this->clock.now();
   const bool is_lingering = this->phase == connection_phase::lingering;
-  const bool is_responding =
-      this->write_active || (is_lingering && unacknowledged_bytes(this->socket.native_handle()) > 0);
+  const bool is_responding = is_lingering ? this->has_undelivered_output() : this->write_active;
   if (this->phase == connection_phase::closed || (is_lingering && !is_responding)) {
     return connection_standing::answered;
   }
--- a/packages/http/src/caller_exchange.cpp
+++ b/packages/http/src/caller_exchange.cpp
@@ -37,6 +37,11 @@
       received{received_in},
       output_charge{this->connection->memory, &this->connection->unread_response} {}
 
+void caller_exchange::release_body() {
+  static const auto empty = std::make_shared<const body_buffer>();
+  this->request_body = empty;
+}
+
 void caller_exchange::respond(int status, const header_fields& fields, std::string_view text) {
   response_head head;
   head.status = status;
--- a/packages/http/src/connection_eviction.cpp
+++ b/packages/http/src/connection_eviction.cpp
@@ -33,6 +33,10 @@
 
 void http_listener::remove(const std::shared_ptr<caller_connection>& removed) {
   this->connections.erase(removed);
+  this->report_open();
+}
+
+void http_listener::report_open() noexcept {
   if (this->quota != nullptr) {
     this->quota->set_open(this->quota_share, this->connections.size());
   }
--- a/packages/http/src/http_listener.cpp
+++ b/packages/http/src/http_listener.cpp
@@ -101,9 +101,7 @@
     connection->drain();
   }
   this->connections.insert(connection);
-  if (this->quota != nullptr) {
-    this->quota->set_open(this->quota_share, this->connections.size());
-  }
+  this->report_open();
   connection->start();
 }
 
--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -14,10 +14,19 @@
   if (!this->collected_fields.empty()) {
     this->parsed.fields = std::move(this->collected_fields);
     this->collected_fields.clear();
+    this->field_memory = memory_of(this->parsed.fields);
   }
   return this->parsed;
 }
 
+std::size_t request_parser::head_memory() {
+  if (!this->is_header_done()) {
+    return memory_of(this->collected_fields);
+  }
+  static_cast<void>(this->head());
+  return this->field_memory;
+}
+
 request_head request_parser::take_head() {
   static_cast<void>(this->head());
   this->parsed.keep_alive = this->keep_alive();
--- a/packages/node/include/zinnia/node/node_settings.hpp
+++ b/packages/node/include/zinnia/node/node_settings.hpp
@@ -17,8 +17,14 @@
 
 namespace zinnia {
 
-/// \brief The memory limit of a node that is not told one, in bytes.
-inline constexpr std::size_t default_memory_limit = 256'000'000;
+/// \name Memory limits, in MB of `bytes_per_mb`
+/// \{
+inline constexpr std::size_t bytes_per_mb = 1'000'000;
+inline constexpr std::int64_t min_memory_mb = 64;
+inline constexpr std::int64_t max_memory_mb = 1'000'000;
+/// \brief That of a node that is not told one.
+inline constexpr std::size_t default_memory_mb = 256;
+/// \}
 
 /// \brief The validated settings of one node.
 struct node_settings {
@@ -46,7 +52,7 @@
 
   std::size_t max_descriptors{1024};
   /// The memory that the process may use, in bytes.
-  std::size_t memory_limit{default_memory_limit};
+  std::size_t memory_limit{default_memory_mb * bytes_per_mb};
   node_capacity capacity;
   retry_budget_settings retry_budget;
   /// Time from the stop signal until the process is killed.
--- a/packages/node/src/listener_limits.hpp
+++ b/packages/node/src/listener_limits.hpp
@@ -30,8 +30,7 @@
 
 /// \brief   The bytes that may arrive on a connection and not be read yet.
 /// \details All connections together may hold a sixth of the memory for callers so: that of the process, or
-/// of
-///          its machine if that has less, without a reserve for the program.
+///          of its machine if that has less, without a reserve for the program.
 [[nodiscard]] std::size_t receive_window(const node_settings& settings) noexcept;
 
 /// \brief   The memory that connections, requests and responses may take, in bytes.
