Fail a response without a length that is reset during the upload

What callers saw: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a socket reports a reset once. The write of the request met it, and backend_connection dropped the error because a response might be readable. All that the next read found was the end of the stream, which ends a response without a length.

Change: a failed write is remembered, and the end of the stream then ends the call as broken off. The end is judged one turn of the event loop later: a write that has met the reset may have its handler queued behind that of the read. An end without a failed write still completes such a response, also while the upload is being written.

Evidence: tests with a server that answers once it has the head. Chunks and a length held before, and keep their test.

--- a/packages/http/include/zinnia/http/backend_connection.hpp
+++ b/packages/http/include/zinnia/http/backend_connection.hpp
@@ -118,6 +118,8 @@
   [[nodiscard]] bool is_current_response(const response_head& head);
   /// True if the response could not be told from that to a later request if it came once more.
   [[nodiscard]] bool is_ambiguous_if_repeated() const noexcept;
+  /// Ends a call whose response has no length, and so ends with its connection.
+  void complete_at_end_of_stream();
   void complete_response(bool keeps_open);
   void fail(verdict outcome, reason failure_reason, bool is_refused = false);
   /// Closes the connection; if a call is in progress, with a reset.
@@ -139,6 +141,8 @@
   std::unique_ptr<response_parser> parser;
   std::string input;
   bool request_written{false};
+  // The connection has failed, so the end of its stream is not the end of a response.
+  bool write_failed{false};
   bool head_delivered{false};
   // The response being read belongs to an earlier request and is discarded.
   bool discarding_response{false};
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <vector>
@@ -75,6 +76,7 @@
   this->current = std::move(call);
   this->handler = &call_handler;
   this->request_written = false;
+  this->write_failed = false;
   this->any_byte_received = false;
   this->response_discarded = false;
   this->response_unnamed = false;
@@ -136,6 +138,7 @@
                                return;
                              }
                              if (ec) {
+                               self->write_failed = true;
                                // A response may already be readable, for example an early rejection.
                                if (!self->read_active) {
                                  self->fail(bytes == 0 ? verdict::did_not_run : verdict::may_have_run,
@@ -184,7 +187,10 @@
   }
   if (ec == boost::asio::error::eof && this->parser->is_header_done() && this->parser->need_eof() &&
       !this->discarding_response) {
-    this->complete_response(false);
+    // A socket reports a reset once. If a write has met it, the end of the stream is all that a read finds,
+    // and the write's handler may be queued behind this one.
+    boost::asio::post(this->socket.get_executor(),
+                      [self = this->shared_from_this()] { self->complete_at_end_of_stream(); });
     return;
   }
   if (ec || bytes == 0) {
@@ -291,6 +297,17 @@
   }
 }
 
+void backend_connection::complete_at_end_of_stream() {
+  if (this->phase != connection_phase::busy) {
+    return;
+  }
+  if (this->write_failed) {
+    this->fail(verdict::may_have_run, reason::reset_mid_answer);
+    return;
+  }
+  this->complete_response(false);
+}
+
 void backend_connection::complete_response(bool keeps_open) {
   if (!this->deliver_head()) {
     return;
--- /dev/null
+++ b/packages/http/tests/broken_response_test.cpp
@@ -0,0 +1,107 @@
+// Responses that break off: none of them is a complete response to its request.
+#include "backend_connection_fixture.hpp"
+#include "standins/scripted_tcp_server.hpp"
+
+using namespace zinnia;
+using namespace zinnia::testing_support;
+using standins::response_time;
+using standins::scripted_response;
+using standins::scripted_tcp_server;
+
+namespace {
+
+/// More than the buffers of both sockets take, so that a part is still being written when the response comes.
+constexpr std::size_t upload_bytes = 16 << 20;
+constexpr std::size_t early_body_bytes = 20'000;
+/// Which handler finds a reset first, that of the read or that of the write, varies from run to run.
+constexpr int runs_per_case = 12;
+
+class broken_response : public backend_connection_test {
+ protected:
+  /// Sends a long upload to a server that responds as soon as it has the head.
+  std::unique_ptr<recording_handler> upload(const scripted_response& response) {
+    const scripted_tcp_server server{[&](int) { return response; }, std::nullopt, response_time::after_head};
+    auto request = make_call();
+    body_buffer body;
+    static_cast<void>(body.try_append(std::string(upload_bytes, 'u')));
+    request.bytes =
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(upload_bytes) + "\r\n\r\n";
+    request.body = std::make_shared<const body_buffer>(std::move(body));
+    const auto connection = this->connect(server.port());
+    auto handler = this->run_call(*connection, std::move(request));
+    EXPECT_FALSE(connection->is_reusable(this->clock.now()));
+    connection->cancel();
+    return handler;
+  }
+};
+
+const std::string early_body(early_body_bytes, 'd');
+
+TEST_F(broken_response, a_reset_during_an_upload_does_not_complete_a_response_without_a_length) {
+  for (const std::string version : {"1.1", "1.0"}) {
+    for (const int reset_after_ms : {0, 5, 50}) {
+      scripted_response response{"HTTP/" + version + " 200 OK\r\nRequest-Id: r1\r\n\r\n" + early_body};
+      response.reset = true;
+      response.close_delay_ms = reset_after_ms;
+      for (int run = 0; run < runs_per_case; ++run) {
+        const auto handler = this->upload(response);
+        ASSERT_TRUE(handler->end) << version << " " << reset_after_ms;
+        EXPECT_FALSE(handler->end->complete) << version << " " << reset_after_ms;
+        EXPECT_EQ(handler->end->outcome, verdict::may_have_run) << version << " " << reset_after_ms;
+      }
+    }
+  }
+}
+
+TEST_F(broken_response, a_reset_does_not_complete_it_while_the_server_reads_the_upload) {
+  scripted_response response{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n" + early_body};
+  response.reset = true;
+  for (std::size_t read_bytes = 1; read_bytes < upload_bytes; read_bytes *= 4) {
+    response.read_bytes = read_bytes;
+    for (int run = 0; run < runs_per_case; ++run) {
+      const auto handler = this->upload(response);
+      ASSERT_TRUE(handler->end) << read_bytes;
+      EXPECT_FALSE(handler->end->complete) << read_bytes;
+    }
+  }
+}
+
+TEST_F(broken_response, a_reset_during_an_upload_does_not_complete_chunks_or_a_length) {
+  for (const std::string framing :
+       {"Transfer-Encoding: chunked\r\n\r\n8000\r\n", "Content-Length: 30000\r\n\r\n"}) {
+    scripted_response response{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + framing + early_body};
+    response.reset = true;
+    for (int run = 0; run < runs_per_case; ++run) {
+      const auto handler = this->upload(response);
+      ASSERT_TRUE(handler->end) << framing;
+      EXPECT_FALSE(handler->end->complete) << framing;
+    }
+  }
+}
+
+TEST_F(broken_response, a_response_without_a_length_that_ends_during_an_upload_is_complete) {
+  scripted_response response{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n" + early_body};
+  response.half_close = true;
+  for (const int close_after_ms : {0, 5, 50}) {
+    response.close_delay_ms = close_after_ms;
+    for (int run = 0; run < runs_per_case; ++run) {
+      const auto handler = this->upload(response);
+      ASSERT_TRUE(handler->end) << close_after_ms;
+      EXPECT_TRUE(handler->end->complete) << close_after_ms;
+      EXPECT_EQ(handler->body, early_body) << close_after_ms;
+    }
+  }
+}
+
+TEST_F(broken_response, a_response_with_a_length_is_complete_even_if_a_reset_follows) {
+  scripted_response response{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 20000\r\n\r\n" +
+                             early_body};
+  response.reset = true;
+  response.close_delay_ms = 50;
+  const auto handler = this->upload(response);
+  ASSERT_TRUE(handler->end);
+  EXPECT_TRUE(handler->end->complete);
+  EXPECT_EQ(handler->body, early_body);
+}
+
+}  // namespace
--- a/standins/scripted_tcp_server.cpp
+++ b/standins/scripted_tcp_server.cpp
@@ -7,8 +7,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <cstdlib>
+#include <limits>
 
 namespace zinnia::standins {
 namespace impl {
@@ -31,12 +34,28 @@
   setsockopt(connection, SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
 }
 
-/// Returns the length of the first request including its body, or 0 if its head is incomplete.
-[[nodiscard]] std::size_t request_length(const std::string& bytes) {
+/// Reads that many bytes, or until the peer closes.
+void discard(int connection, std::size_t bytes, const std::atomic<bool>& stopping) {
+  char discarded[4096];
+  while (bytes > 0 && wait_readable(connection, stopping)) {
+    const auto count = ::recv(connection, discarded, std::min(bytes, sizeof discarded), 0);
+    if (count <= 0) {
+      return;
+    }
+    bytes -= static_cast<std::size_t>(count);
+  }
+}
+
+/// Returns the length of the part of the first request that precedes the response, or 0 if the head is
+/// incomplete.
+[[nodiscard]] std::size_t request_length(const std::string& bytes, response_time when) {
   const auto head_end = bytes.find("\r\n\r\n");
   if (head_end == std::string::npos) {
     return 0;
   }
+  if (when == response_time::after_head) {
+    return head_end + 4;
+  }
   const std::string length_field_name = "Content-Length: ";
   const auto field_start = bytes.find(length_field_name);
   const auto body_length =
@@ -50,8 +69,9 @@
 }  // namespace impl
 
 scripted_tcp_server::scripted_tcp_server(std::function<scripted_response(int)> script_in,
-                                         std::optional<scripted_response> health_response_in)
-    : script{std::move(script_in)}, health_response{std::move(health_response_in)} {
+                                         std::optional<scripted_response> health_response_in,
+                                         response_time response_time_in)
+    : script{std::move(script_in)}, health_response{std::move(health_response_in)}, when{response_time_in} {
   this->listening_socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -100,7 +120,7 @@
 void scripted_tcp_server::serve(int connection) {
   std::string bytes;
   while (true) {
-    std::size_t length = impl::request_length(bytes);
+    std::size_t length = impl::request_length(bytes, this->when);
     while (length == 0 || bytes.size() < length) {
       char chunk[4096];
       const bool readable = impl::wait_readable(connection, this->stopping);
@@ -109,7 +129,7 @@
         return;
       }
       bytes.append(chunk, static_cast<std::size_t>(received_bytes));
-      length = impl::request_length(bytes);
+      length = impl::request_length(bytes, this->when);
     }
     const bool is_health_check = this->health_response && bytes.starts_with("GET /health ");
     bytes.erase(0, length);
@@ -119,15 +139,53 @@
       this->crash();
       return;
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds{response.delay_ms});
-    ::send(connection, response.reply.data(), response.reply.size(), MSG_NOSIGNAL);
-    if (response.reset) {
-      impl::reset_on_close(connection);
-    }
+    this->send_response(connection, response);
     if (!response.keep_open) {
       return;
     }
   }
 }
 
+void scripted_tcp_server::send_response(int connection, const scripted_response& response) {
+  std::this_thread::sleep_for(std::chrono::milliseconds{response.delay_ms});
+  bool is_connected = this->send_all(connection, response.reply);
+  if (!response.repeated.empty()) {
+    constexpr std::size_t block_bytes = 16 << 10;
+    std::string block;
+    while (block.size() < block_bytes) {
+      block += response.repeated;
+    }
+    for (std::size_t sent = 0; is_connected && sent < max_repeated_bytes; sent += block.size()) {
+      is_connected = this->send_all(connection, block);
+    }
+  }
+  impl::discard(connection, response.read_bytes, this->stopping);
+  std::this_thread::sleep_for(std::chrono::milliseconds{response.close_delay_ms});
+  if (response.half_close) {
+    ::shutdown(connection, SHUT_WR);
+    impl::discard(connection, std::numeric_limits<std::size_t>::max(), this->stopping);
+  }
+  if (response.reset) {
+    impl::reset_on_close(connection);
+  }
+}
+
+bool scripted_tcp_server::send_all(int connection, const std::string& bytes) {
+  std::size_t sent = 0;
+  while (sent < bytes.size() && !this->stopping) {
+    pollfd poll_entry{connection, POLLOUT, 0};
+    if (poll(&poll_entry, 1, impl::poll_interval_ms) <= 0) {
+      continue;
+    }
+    const auto count =
+        ::send(connection, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count < 0 && errno != EAGAIN) {
+      return false;
+    }
+    sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+    this->sent_byte_count += count > 0 ? static_cast<std::size_t>(count) : 0;
+  }
+  return sent == bytes.size();
+}
+
 }  // namespace zinnia::standins
