Refuse responses whose status is outside 100 to 599

What callers saw: a backend server in trouble sent the status 000, and the caller got a response with status 0; likewise 600 and 999. With a length, 000 left the caller waiting until its deadline; with a sound response behind it, the caller got that one with 000's body in front.

Cause: every status below 200 counted as an interim response. 000 is none: it may have a body, which went into the body of the response after it, and an end of the stream completed it. Statuses from 600 on were not looked at.

Change: the parser of responses takes such a status as malformed, and 101 too, as no request asks for a switch and what follows one is no HTTP. The request has then ended without a response at once, with the verdict may-have-run. It holds for backend servers, health checks and forwarded requests, which all use this parser. Statuses from 200 to 599 that nobody has defined stay responses.

--- a/packages/gateway/tests/gateway_fixture.hpp
+++ b/packages/gateway/tests/gateway_fixture.hpp
@@ -41,6 +41,7 @@
     field_names.expected_backend = "Expected";
     field_names.did_not_run = "Not-Run";
     field_names.response_stamp = "Stamp";
+    field_names.backend_id = "Instance-Id";
     field_names.backend_leaving = "Leaving";
     gateway_options options;
     options.self = node_id{"n"};
--- a/packages/http/include/zinnia/http/message_parser.hpp
+++ b/packages/http/include/zinnia/http/message_parser.hpp
@@ -138,7 +138,9 @@
   bool body_lost{false};
 };
 
-/// \brief Parses one response and passes its body to a sink piece by piece.
+/// \brief   Parses one response and passes its body to a sink piece by piece.
+/// \details A status outside 100 to 599 makes it malformed: it says neither if a body follows nor how the
+///          request ended.
 class response_parser final : public impl::collecting_parser<false> {
  public:
   using body_sink = std::function<void(std::string_view)>;
--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -2,6 +2,15 @@
 #include "zinnia/http/message_parser.hpp"
 
 namespace zinnia {
+namespace impl {
+namespace {
+
+constexpr int min_status = 100;
+constexpr int status_switching_protocols = 101;
+constexpr int max_status = 599;
+
+}  // namespace
+}  // namespace impl
 
 void request_parser::on_request_impl(boost::beast::http::verb /*verb*/, text_view method, text_view target,
                                      int version, error_code& /*ec*/) {
@@ -33,7 +42,12 @@
   return std::move(this->parsed);
 }
 
-void response_parser::on_response_impl(int status, text_view reason, int /*version*/, error_code& /*ec*/) {
+void response_parser::on_response_impl(int status, text_view reason, int /*version*/, error_code& ec) {
+  // No request asks for another protocol, and what follows a switch to one is not HTTP.
+  if (status < impl::min_status || status > impl::max_status || status == impl::status_switching_protocols) {
+    ec = boost::beast::http::error::bad_status;
+    return;
+  }
   this->received.status = status;
   this->received.reason_phrase = std::string{reason};
 }
--- a/packages/http/tests/broken_response_test.cpp
+++ b/packages/http/tests/broken_response_test.cpp
@@ -1,4 +1,4 @@
-// Responses that break off: none of them is a complete response to its request.
+// Responses that break off or are no HTTP: none of them is a complete response to its request.
 #include "backend_connection_fixture.hpp"
 #include "standins/scripted_tcp_server.hpp"
 
@@ -33,6 +33,17 @@
     connection->cancel();
     return handler;
   }
+  /// Sends a request to a server whose response is `bytes`.
+  std::unique_ptr<recording_handler> read(const std::string& bytes, bool keep_open) {
+    this->response = {bytes, keep_open};
+    const auto connection = this->connect(this->server.port());
+    auto handler = this->run_call(*connection);
+    connection->cancel();
+    return handler;
+  }
+
+  scripted_response response;
+  scripted_tcp_server server{[this](int) { return this->response; }};
 };
 
 const std::string early_body(early_body_bytes, 'd');
@@ -104,4 +115,81 @@
   EXPECT_EQ(handler->body, early_body);
 }
 
+TEST_F(broken_response, a_status_outside_100_to_599_is_no_response) {
+  const std::string sound = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\ngood";
+  for (const std::string status :
+       {"000", "001", "099", "600", "999", "00", "20", "2000", "-01", "2 0", "abc", ""}) {
+    const std::string head = "HTTP/1.1 " + status + " X\r\nRequest-Id: r1\r\n";
+    for (const std::string& rest : {std::string{"\r\ndata"}, std::string{"Content-Length: 4\r\n\r\ndata"},
+                                    std::string{"Content-Length: 0\r\n\r\n"},
+                                    std::string{"Transfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n0\r\n\r\n"},
+                                    "Content-Length: 4\r\n\r\ndata" + sound, "\r\n" + sound}) {
+      for (const bool keep_open : {false, true}) {
+        const auto handler = this->read(head + rest, keep_open);
+        ASSERT_TRUE(handler->end) << head << rest;
+        EXPECT_FALSE(handler->end->complete) << head << rest;
+        EXPECT_EQ(handler->end->outcome, verdict::may_have_run) << head << rest;
+        EXPECT_EQ(handler->status, 0) << head << rest;
+        EXPECT_EQ(handler->body, "") << head << rest;
+      }
+    }
+  }
+}
+
+TEST_F(broken_response, statuses_that_nobody_has_defined_are_responses) {
+  for (const std::string status : {"299", "499", "599"}) {
+    const auto handler =
+        this->read("HTTP/1.1 " + status + " X\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\ndata", true);
+    ASSERT_TRUE(handler->end) << status;
+    EXPECT_TRUE(handler->end->complete) << status;
+    EXPECT_EQ(std::to_string(handler->status), status);
+    EXPECT_EQ(handler->body, "data") << status;
+  }
+}
+
+TEST_F(broken_response, an_interim_response_has_no_body) {
+  const std::string sound = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\ngood";
+  const auto handler = this->read("HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\n" + sound, true);
+  ASSERT_TRUE(handler->end);
+  EXPECT_TRUE(handler->end->complete);
+  EXPECT_EQ(handler->body, "good");
+  for (const std::string& bytes :
+       {std::string{"HTTP/1.1 103 X\r\n\r\n"}, "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\ndata" + sound,
+        std::string{"HTTP/1.1 101 X\r\n\r\ndata"}, "HTTP/1.1 101 X\r\n\r\n" + sound}) {
+    const auto broken = this->read(bytes, false);
+    ASSERT_TRUE(broken->end) << bytes;
+    EXPECT_FALSE(broken->end->complete) << bytes;
+    EXPECT_EQ(broken->status, 0) << bytes;
+    EXPECT_EQ(broken->body, "") << bytes;
+  }
+}
+
+TEST_F(broken_response, a_field_whose_name_is_no_token_makes_the_head_none) {
+  std::vector<std::string> lines{"Bad Name: 1", "Bad\tName: 1", "Name : 1", "Name\t: 1", ": 1",
+                                 "Name",        "(Name): 1",    "Na/me: 1", "Na\"me: 1", "Name\r: 1"};
+  for (int byte = 0; byte < 256; ++byte) {
+    if (byte <= ' ' || byte >= 127) {
+      lines.push_back("Na" + std::string(1, static_cast<char>(byte)) + "me: 1");
+    }
+  }
+  for (const std::string framing : {"Content-Length", "Transfer-Encoding"}) {
+    const std::string value = framing == "Content-Length" ? ": 4" : ": chunked";
+    for (const std::string blank : {" ", "\t", "\x01"}) {
+      lines.push_back(framing + blank + value);
+      lines.push_back(blank + framing + value);
+      lines.push_back(framing.substr(0, 3) + blank + framing.substr(3) + value);
+    }
+  }
+  for (const auto& line : lines) {
+    for (const std::string& rest : {std::string{"\r\ndata"}, std::string{"Content-Length: 4\r\n\r\ndata"}}) {
+      const std::string bytes = "HTTP/1.1 200 OK\r\n" + line + "\r\nRequest-Id: r1\r\n" + rest;
+      const auto handler = this->read(bytes, false);
+      ASSERT_TRUE(handler->end) << bytes;
+      EXPECT_FALSE(handler->end->complete) << testing::PrintToString(bytes);
+      EXPECT_EQ(handler->status, 0) << testing::PrintToString(bytes);
+      EXPECT_EQ(handler->body, "") << testing::PrintToString(bytes);
+    }
+  }
+}
+
 }  // namespace
