Take no broken head for an answer of the store or of another node

What callers saw: nothing directly. A node took a head that is none for the store's or another node's answer: a status of 600 or 999, a field's name with a blank, a control byte or a byte over 127, and a head that breaks off before its blank line. A write to the store counted as done by such a 200; a body could have another length than the sender's.

Cause: libcurl passes all of that on, and our two clients looked at the status only. The status 000 looked like "no response", but without a reason.

Change: response_collector, which both clients share in place of two copies of the callbacks, refuses a field whose name is no token, a head without its blank line and a final status outside 200 to 599. The call then fails like one that got no response, with the reason in its log line. A folded line continues the value before it; one with a colon used to count as a field.

--- a/packages/store/src/async_http_client.cpp
+++ b/packages/store/src/async_http_client.cpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "zinnia/core/tcp_timeouts.hpp"
-#include "zinnia/store/http_headers.hpp"
 #include "zinnia/store/http_upload.hpp"
+#include "zinnia/store/response_collector.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -28,18 +28,13 @@
 struct running_call {
   async_http_client::call_id id{0};
   CURL* handle{nullptr};
-  http_response response;
+  response_collector response;
   std::string body;
   http_upload upload;
   std::unique_ptr<curl_slist, header_list_deleter> headers;
   async_http_client::callback done;
 };
 
-std::size_t append_body(char* data, std::size_t size, std::size_t count, void* target) {
-  static_cast<std::string*>(target)->append(data, size * count);
-  return size * count;
-}
-
 int set_socket_options(void* /*context*/, curl_socket_t descriptor, curlsocktype /*purpose*/) {
   // Errors are ignored: without these options a dead connection is still detected by the call's timeout.
   const auto unacknowledged_ms = static_cast<int>(tcp_user_timeout.ms);
@@ -79,15 +74,10 @@
     }
     auto call = std::move(found->second);
     this->calls.erase(found);
-    if (code == CURLE_OK) {
-      curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &call->response.status);
-    } else {
-      call->response.failure_reason = curl_easy_strerror(code);
-      call->response.never_connected = code == CURLE_COULDNT_CONNECT;
-    }
+    const auto response = call->response.take(handle, code);
     curl_multi_remove_handle(this->multi, handle);
     curl_easy_cleanup(handle);
-    call->done(call->response);
+    call->done(response);
   }
 };
 
@@ -117,9 +107,7 @@
   curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, impl::set_socket_options);
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, impl::connect_timeout_ms);
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.ms));
-  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, impl::append_body);
-  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &running->response.body);
-  collect_headers(handle, running->response.headers);
+  running->response.attach(handle);
   running->upload = {&running->body, 0};
   if (call.method != "GET") {
     set_upload(handle, call.method, running->upload, false);
--- a/packages/store/src/http_call.cpp
+++ b/packages/store/src/http_call.cpp
@@ -7,8 +7,8 @@
 #include <cctype>
 #include <memory>
 
-#include "zinnia/store/http_headers.hpp"
 #include "zinnia/store/http_upload.hpp"
+#include "zinnia/store/response_collector.hpp"
 
 namespace zinnia {
 namespace impl {
@@ -27,16 +27,10 @@
   return handle.get();
 }
 
-std::size_t append_body(char* data, std::size_t size, std::size_t count, void* target) {
-  static_cast<std::string*>(target)->append(data, size * count);
-  return size * count;
-}
-
 }  // namespace
 }  // namespace impl
 
 http_response perform(const http_call& call) {
-  http_response response;
   CURL* const handle = impl::thread_handle();
   std::unique_ptr<curl_slist, impl::header_list_deleter> headers{curl_slist_append(nullptr, "Expect:")};
   for (const auto& header : call.headers) {
@@ -47,21 +41,14 @@
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.ms));
-  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, impl::append_body);
-  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
-  collect_headers(handle, response.headers);
+  response_collector response;
+  response.attach(handle);
   http_upload upload{&call.body, 0};
   if (call.method != "GET") {
     set_upload(handle, call.method, upload, false);
   }
   const CURLcode code = curl_easy_perform(handle);
-  if (code != CURLE_OK) {
-    response.failure_reason = curl_easy_strerror(code);
-    response.never_connected = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
-    return response;
-  }
-  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &response.status);
-  return response;
+  return response.take(handle, code);
 }
 
 std::string url_escape(const std::string& text) {
