Bound what a node keeps of an answer of the store or of another node

What callers saw: if the store answers every call with a body without end, the node keeps all of it until the machine has no memory left, and the requests of all its callers end with it.

Cause: both HTTP clients appended whatever came to the body, and every field's value to the headers, until the call's timeout.

Change: response_collector ends a call whose body exceeds 4 MiB (a page of a list has about 1 MB), whose header lines exceed 64 KiB, trailers included, or for which the bodies of all calls of a node exceed 8 MiB. Changes that are too long for one answer are had as a list, after the longest pause, so that a watch is not repeated until the store forgets its history.

Heads, interim answers and bytes that are no HTTP were bounded before, and keep their test.

--- a/apps/zinniad/tests/node_under_load.cpp
+++ b/apps/zinniad/tests/node_under_load.cpp
@@ -73,13 +73,19 @@
   this->process = std::make_unique<soak::node_process>(options);
   std::ofstream{options.settings_file} << this->settings_text();
   this->process->start();
+  this->measured = std::make_unique<process_usage>(this->process->process_id(), this->ports().ip);
+  if (this->limits.faulty_store_port == 0) {
+    this->wait_until_ready();
+  }
+}
+
+void node_under_load::wait_until_ready() const {
   const auto end = std::chrono::steady_clock::now() + impl::patience;
   while (std::chrono::steady_clock::now() < end &&
          impl::exchange(this->ports().ip, this->ports().readiness_port,
                         "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n", "", 0, "") != 200) {
     std::this_thread::sleep_for(impl::pause_between_tries);
   }
-  this->measured = std::make_unique<process_usage>(this->process->process_id(), this->ports().ip);
 }
 
 node_under_load::~node_under_load() {
@@ -192,7 +198,8 @@
 historyS = 20
 )",
       ports.ip, ports.peer_port, ports.peer_port + 3, ports.caller_port, ports.readiness_port,
-      ports.directory_port, this->limits.memory_mb, this->limits.max_descriptors, this->store_server->port());
+      ports.directory_port, this->limits.memory_mb, this->limits.max_descriptors,
+      this->limits.faulty_store_port == 0 ? this->store_server->port() : this->limits.faulty_store_port);
 }
 
 }  // namespace zinnia::testing_support
--- a/apps/zinniad/tests/node_under_load.hpp
+++ b/apps/zinniad/tests/node_under_load.hpp
@@ -17,9 +17,11 @@
   int memory_mb{160};
   int max_descriptors{1024};
   std::uint64_t max_body_bytes{8 << 20};
+  /// The port of a store that is in trouble; 0 for a sound one.
+  std::uint16_t faulty_store_port{0};
 };
 
-/// \brief   Starts the process and waits until it is ready.
+/// \brief   Starts the process and waits until it is ready, unless its store is in trouble.
 /// \details Routes of the host h: /up/ (unsafe), /get/ (safe) and /big/ (safe, with responses of 150,000
 ///          bytes).
 class node_under_load {
@@ -52,6 +54,7 @@
  private:
   [[nodiscard]] standins::server_response respond(const standins::server_request& request) const;
   [[nodiscard]] std::string settings_text() const;
+  void wait_until_ready() const;
 
   load_limits limits;
   standins::platform_store store;
--- a/packages/store/include/zinnia/store/http_call.hpp
+++ b/packages/store/include/zinnia/store/http_call.hpp
@@ -28,7 +28,9 @@
   std::string body;
   /// True if the connection failed, so that no byte of the request can have reached the server.
   bool never_connected{false};
-  /// libcurl's description of the error; empty if a complete response arrived.
+  /// True if the body was longer than that of a response may be (`max_response_body_bytes`).
+  bool too_long{false};
+  /// Why there is no response; empty if a complete one arrived.
   std::string failure_reason;
 };
 
--- a/packages/store/include/zinnia/store/object_feed.hpp
+++ b/packages/store/include/zinnia/store/object_feed.hpp
@@ -41,6 +41,8 @@
   history_gone,
   /// The call was refused, was cut off or got no response.
   failed,
+  /// The response was too long. The changes can be had as a list, which has pages.
+  too_long,
 };
 
 /// \brief A change of an object.
--- a/packages/store/src/async_http_client.cpp
+++ b/packages/store/src/async_http_client.cpp
@@ -25,7 +25,12 @@
   void operator()(curl_slist* list) const noexcept { curl_slist_free_all(list); }
 };
 
+/// Of the bodies of all calls that are running, in bytes. A node lists a few kinds of objects at a time.
+constexpr std::size_t max_total_body_bytes = 2 * max_response_body_bytes;
+
 struct running_call {
+  explicit running_call(body_budget& budget) : response{&budget} {}
+
   async_http_client::call_id id{0};
   CURL* handle{nullptr};
   response_collector response;
@@ -50,6 +55,8 @@
 
 struct async_http_client::state {
   CURLM* multi{curl_multi_init()};
+  // Outlives the calls.
+  body_budget bodies{impl::max_total_body_bytes};
   std::map<call_id, std::unique_ptr<impl::running_call>> calls;
   call_id next_id{1};
 
@@ -86,7 +93,7 @@
 async_http_client::~async_http_client() = default;
 
 async_http_client::call_id async_http_client::start(const http_call& call, callback done) {
-  auto running = std::make_unique<impl::running_call>();
+  auto running = std::make_unique<impl::running_call>(this->impl_state->bodies);
   running->id = this->impl_state->next_id++;
   running->handle = curl_easy_init();
   running->body = call.body;
--- a/packages/store/src/object_feed.cpp
+++ b/packages/store/src/object_feed.cpp
@@ -7,6 +7,14 @@
 #include "zinnia/store/store_era.hpp"
 
 namespace zinnia {
+namespace impl {
+namespace {
+
+/// After these a pause has its full length.
+constexpr int max_backoff_doublings = 10;
+
+}  // namespace
+}  // namespace impl
 
 object_feed::object_feed(feed_timing timing_in, std::uint64_t seed)
     : timing{timing_in}, random_state{seed | 1U} {}
@@ -51,9 +59,9 @@
 
 void object_feed::schedule_retry(time_point now) {
   ++this->consecutive_failures;
-  constexpr int max_doublings = 10;
-  const auto backoff = this->timing.initial_backoff *
-                       (std::int64_t{1} << std::min(this->consecutive_failures - 1, max_doublings));
+  const auto backoff =
+      this->timing.initial_backoff *
+      (std::int64_t{1} << std::min(this->consecutive_failures - 1, impl::max_backoff_doublings));
   const auto pause = std::min(backoff, this->timing.max_backoff);
   // Multiplies the pause by a random factor between 70 and 130 percent, drawn with xorshift.
   this->random_state ^= this->random_state << 13U;
@@ -68,6 +76,13 @@
 
 void object_feed::on_reply(const feed_reply& reply, time_point now) {
   this->call_in_flight = false;
+  if (reply.status == feed_status::too_long) {
+    // Lists cost the store more than watches, so the longest pause comes before each.
+    this->begin_list();
+    this->consecutive_failures = impl::max_backoff_doublings;
+    this->schedule_retry(now);
+    return;
+  }
   if (reply.status == feed_status::failed) {
     this->schedule_retry(now);
     return;
--- a/packages/store/src/response_collector.cpp
+++ b/packages/store/src/response_collector.cpp
@@ -13,6 +13,8 @@
 
 constexpr long min_final_status = 200;
 constexpr long max_status = 599;
+/// Of a response's heads and trailers together, in bytes.
+constexpr std::size_t max_header_bytes = 64 << 10;
 constexpr std::string_view status_line_start = "HTTP/";
 
 /// Returns true for the characters of a field name (RFC 9110, 5.6.2).
@@ -49,6 +51,7 @@
     return std::move(this->received);
   }
   http_response none;
+  none.too_long = this->received.too_long;
   none.failure_reason = this->defect.empty() ? curl_easy_strerror(code) : this->defect;
   none.never_connected = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
   return none;
@@ -61,11 +64,42 @@
 }
 
 std::size_t response_collector::on_body(char* data, std::size_t size, std::size_t count, void* target) {
-  static_cast<response_collector*>(target)->received.body.append(data, size * count);
-  return size * count;
+  auto& collector = *static_cast<response_collector*>(target);
+  return collector.add_body({data, size * count}) ? size * count : 0;
+}
+
+bool response_collector::add_body(std::string_view piece) {
+  auto& body = this->received.body;
+  this->received.too_long = body.size() + piece.size() > max_response_body_bytes;
+  if (this->received.too_long) {
+    this->defect = "a body of more than " + std::to_string(max_response_body_bytes) + " bytes";
+    return false;
+  }
+  if (this->shared_budget != nullptr) {
+    if (this->shared_budget->used + piece.size() > this->shared_budget->limit) {
+      this->defect =
+          "bodies of all calls of more than " + std::to_string(this->shared_budget->limit) + " bytes";
+      return false;
+    }
+    this->shared_budget->used += piece.size();
+    this->budget_used += piece.size();
+  }
+  body.append(piece);
+  return true;
+}
+
+void response_collector::release_budget() noexcept {
+  if (this->shared_budget != nullptr) {
+    this->shared_budget->used -= std::exchange(this->budget_used, 0);
+  }
 }
 
 bool response_collector::add_header_line(std::string_view line) {
+  this->header_bytes += line.size();
+  if (this->header_bytes > impl::max_header_bytes) {
+    this->defect = "header lines of more than " + std::to_string(impl::max_header_bytes) + " bytes";
+    return false;
+  }
   line = line.substr(0, line.find_last_not_of("\r\n") + 1);
   const bool is_status_line = line.starts_with(impl::status_line_start);
   if (line.empty() || is_status_line) {
--- a/packages/store/tests/broken_response_test.cpp
+++ b/packages/store/tests/broken_response_test.cpp
@@ -1,6 +1,8 @@
-// Bytes that are no response: both HTTP clients report that there was none.
+// Bytes that are no response, or none that ends: both HTTP clients report that there was no response, and
+// keep little of it.
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <vector>
@@ -112,7 +114,38 @@
   }
 }
 
-TEST_P(broken_response, sound_responses_are_read) {
+TEST_P(broken_response, bytes_without_end_are_hardly_read) {
+  struct endless_case {
+    const char* name;
+    std::string begin;
+    std::string repeated;
+    bool is_body{true};
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  // What is read before a bound applies, and what the sockets hold.
+  constexpr std::size_t max_sent_bytes = 16 << 20;
+  for (const auto& each : std::vector<endless_case>{
+           {"body without a length", ok + "\r\n", "data"},
+           {"body with a length", ok + "Content-Length: 1000000000\r\n\r\n", "data"},
+           {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\ndata\r\n"},
+           {"one chunk", ok + "Transfer-Encoding: chunked\r\n\r\n3fffffff\r\n", "data"},
+           {"body of a failure", "HTTP/1.1 503 X\r\n\r\n", "data"},
+           {"fields", ok, "Name: value\r\n", false},
+           {"field", ok + "Name: ", "value", false},
+           {"interim responses", "", "HTTP/1.1 103 X\r\nName: value\r\n\r\n", false},
+           {"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n", false},
+           {"no HTTP", "", "data", false}}) {
+    const scripted_tcp_server server{
+        [&](int) { return scripted_response{each.begin, false, 0, false, false, each.repeated}; }};
+    const auto response = this->perform_call(server);
+    expect_none(response, each.name);
+    EXPECT_EQ(response.body.capacity(), std::string{}.capacity()) << each.name;
+    EXPECT_EQ(response.too_long, each.is_body) << each.name;
+    EXPECT_LE(server.sent_bytes(), max_sent_bytes) << each.name;
+  }
+}
+
+TEST_P(broken_response, a_page_of_the_largest_size_is_read) {
   // A list has pages of about 1 MB.
   const std::string body(2 << 20, 'd');
   for (const auto& framing :
@@ -125,6 +158,46 @@
   }
 }
 
+TEST(async_http_client, calls_share_the_memory_for_bodies) {
+  const std::string part(3 << 20, 'd');
+  std::atomic<bool> ends{false};
+  const scripted_tcp_server server{[&](int) {
+    const std::string length = ends ? std::to_string(part.size()) : "4000000";
+    return scripted_response{"HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + part, true};
+  }};
+  async_http_client client;
+  http_call call;
+  call.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/x";
+  call.timeout = duration{20'000};
+  std::vector<http_response> received;
+  const auto record = [&](const http_response& response) { received.push_back(response); };
+  const auto wait_for = [&](std::size_t count) {
+    for (int i = 0; i < 200 && received.size() < count; ++i) {
+      client.wait(duration{50}, -1);
+    }
+    ASSERT_EQ(received.size(), count);
+  };
+  std::vector<async_http_client::call_id> calls;
+  for (int i = 0; i < 3; ++i) {
+    calls.push_back(client.start(call, record));
+  }
+  wait_for(1);
+  EXPECT_EQ(received.back().status, 0);
+  EXPECT_NE(received.back().failure_reason.find("8388608"), std::string::npos)
+      << received.back().failure_reason;
+  EXPECT_FALSE(received.back().too_long) << "it might have been had alone";
+  for (const auto id : calls) {
+    client.cancel(id);
+  }
+  ends = true;
+  for (std::size_t i = 2; i < 6; ++i) {
+    client.start(call, record);
+    wait_for(i);
+    EXPECT_EQ(received.back().status, 200) << received.back().failure_reason;
+    EXPECT_EQ(received.back().body.size(), part.size());
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(clients, broken_response,
                          testing::Values(client_kind::blocking, client_kind::async));
 
--- a/packages/store/tests/object_feed_test.cpp
+++ b/packages/store/tests/object_feed_test.cpp
@@ -162,6 +162,23 @@
       << "the pause is back to the initial one";
 }
 
+TEST_F(object_feed_test, lists_after_the_longest_pause_if_the_changes_are_too_long_for_one_response) {
+  this->complete_list({object("a", 5), object("gone", 4)}, 5);
+  static_cast<void>(this->feed.take_changes());
+  for (const std::int64_t version : {8, 9}) {
+    EXPECT_EQ(this->request_call().call_type, feed_call::type::watch);
+    this->respond(feed_status::too_long);
+    EXPECT_TRUE(this->feed.is_failing());
+    EXPECT_GE((this->feed.next_call_at() - this->now).ms, feed_timing{}.max_backoff.ms * 7 / 10);
+    EXPECT_EQ(this->feed.objects().size(), version == 8 ? 2U : 1U)
+        << "what is known stays until it is listed";
+    this->now = this->feed.next_call_at();
+    EXPECT_EQ(this->request_call().call_type, feed_call::type::list);
+    this->respond_list({object("a", version)}, version);
+    EXPECT_EQ(this->feed.objects().at("a").version, object_version{version});
+  }
+}
+
 TEST_F(object_feed_test, pauses_after_watch_that_ends_early_without_changes) {
   this->complete_list({object("a", 5)}, 5);
   static_cast<void>(this->request_call());
