Reset a response to an HTTP/1.0 caller that breaks off

What callers saw: a backend server broke off a response without a length, or in chunks, after more than 64 KiB. A caller that speaks HTTP/1.0 got the part as a complete answer. The same if the node closed the connection before the caller had taken all of such a response.

Cause: to such a caller the end of the connection is the end of the body, and the node closed the connection in the orderly way whatever the reason was.

Change: from the head of such a response on, until all of it is written, the connection closes with a reset, whoever closes it, also if the process ends.

Evidence: found by reading on from the reset during an upload. Two tests failed before (an orderly end in place of a reset) and pass with it. Callers that speak HTTP/1.1 get chunks, where a missing last chunk shows the break, before and after.

--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -155,6 +155,8 @@
   void begin_linger();
   void close_if_idle();
   void shutdown_output();
+  /// \param resets True to close the connection with a reset, whoever closes it, also as the process ends.
+  void set_reset_on_close(bool resets);
   void close_socket();
   [[nodiscard]] bool decide_close(const caller_exchange& exchange);
 
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -345,10 +345,16 @@
 
 void caller_connection::shutdown_output() {
   this->last_activity = this->clock.now();
+  this->set_reset_on_close(false);
   impl::error_code ignored;
   this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+void caller_connection::set_reset_on_close(bool resets) {
+  impl::error_code ignored;
+  this->socket.set_option(boost::asio::socket_base::linger{resets, 0}, ignored);
+}
+
 void caller_connection::close_socket() {
   if (this->phase == connection_phase::closed) {
     return;
--- a/packages/http/src/caller_exchange.cpp
+++ b/packages/http/src/caller_exchange.cpp
@@ -63,6 +63,8 @@
   this->chunked = !head.content_length && may_chunk && !this->omits_body;
   if (!head.content_length && !may_chunk) {
     this->request.keep_alive = false;
+    // The caller takes an orderly end of the connection for the end of the body.
+    this->connection->set_reset_on_close(true);
   }
   this->closes_connection = this->connection->decide_close(*this);
   const auto phrase =
--- a/packages/http/tests/caller_exchange_test.cpp
+++ b/packages/http/tests/caller_exchange_test.cpp
@@ -38,8 +38,8 @@
     EXPECT_EQ(this->exchanges.size(), expected);
     return this->exchanges.back();
   }
-  /// Reads to the end of the connection.
-  [[nodiscard]] std::string read_all() {
+  /// Reads to the end of the connection, which is an orderly one unless `expected_end` says otherwise.
+  [[nodiscard]] std::string read_all(const boost::system::error_code& expected_end = boost::asio::error::eof) {
     const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{10};
     std::string received;
     boost::system::error_code ec;
@@ -49,7 +49,7 @@
       received.append(buffer.data(), this->caller.read_some(boost::asio::buffer(buffer), ec));
       this->context.poll();
     }
-    EXPECT_EQ(ec, boost::asio::error::eof);
+    EXPECT_EQ(ec, expected_end) << ec.message();
     return received;
   }
 
@@ -92,6 +92,29 @@
   EXPECT_EQ(body_of(received), "abc");
 }
 
+TEST_F(caller_exchange_test, a_body_for_an_old_caller_that_breaks_off_does_not_look_complete) {
+  const auto exchange = this->send("GET /1 HTTP/1.0\r\n\r\n");
+  exchange->begin({});
+  exchange->write("abc");
+  while (exchange->has_unsent_output()) {
+    this->context.poll();
+  }
+  exchange->abort();
+  static_cast<void>(this->read_all(boost::asio::error::connection_reset));
+}
+
+TEST_F(caller_exchange_test, a_body_for_an_old_caller_is_not_complete_before_all_of_it_is_written) {
+  // More than the buffers of both sockets take.
+  const std::string body(16 << 20, 'b');
+  const auto exchange = this->send("GET /1 HTTP/1.0\r\n\r\n");
+  exchange->begin({});
+  exchange->write(body);
+  exchange->finish();
+  this->context.poll();
+  this->connection->close();
+  EXPECT_LT(this->read_all(boost::asio::error::connection_reset).size(), body.size());
+}
+
 TEST_F(caller_exchange_test, a_response_to_head_has_the_length_and_no_body) {
   const auto exchange = this->send(request("HEAD", "1.1"));
   exchange->respond(200, {}, "abc");
