Send nothing behind a body that ends with its connection

What callers saw: a caller that speaks HTTP/1.0, keeps its connection and has sent a second request got a long response without a length, and the response to the second request as the end of its body.

Cause: the connection was only closed behind the last of its requests.

Change: a response whose body ends with the connection closes it, also if others are waiting behind it. Those count as unread, as behind every response that closes the connection; none that may run only once has been sent on.

Evidence: found beside the reset of such responses. The test failed before (the second response's head and body stood in the first one's) and passes with it.

--- a/packages/http/include/zinnia/http/caller_connection.hpp
+++ b/packages/http/include/zinnia/http/caller_connection.hpp
@@ -158,7 +158,9 @@
   /// \param resets True to close the connection with a reset, whoever closes it, also as the process ends.
   void set_reset_on_close(bool resets);
   void close_socket();
-  [[nodiscard]] bool decide_close(const caller_exchange& exchange);
+  /// \param ends_with_connection True if the response's body ends with the connection, so that none can
+  /// follow.
+  [[nodiscard]] bool decide_close(const caller_exchange& exchange, bool ends_with_connection);
 
   // Memory.
   /// Charges the input and a partly read head. Refuses the request if there is no memory for them.
--- a/packages/http/src/caller_connection.cpp
+++ b/packages/http/src/caller_connection.cpp
@@ -224,10 +224,11 @@
   exchange->respond(status, {}, "");
 }
 
-bool caller_connection::decide_close(const caller_exchange& exchange) {
+bool caller_connection::decide_close(const caller_exchange& exchange, bool ends_with_connection) {
   const bool is_last = !this->pending.empty() && this->pending.back().get() == &exchange;
   const bool closes_connection =
-      is_last && (this->draining || this->input_ended || !exchange.request.keep_alive);
+      ends_with_connection ||
+      (is_last && (this->draining || this->input_ended || !exchange.request.keep_alive));
   if (closes_connection) {
     // Requests pipelined after this one count as unread; the caller sends them again.
     this->end_input();
--- a/packages/http/src/caller_exchange.cpp
+++ b/packages/http/src/caller_exchange.cpp
@@ -63,10 +63,13 @@
   this->chunked = !head.content_length && may_chunk && !this->omits_body;
   if (!head.content_length && !may_chunk) {
     this->request.keep_alive = false;
+  }
+  const bool ends_with_connection = !head.content_length && !may_chunk && !this->omits_body;
+  if (ends_with_connection) {
     // The caller takes an orderly end of the connection for the end of the body.
     this->connection->set_reset_on_close(true);
   }
-  this->closes_connection = this->connection->decide_close(*this);
+  this->closes_connection = this->connection->decide_close(*this, ends_with_connection);
   const auto phrase =
       head.reason_phrase.empty() ? standard_reason_phrase(head.status) : std::string_view{head.reason_phrase};
   absl::StrAppend(&this->output, "HTTP/1.1 ", head.status, " ",
--- a/packages/http/tests/caller_exchange_test.cpp
+++ b/packages/http/tests/caller_exchange_test.cpp
@@ -39,7 +39,8 @@
     return this->exchanges.back();
   }
   /// Reads to the end of the connection, which is an orderly one unless `expected_end` says otherwise.
-  [[nodiscard]] std::string read_all(const boost::system::error_code& expected_end = boost::asio::error::eof) {
+  [[nodiscard]] std::string read_all(
+      const boost::system::error_code& expected_end = boost::asio::error::eof) {
     const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{10};
     std::string received;
     boost::system::error_code ec;
@@ -115,6 +116,17 @@
   EXPECT_LT(this->read_all(boost::asio::error::connection_reset).size(), body.size());
 }
 
+TEST_F(caller_exchange_test, no_response_follows_a_body_that_ends_with_the_connection) {
+  const std::string old_request = "GET /1 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+  const auto exchange = this->send(old_request);
+  const auto next = this->send(old_request);
+  exchange->begin({});
+  next->respond(200, {}, "next");
+  exchange->write("abc");
+  exchange->finish();
+  EXPECT_EQ(body_of(this->read_all()), "abc");
+}
+
 TEST_F(caller_exchange_test, a_response_to_head_has_the_length_and_no_body) {
   const auto exchange = this->send(request("HEAD", "1.1"));
   exchange->respond(200, {}, "abc");
