Free what a backend connection has parsed

What callers saw: nothing directly. 500 requests at a server that sends 60,000 bytes of a body and then nothing held twice that much each until their deadlines, more than a node with 64 MB has.

Cause: bytes that had arrived were kept in a buffer until they were parsed, and the buffer kept its memory, uncharged, beside the body that waits to be forwarded, and while the connection was idle.

Change: the buffer's memory goes once it is empty.

--- a/apps/zinniad/tests/endless_response_test.cpp
+++ b/apps/zinniad/tests/endless_response_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 
+#include "client_crowd.hpp"
 #include "node_under_load.hpp"
 #include "standins/scripted_tcp_server.hpp"
 
@@ -54,5 +55,46 @@
                                          endless_case{"no_http", "", "data"}),
                          [](const auto& tested) { return std::string{tested.param.name}; });
 
+class endless_backend : public testing::TestWithParam<endless_case> {};
+
+TEST_P(endless_backend, does_not_fill_the_memory_by_many_requests) {
+  const auto& row = GetParam();
+  // Stalls before any bound on one response applies, and so holds all of it until the deadline.
+  const scripted_tcp_server server{
+      [&](int) {
+        scripted_response response{row.begin + row.repeated};
+        response.close_delay_ms = 10'000;
+        return response;
+      },
+      scripted_response{"HTTP/1.1 200 X\r\nInstance-Id: f0\r\nContent-Length: 0\r\n\r\n"}};
+  load_limits limits{64, 2400};
+  limits.faulty_backend_port = server.port();
+  node_under_load node{limits};
+  ASSERT_TRUE(node.serves_ordinary_caller());
+  {
+    const client_crowd crowd{
+        node.ports().ip,
+        {{node.ports().caller_port, 500, {{"GET /faulty/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: c\r\n\r\n"}}}}};
+    EXPECT_TRUE(crowd.wait_until_sent(std::chrono::seconds{20}));
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    EXPECT_TRUE(node.serves_ordinary_caller());
+  }
+  EXPECT_TRUE(node.usage().is_alive());
+  EXPECT_LE(node.usage().peak_memory(), limits.memory_mb * bytes_per_mb);
+  std::cout << row.name << ": at most " << node.usage().peak_memory() << " bytes, " << server.requests()
+            << " requests\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    zinniad, endless_backend,
+    testing::Values(endless_case{"head", "HTTP/1.1 200 X\r\nName: ", std::string(60'000, 'v')},
+                    endless_case{"body", "HTTP/1.1 200 X\r\nServer-Stamp: s\r\nRequest-Id: c\r\n\r\n",
+                                 std::string(60'000, 'd')},
+                    endless_case{"trailer",
+                                 "HTTP/1.1 200 X\r\nServer-Stamp: s\r\nRequest-Id: c\r\nTransfer-Encoding: "
+                                 "chunked\r\n\r\n0\r\nName: ",
+                                 std::string(60'000, 'v')}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
 }  // namespace
 }  // namespace zinnia::testing_support
--- a/apps/zinniad/tests/node_under_load.cpp
+++ b/apps/zinniad/tests/node_under_load.cpp
@@ -53,16 +53,21 @@
   std::string pattern = std::filesystem::temp_directory_path().string() + "/zinnia-load-XXXXXX";
   this->folder = ::mkdtemp(pattern.data());
   this->write_configuration(this->limits.max_body_bytes);
-  for (const auto* const id : {"b0", "b1"}) {
+  const auto add_server = [this](const char* id, const char* service, std::uint16_t port, int slots) {
     this->store.put("servers", id,
-                    {{"service", "desk"},
-                     {"address", absl::StrCat("127.0.0.1:", this->backend->port())},
+                    {{"service", service},
+                     {"address", absl::StrCat("127.0.0.1:", port)},
                      {"zone", "a"},
                      {"version", "v1"},
-                     {"slots", 3},
+                     {"slots", slots},
                      {"state", "ready"},
                      {"coldRemainingMs", 0},
                      {"sequence", 1}});
+  };
+  add_server("b0", "desk", this->backend->port(), 3);
+  add_server("b1", "desk", this->backend->port(), 3);
+  if (this->limits.faulty_backend_port != 0) {
+    add_server("f0", "faulty", this->limits.faulty_backend_port, 1000);
   }
   soak::node_options options;
   options.program = ZINNIAD_PROGRAM;
@@ -100,27 +105,30 @@
 }
 
 void node_under_load::write_configuration(std::uint64_t max_body_bytes) {
-  const auto rule = [](const char* name, const char* kind, const std::string& path) {
+  const auto rule = [](const char* name, const char* kind, const std::string& path,
+                       const char* service = "desk") {
     return nlohmann::json{{"name", name},
                           {"kind", kind},
                           {"targetLatencyMs", 200},
                           {"priority", 0},
                           {"sticky", false},
                           {"match", {{"pathPrefix", path}}},
-                          {"action", {{"service", "desk"}, {"timeoutMs", 5000}, {"maxAttempts", 2}}}};
+                          {"action", {{"service", service}, {"timeoutMs", 5000}, {"maxAttempts", 2}}}};
   };
   const nlohmann::json rules{rule("up", "unsafe", "/up/"), rule("get", "safe", "/get/"),
-                             rule("big", "safe", "/big/")};
+                             rule("big", "safe", "/big/"), rule("faulty", "safe", "/faulty/", "faulty")};
   const nlohmann::json stated{{"maxHeaderBytes", 16384},
                               {"maxBodyBytes", max_body_bytes},
                               {"headerTimeoutMs", 3000},
                               {"idleTimeoutMs", 15000}};
-  const nlohmann::json cluster{{"name", "desk"}, {"healthPath", "/health"}, {"maxConnections", 200}};
+  const auto cluster = [](const char* name, int max_connections) {
+    return nlohmann::json{{"name", name}, {"healthPath", "/health"}, {"maxConnections", max_connections}};
+  };
   this->store.put("config", "main",
                   {{"version", absl::StrFormat("%08x", ++this->version)},
                    {"limits", stated},
                    {"listeners", nlohmann::json::array({{{"host", "h"}, {"rules", rules}}})},
-                   {"clusters", nlohmann::json::array({cluster})}});
+                   {"clusters", nlohmann::json::array({cluster("desk", 200), cluster("faulty", 1000)})}});
 }
 
 bool node_under_load::serves_ordinary_caller() const {
--- a/apps/zinniad/tests/node_under_load.hpp
+++ b/apps/zinniad/tests/node_under_load.hpp
@@ -19,11 +19,14 @@
   std::uint64_t max_body_bytes{8 << 20};
   /// The port of a store that is in trouble; 0 for a sound one.
   std::uint16_t faulty_store_port{0};
+  /// The port of a backend server that is in trouble; 0 for none.
+  std::uint16_t faulty_backend_port{0};
 };
 
 /// \brief   Starts the process and waits until it is ready, unless its store is in trouble.
-/// \details Routes of the host h: /up/ (unsafe), /get/ (safe) and /big/ (safe, with responses of 150,000
-///          bytes).
+/// \details Routes of the host h: /up/ (unsafe), /get/ (safe), /big/ (safe, with responses of 150,000 bytes)
+/// and
+///          /faulty/ (safe, at the server in trouble).
 class node_under_load {
  public:
   explicit node_under_load(const load_limits& limits_in);
--- a/packages/http/src/backend_connection.cpp
+++ b/packages/http/src/backend_connection.cpp
@@ -213,6 +213,9 @@
       return;
     }
     this->input.erase(0, consumed);
+    if (this->input.empty()) {
+      free_memory(this->input);
+    }
     if (progress == parse_progress::malformed) {
       this->fail(verdict::may_have_run, reason::backend_error);
       return;
