--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -508,5 +508,31 @@
   's/  const double tag = share ? .*/  const double tag = 1e9;/' "the expected wait counts requests that are served later"
 mutate test_accounts packages/accounts/src/account_limits.cpp \
   's/  if (table_in == this->table) {/  if (false) {/' "a snapshot with the same accounts forgets outstanding asks"
+mutate test_http packages/http/src/backend_connection.cpp \
+  's/  if (this->write_failed) {/  if (false) {/' "a response without a length is complete although the connection has failed"
+mutate test_http packages/http/src/backend_connection.cpp \
+  's/\[self = this->shared_from_this()\] { self->complete_at_end_of_stream(); });/[] {}); this->complete_at_end_of_stream();/' "the end of a response is judged before a failed write is known"
+mutate test_http packages/http/src/message_parser.cpp \
+  's/status < impl::min_status || status > impl::max_status ||/false ||/' "a status outside 100 to 599 is a response"
+mutate test_http packages/http/src/message_parser.cpp \
+  's/ || status == impl::status_switching_protocols) {/) {/' "what follows a switch of protocols is read as HTTP"
+mutate test_http packages/http/src/caller_exchange.cpp \
+  's/    this->connection->set_reset_on_close(true);//' "a response that breaks off looks complete to a caller of HTTP 1.0"
+mutate test_http packages/http/src/caller_connection.cpp \
+  's/      ends_with_connection ||/      false ||/' "a response follows a body that ends with the connection"
+mutate test_store packages/store/src/response_collector.cpp \
+  's/std::all_of(name.begin(), name.end(), impl::is_token_character)/true/' "the store's fields may have any name"
+mutate test_store packages/store/src/response_collector.cpp \
+  's/status < impl::min_final_status || status > impl::max_status/false/' "the store's status may be any number"
+mutate test_store packages/store/src/response_collector.cpp \
+  's/code == CURLE_OK \&\& !this->head_complete/false/' "a head of the store that breaks off is an answer"
+mutate test_store packages/store/src/response_collector.cpp \
+  's/body.size() + piece.size() > max_response_body_bytes;/false;/' "the store's answers may have any length"
+mutate test_store packages/store/src/response_collector.cpp \
+  's/this->shared_budget->used + piece.size() > this->shared_budget->limit/false/' "the store's answers have no common limit"
+mutate test_store packages/store/src/response_collector.cpp \
+  's/this->header_bytes > impl::max_header_bytes/false/' "the store's trailers may have any length"
+mutate test_store packages/store/src/object_feed.cpp \
+  's/  if (reply.status == feed_status::too_long) {/  if (false) {/' "a watch whose answer is too long is not replaced by a list"
 echo "$survivors survived, stale or broken"
 [ "$survivors" -eq 0 ]
