Let the test of endless responses use the scripted server

It had a server of its own that sends bytes without end. scripted_tcp_server can do so since and counts what it has sent, so one of them is enough. The cases, their bound and their expected statuses are as before.

--- a/packages/gateway/tests/endless_response_test.cpp
+++ b/packages/gateway/tests/endless_response_test.cpp
@@ -1,10 +1,6 @@
 // Backend servers whose bytes never end: the request ends, the connection closes, and little is read or kept.
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <string>
@@ -12,78 +8,17 @@
 #include <vector>
 
 #include "standins/raw_tcp_client.hpp"
+#include "standins/scripted_tcp_server.hpp"
 #include "zinnia/gateway/gateway.hpp"
 #include "zinnia/http/http_listener.hpp"
 
 using namespace zinnia;
 using standins::raw_tcp_client;
+using standins::scripted_response;
+using standins::scripted_tcp_server;
 
 namespace {
 
-/// Responds to the first request with `begin` and then `repeated` until the peer closes or `max_bytes` are
-/// sent.
-class endless_server {
- public:
-  static constexpr std::size_t max_bytes = 256 << 20;
-
-  endless_server(std::string begin_in, std::string repeated_in)
-      : begin{std::move(begin_in)}, repeated{std::move(repeated_in)} {
-    this->listening_socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    static_cast<void>(
-        ::bind(this->listening_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address));
-    ::listen(this->listening_socket, SOMAXCONN);
-    socklen_t size = sizeof address;
-    getsockname(this->listening_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    this->port = ntohs(address.sin_port);
-    this->thread = std::thread{[this] { this->serve(); }};
-  }
-  endless_server(const endless_server&) = delete;
-  endless_server& operator=(const endless_server&) = delete;
-  endless_server(endless_server&&) = delete;
-  endless_server& operator=(endless_server&&) = delete;
-  ~endless_server() {
-    ::shutdown(this->listening_socket, SHUT_RDWR);
-    this->thread.join();
-    ::close(this->listening_socket);
-  }
-
-  std::uint16_t port{0};
-  std::atomic<std::size_t> sent_bytes{0};
-
- private:
-  void serve() {
-    const int connection = ::accept(this->listening_socket, nullptr, nullptr);
-    if (connection < 0) {
-      return;
-    }
-    char request[4096];
-    static_cast<void>(::recv(connection, request, sizeof request, 0));
-    std::string block;
-    constexpr std::size_t block_bytes = 16 << 10;
-    while (block.size() < block_bytes) {
-      block += this->repeated;
-    }
-    const std::string* next = &this->begin;
-    while (this->sent_bytes < max_bytes) {
-      const auto sent = ::send(connection, next->data(), next->size(), MSG_NOSIGNAL);
-      if (sent < 0) {
-        break;
-      }
-      this->sent_bytes += static_cast<std::size_t>(sent);
-      next = &block;
-    }
-    ::close(connection);
-  }
-
-  std::string begin;
-  std::string repeated;
-  int listening_socket{-1};
-  std::thread thread;
-};
-
 struct endless_case {
   const char* name;
   std::string begin;
@@ -151,10 +86,11 @@
             "HTTP/1.1 200"},
            {"body where none is due", "HTTP/1.1 204 X\r\nStamp: s\r\n\r\n", "data", "HTTP/1.1 204"},
        }) {
-    endless_server server{each.begin, each.repeated};
-    const auto response = request_through_node(server.port);
+    const scripted_tcp_server server{
+        [&](int) { return scripted_response{each.begin, false, 0, false, false, each.repeated}; }};
+    const auto response = request_through_node(server.port());
     EXPECT_TRUE(response.starts_with(each.expected_status)) << each.name << ": " << response.substr(0, 200);
-    EXPECT_LE(server.sent_bytes, max_sent_bytes) << each.name;
+    EXPECT_LE(server.sent_bytes(), max_sent_bytes) << each.name;
   }
 }
 
