--- a/apps/zinniad/tests/node_under_load.hpp
+++ b/apps/zinniad/tests/node_under_load.hpp
@@ -25,8 +25,7 @@
 
 /// \brief   Starts the process and waits until it is ready, unless its store is in trouble.
 /// \details Routes of the host h: /up/ (unsafe), /get/ (safe), /big/ (safe, with responses of 150,000 bytes)
-/// and
-///          /faulty/ (safe, at the server in trouble).
+///          and /faulty/ (safe, at the server in trouble).
 class node_under_load {
  public:
   explicit node_under_load(const load_limits& limits_in);
--- a/packages/http/src/caller_exchange.cpp
+++ b/packages/http/src/caller_exchange.cpp
@@ -61,10 +61,11 @@
   constexpr int version_1_1 = 11;
   const bool may_chunk = this->request.version >= version_1_1;
   this->chunked = !head.content_length && may_chunk && !this->omits_body;
-  if (!head.content_length && !may_chunk) {
+  const bool lacks_length = !head.content_length && !may_chunk;
+  if (lacks_length) {
     this->request.keep_alive = false;
   }
-  const bool ends_with_connection = !head.content_length && !may_chunk && !this->omits_body;
+  const bool ends_with_connection = lacks_length && !this->omits_body;
   if (ends_with_connection) {
     // The caller takes an orderly end of the connection for the end of the body.
     this->connection->set_reset_on_close(true);
