--- a/packages/gateway/tests/broken_response_test.cpp
+++ b/packages/gateway/tests/broken_response_test.cpp
@@ -127,6 +127,29 @@
   }
 }
 
+TEST_F(broken_response, an_unsafe_request_is_not_repeated_because_of_it) {
+  std::string bytes;
+  const auto script = [&](int) { return scripted_response{bytes}; };
+  const scripted_tcp_server one{script, good_response};
+  const scripted_tcp_server other{script, good_response};
+  this->route_with(request_kind::unsafe);
+  this->add("s1", one.port());
+  this->add("s2", other.port());
+  this->start();
+  int sent = 0;
+  for (const auto& each : broken_responses(sound_fields)) {
+    bytes = each;
+    EXPECT_TRUE(this->send_request("POST").starts_with("HTTP/1.1 502")) << testing::PrintToString(each);
+    EXPECT_EQ(one.requests() + other.requests(), ++sent) << testing::PrintToString(each);
+    // Keeps the servers from being suspended for their failures.
+    bytes = sound_response;
+    for (int i = 0; i < 2; ++i) {
+      EXPECT_TRUE(this->send_request("POST").ends_with("\r\n\r\ngood"));
+      ++sent;
+    }
+  }
+}
+
 TEST_F(broken_response, a_health_check_does_not_succeed_by_it) {
   // Answers from another instance suspend a server until a check succeeds.
   const auto serve = [](const scripted_response& health) {
--- a/packages/http/tests/broken_response_test.cpp
+++ b/packages/http/tests/broken_response_test.cpp
@@ -19,8 +19,11 @@
 class broken_response : public backend_connection_test {
  protected:
   /// Sends a long upload to a server that responds as soon as it has the head.
-  std::unique_ptr<recording_handler> upload(const scripted_response& response) {
-    const scripted_tcp_server server{[&](int) { return response; }, std::nullopt, response_time::after_head};
+  /// \param is_kept True to use a connection that has carried a request.
+  std::unique_ptr<recording_handler> upload(const scripted_response& response, bool is_kept = false) {
+    const scripted_response first{"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 0\r\n\r\n", true};
+    const scripted_tcp_server server{[&](int number) { return is_kept && number == 0 ? first : response; },
+                                     std::nullopt, response_time::after_head};
     auto request = make_call();
     body_buffer body;
     static_cast<void>(body.try_append(std::string(upload_bytes, 'u')));
@@ -28,6 +31,10 @@
         "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(upload_bytes) + "\r\n\r\n";
     request.body = std::make_shared<const body_buffer>(std::move(body));
     const auto connection = this->connect(server.port());
+    if (is_kept) {
+      EXPECT_TRUE(this->run_call(*connection, "r0")->end->complete);
+      EXPECT_TRUE(connection->is_reusable(this->clock.now()));
+    }
     auto handler = this->run_call(*connection, std::move(request));
     EXPECT_FALSE(connection->is_reusable(this->clock.now()));
     connection->cancel();
@@ -64,6 +71,18 @@
   }
 }
 
+TEST_F(broken_response, a_reset_during_an_upload_on_a_kept_connection_does_not_complete_it) {
+  scripted_response response{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n" + early_body};
+  response.reset = true;
+  response.close_delay_ms = 5;
+  for (int run = 0; run < runs_per_case; ++run) {
+    const auto handler = this->upload(response, true);
+    ASSERT_TRUE(handler->end);
+    EXPECT_FALSE(handler->end->complete);
+    EXPECT_EQ(handler->end->outcome, verdict::may_have_run);
+  }
+}
+
 TEST_F(broken_response, a_reset_does_not_complete_it_while_the_server_reads_the_upload) {
   scripted_response response{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n" + early_body};
   response.reset = true;
